Thin whole path as separate processes

Change: workspace with one module per program, wire schema with generated types, tables, typed errors, settings, frames, and thin versions of entry, side, lavenderctl and lavenderfake.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,57 @@
+MODULES := core ctl entry fake side tests wire
+PROGRAMS := entry side ctl fake
+TOOLS ?= $(CURDIR)/.tools
+BIN := $(CURDIR)/bin
+VERSION ?= $(shell git describe --always --dirty 2>/dev/null || echo unknown)
+GOFLAGS_LINK := -ldflags "-X main.version=$(VERSION)"
+export PATH := $(TOOLS):$(PATH)
+
+.PHONY: build test unit race tools lint format generate check-generated tidy clean
+
+build: ## build the four programs into bin/
+	@mkdir -p $(BIN)
+	go build $(GOFLAGS_LINK) -o $(BIN)/lavenderswitch-entry ./entry
+	go build $(GOFLAGS_LINK) -o $(BIN)/lavenderswitch-side ./side
+	go build $(GOFLAGS_LINK) -o $(BIN)/lavenderctl ./ctl
+	go build $(GOFLAGS_LINK) -o $(BIN)/lavenderfake ./fake
+
+test: check-generated lint build race ## all that CI runs
+
+race: ## unit and integration tests under the race detector
+	go test -race -timeout 10m $(addprefix ./,$(addsuffix /...,$(MODULES)))
+
+unit: ## the same tests without the race detector
+	go test $(addprefix ./,$(addsuffix /...,$(MODULES)))
+
+tools: $(TOOLS)/golangci-lint $(TOOLS)/gofumpt $(TOOLS)/buf $(TOOLS)/protoc-gen-go $(TOOLS)/protoc-gen-twirp
+
+$(TOOLS)/golangci-lint:
+	GOBIN=$(TOOLS) go install github.com/golangci/golangci-lint/v2/cmd/golangci-lint@v2.15.0
+$(TOOLS)/gofumpt:
+	GOBIN=$(TOOLS) go install mvdan.cc/gofumpt@v0.12.0
+$(TOOLS)/buf:
+	GOBIN=$(TOOLS) go install github.com/bufbuild/buf/cmd/buf@v1.75.0
+$(TOOLS)/protoc-gen-go:
+	GOBIN=$(TOOLS) go install google.golang.org/protobuf/cmd/protoc-gen-go@v1.36.12
+$(TOOLS)/protoc-gen-twirp:
+	cd tools && GOWORK=off go build -o $(TOOLS)/protoc-gen-twirp github.com/twitchtv/twirp/protoc-gen-twirp
+
+lint: tools ## formatter and linter, no change made
+	@for m in $(MODULES); do (cd $$m && golangci-lint run --config ../.golangci.yml ./...) || exit 1; done
+
+format: tools ## write the formatter's changes
+	@for m in $(MODULES); do (cd $$m && golangci-lint fmt --config ../.golangci.yml ./...) || exit 1; done
+
+generate: tools ## generate the wire types from the schema
+	cd wire && buf generate
+
+check-generated: tools ## fail when the committed wire types differ from the schema
+	@rm -rf .generated && mkdir .generated && cd wire && buf generate -o ../.generated
+	@for f in .generated/lavwire/*.go; do cmp $$f wire/lavwire/$$(basename $$f) || { echo "run make generate and commit"; exit 1; }; done
+	@rm -rf .generated
+
+tidy:
+	@for m in $(MODULES); do (cd $$m && GOWORK=off go mod tidy) || exit 1; done
+
+clean:
+	rm -rf $(BIN) .generated
--- /dev/null
+++ b/core/modules/lavdump/doc.go
@@ -0,0 +1,2 @@
+// Package lavdump shows the state of a process as JSON on request.
+package lavdump
--- /dev/null
+++ b/core/modules/lavhttp/server.go
@@ -0,0 +1,71 @@
+package lavhttp
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"lavenderswitch/core/modules/lavlife"
+)
+
+// Limits bound what a client of a listener may take.
+type Limits struct {
+	HeaderTimeout  time.Duration
+	IdleTimeout    time.Duration
+	MaxHeaderBytes int
+}
+
+// DefaultLimits suit the listeners of every process.
+func DefaultLimits() Limits {
+	return Limits{HeaderTimeout: 5 * time.Second, IdleTimeout: 90 * time.Second, MaxHeaderBytes: 64 << 10}
+}
+
+// Server is one HTTP listener.
+type Server struct {
+	lavlife.Part
+	server   *http.Server
+	listener net.Listener
+}
+
+// Listen opens the address; the listener speaks TLS when config is not nil.
+func Listen(ctx context.Context, address string, handler http.Handler, config *tls.Config, limits Limits) (*Server, error) {
+	var setup net.ListenConfig
+	listener, err := setup.Listen(ctx, "tcp", address)
+	if err != nil {
+		return nil, errors.Wrapf(err, "listen on %s; choose a free address in the settings", address)
+	}
+	if config != nil {
+		listener = tls.NewListener(listener, config)
+	}
+	server := &http.Server{
+		Handler:           handler,
+		ReadHeaderTimeout: limits.HeaderTimeout,
+		IdleTimeout:       limits.IdleTimeout,
+		MaxHeaderBytes:    limits.MaxHeaderBytes,
+	}
+	return &Server{server: server, listener: listener}, nil
+}
+
+// Address returns the address that the listener was given.
+func (s *Server) Address() string {
+	return s.listener.Addr().String()
+}
+
+// Serve answers requests until Shutdown.
+func (s *Server) Serve() error {
+	defer s.Finish()
+	err := s.server.Serve(s.listener)
+	if errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	return errors.Wrap(err, "serve")
+}
+
+// Shutdown stops taking connections and waits for running requests until ctx ends.
+func (s *Server) Shutdown(ctx context.Context) error {
+	return errors.Wrap(s.server.Shutdown(ctx), "shut down; requests were still running")
+}
--- /dev/null
+++ b/core/modules/lavkey/doc.go
@@ -0,0 +1,2 @@
+// Package lavkey compares API keys with stored hashes in constant time.
+package lavkey
--- /dev/null
+++ b/core/modules/lavlife/doc.go
@@ -0,0 +1,2 @@
+// Package lavlife starts and ends the parts of a process.
+package lavlife
--- /dev/null
+++ b/core/modules/lavlife/part.go
@@ -0,0 +1,41 @@
+package lavlife
+
+import (
+	"context"
+	"sync"
+	"time"
+)
+
+// Part is embedded in whatever runs in the background; its done channel closes when the part has ended.
+type Part struct {
+	once sync.Once
+	end  sync.Once
+	done chan struct{}
+}
+
+// Done returns the channel that closes when the part has ended.
+func (p *Part) Done() <-chan struct{} {
+	p.once.Do(func() { p.done = make(chan struct{}) })
+	return p.done
+}
+
+// Finish closes the done channel; further calls do nothing.
+func (p *Part) Finish() {
+	p.Done()
+	p.end.Do(func() { close(p.done) })
+}
+
+// Tick calls step with the present time at once and then each interval until ctx ends.
+func Tick(ctx context.Context, interval time.Duration, step func(now time.Time)) {
+	ticker := time.NewTicker(interval)
+	defer ticker.Stop()
+	step(time.Now())
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-ticker.C:
+			step(now)
+		}
+	}
+}
--- /dev/null
+++ b/core/modules/lavlog/doc.go
@@ -0,0 +1,2 @@
+// Package lavlog sets up structured logs and names their common fields.
+package lavlog
--- /dev/null
+++ b/core/modules/lavmetric/doc.go
@@ -0,0 +1,2 @@
+// Package lavmetric counts events and times decisions, published by expvar.
+package lavmetric
--- /dev/null
+++ b/core/modules/lavring/doc.go
@@ -0,0 +1,2 @@
+// Package lavring chooses owners of keys by rendezvous hashing.
+package lavring
--- /dev/null
+++ b/core/modules/lavring/owner.go
@@ -0,0 +1,49 @@
+package lavring
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
+	"lavenderswitch/core/models/lavid"
+)
+
+// Member is a host that can own keys.
+type Member struct {
+	ID         lavid.HostID
+	DataCentre lavid.DataCentreID
+	Address    string
+}
+
+// Owners returns the highest-scoring member of a key and the next one in another data centre, if there is one.
+func Owners(members []Member, key string) []Member {
+	ranked := rank(members, key)
+	if len(ranked) == 0 {
+		return nil
+	}
+	first := ranked[0]
+	for _, member := range ranked[1:] {
+		if member.DataCentre != first.DataCentre {
+			return []Member{first, member}
+		}
+	}
+	return ranked[:min(len(ranked), 2)]
+}
+
+func rank(members []Member, key string) []Member {
+	type scored struct {
+		member Member
+		score  uint64
+	}
+	scores := make([]scored, 0, len(members))
+	for _, member := range members {
+		scores = append(scores, scored{member, xxhash.Sum64String(string(member.ID) + "\x00" + key)})
+	}
+	slices.SortFunc(scores, func(a, b scored) int { return cmp.Compare(b.score, a.score) })
+	ranked := make([]Member, 0, len(scores))
+	for _, entry := range scores {
+		ranked = append(ranked, entry.member)
+	}
+	return ranked
+}
--- /dev/null
+++ b/core/modules/lavtable/table_test.go
@@ -0,0 +1,18 @@
+package lavtable
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+func TestTableKeepsRowsInOrderOfIDs(t *testing.T) {
+	is := is.New(t)
+	table := New[string, int]()
+	table.Put("b", 2)
+	table.Put("a", 1)
+	is.Equal(table.IDs(), []string{"a", "b"})
+	is.Equal(table.DeleteIf(func(_ string, row int) bool { return row == 1 }), 1)
+	_, ok := table.Get("a")
+	is.True(!ok)
+}
--- /dev/null
+++ b/core/services/lavanswer/doc.go
@@ -0,0 +1,2 @@
+// Package lavanswer buffers the answer of an attempt so that readers can attach at any offset.
+package lavanswer
--- /dev/null
+++ b/core/services/lavbalance/doc.go
@@ -0,0 +1,2 @@
+// Package lavbalance chooses the backend server of an attempt.
+package lavbalance
--- /dev/null
+++ b/core/services/lavplan/doc.go
@@ -0,0 +1,2 @@
+// Package lavplan decides which versions serve a request, in which order.
+package lavplan
--- /dev/null
+++ b/entry/models/lavrequest/doc.go
@@ -0,0 +1,2 @@
+// Package lavrequest holds a caller's request on its way through an entry host.
+package lavrequest
--- /dev/null
+++ b/entry/models/lavsetting/doc.go
@@ -0,0 +1,2 @@
+// Package lavsetting holds the settings of lavenderswitch-entry.
+package lavsetting
--- /dev/null
+++ b/entry/models/lavsetting/settings.go
@@ -0,0 +1,72 @@
+package lavsetting
+
+import (
+	"net/netip"
+	"net/url"
+	"time"
+
+	"lavenderswitch/core/models/lavid"
+	"lavenderswitch/core/modules/lavsettings"
+)
+
+// Settings are read from a JSON file at start.
+type Settings struct {
+	HostID     lavid.HostID
+	DataCentre lavid.DataCentreID
+	// CallerAddress is where callers reach this host, as IP:port.
+	CallerAddress string
+	// OperatorAddress is where operators reach this host, as IP:port.
+	OperatorAddress string
+	// PeerAddress is where entry hosts and side processes reach this host, as IP:port.
+	PeerAddress string
+	// PlatformAddress is the base URL of the platform.
+	PlatformAddress string
+	// OperatorKeyHashes holds SHA-256 hashes of operators' keys in hexadecimal.
+	OperatorKeyHashes []string
+	LogLevel          string
+	// DrainTimeout bounds a graceful shutdown.
+	DrainTimeout lavsettings.Duration
+	// RequestTimeout bounds a request whose caller states no other.
+	RequestTimeout lavsettings.Duration
+	// SilenceTimeout is how long a stream may stay without a frame before it is attached again.
+	SilenceTimeout lavsettings.Duration
+}
+
+// Read returns the checked settings of a file, or all its faults.
+func Read(path string) (Settings, error) {
+	settings := defaults()
+	if err := lavsettings.Read(path, &settings); err != nil {
+		return Settings{}, err
+	}
+	return settings, settings.check()
+}
+
+func defaults() Settings {
+	return Settings{
+		LogLevel:       "info",
+		DrainTimeout:   lavsettings.Duration{Duration: 2 * time.Minute},
+		RequestTimeout: lavsettings.Duration{Duration: time.Minute},
+		SilenceTimeout: lavsettings.Duration{Duration: time.Second},
+	}
+}
+
+func (s Settings) check() error {
+	var faults lavsettings.Faults
+	faults.Add(s.HostID != "", "HostID", s.HostID, "name this host")
+	faults.Add(s.DataCentre != "", "DataCentre", s.DataCentre, "name the data centre of this host")
+	checkAddress(&faults, "CallerAddress", s.CallerAddress)
+	checkAddress(&faults, "OperatorAddress", s.OperatorAddress)
+	checkAddress(&faults, "PeerAddress", s.PeerAddress)
+	parsed, err := url.Parse(s.PlatformAddress)
+	faults.Add(err == nil && parsed.Host != "", "PlatformAddress", s.PlatformAddress, "give a URL such as http://127.0.0.1:7000")
+	faults.Add(len(s.OperatorKeyHashes) > 0, "OperatorKeyHashes", len(s.OperatorKeyHashes), "give the SHA-256 hash of at least one operator's key")
+	faults.Add(s.DrainTimeout.Duration > 0, "DrainTimeout", s.DrainTimeout, "give a time above zero")
+	faults.Add(s.RequestTimeout.Duration > 0, "RequestTimeout", s.RequestTimeout, "give a time above zero")
+	faults.Add(s.SilenceTimeout.Duration > 0, "SilenceTimeout", s.SilenceTimeout, "give a time above zero")
+	return faults.Err()
+}
+
+func checkAddress(faults *lavsettings.Faults, path, address string) {
+	_, err := netip.ParseAddrPort(address)
+	faults.Add(err == nil, path, address, "give IP:port")
+}
--- /dev/null
+++ b/entry/routers/lavcaller/body.go
@@ -0,0 +1,46 @@
+package lavcaller
+
+import (
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/google/uuid"
+
+	"lavenderswitch/core/models/lavconfig"
+	"lavenderswitch/core/models/lavid"
+	"lavenderswitch/core/modules/laverror"
+	"lavenderswitch/entry/models/lavrequest"
+)
+
+const defaultMaxBodyBytes = 8 << 20
+
+// begin reads what every kind of request has: body, ids and deadline.
+func (r *Router) begin(w http.ResponseWriter, request *http.Request, id lavid.AccountID, account lavconfig.ClientAccount) (*lavrequest.Request, error) {
+	limit := account.MaxBodyBytes
+	if limit <= 0 {
+		limit = defaultMaxBodyBytes
+	}
+	body, err := io.ReadAll(http.MaxBytesReader(w, request.Body, limit))
+	if err != nil {
+		return nil, laverror.New(laverror.KindTooLarge, "body is too large or was cut: "+err.Error(), "send a whole body within the account's limit")
+	}
+	now := time.Now()
+	requestID := request.Header.Get(HeaderIdempotencyKey)
+	if requestID == "" {
+		requestID = uuid.NewString()
+	}
+	return &lavrequest.Request{
+		ID:          lavid.RequestID(requestID),
+		Account:     id,
+		Session:     lavid.SessionID(request.Header.Get(HeaderSession)),
+		Class:       lavid.TaskClass(request.Header.Get(HeaderTaskClass)),
+		Method:      request.Method,
+		ContentType: request.Header.Get("Content-Type"),
+		Body:        body,
+		Fingerprint: xxhash.Sum64(body),
+		Arrived:     now,
+		Deadline:    now.Add(r.RequestTimeout),
+	}, nil
+}
--- /dev/null
+++ b/entry/routers/lavcaller/doc.go
@@ -0,0 +1,2 @@
+// Package lavcaller serves callers: chat completions, the list of models and plain services.
+package lavcaller
--- /dev/null
+++ b/entry/routers/lavcaller/router.go
@@ -0,0 +1,75 @@
+package lavcaller
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/julienschmidt/httprouter"
+
+	"lavenderswitch/core/models/lavconfig"
+	"lavenderswitch/core/models/lavid"
+	"lavenderswitch/core/modules/laverror"
+	"lavenderswitch/core/modules/lavkey"
+	"lavenderswitch/entry/models/lavrequest"
+)
+
+// The headers that callers may send.
+const (
+	HeaderIdempotencyKey = "Idempotency-Key"
+	HeaderSession        = "Lavender-Session"
+	HeaderTaskClass      = "Lavender-Task-Class"
+	HeaderVersion        = "Lavender-Version"
+	HeaderRequest        = "Lavender-Request"
+)
+
+// Configs gives the configuration in force here.
+type Configs interface {
+	Document() *lavconfig.Document
+}
+
+// Server answers requests.
+type Server interface {
+	Serve(ctx context.Context, request *lavrequest.Request, sink lavrequest.Sink) error
+}
+
+// Router answers callers.
+type Router struct {
+	Configs        Configs
+	Server         Server
+	RequestTimeout time.Duration
+}
+
+// Routes returns the handler of every path.
+func (r *Router) Routes() http.Handler {
+	router := httprouter.New()
+	router.HandlerFunc(http.MethodGet, "/ready", r.ready)
+	router.HandlerFunc(http.MethodGet, "/v1/models", r.models)
+	router.HandlerFunc(http.MethodPost, "/v1/chat/completions", r.chat)
+	router.Handle(http.MethodPost, "/services/:service/:call", r.service)
+	router.Handle(http.MethodGet, "/services/:service/:call", r.service)
+	return router
+}
+
+func (r *Router) ready(w http.ResponseWriter, _ *http.Request) {
+	if r.Configs.Document() == nil {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	w.WriteHeader(http.StatusOK)
+}
+
+// account returns the client account of the request's key.
+func (r *Router) account(request *http.Request) (lavid.AccountID, lavconfig.ClientAccount, error) {
+	document := r.Configs.Document()
+	if document == nil {
+		return "", lavconfig.ClientAccount{}, laverror.New(laverror.KindConfigUnavailable, "this host has no configuration yet", "retry").WithRetryAfter(time.Second)
+	}
+	key := lavkey.Bearer(request.Header)
+	for id, account := range document.ClientAccounts {
+		if key != "" && lavkey.Matches(key, account.KeyHashes) {
+			return id, account, nil
+		}
+	}
+	return "", lavconfig.ClientAccount{}, laverror.New(laverror.KindUnauthorized, "the API key is not known", "send Authorization: Bearer with a key of a client account")
+}
--- /dev/null
+++ b/entry/routers/lavoperator/doc.go
@@ -0,0 +1,2 @@
+// Package lavoperator serves operators: configuration, patches and the state dump.
+package lavoperator
--- /dev/null
+++ b/entry/services/lavattempt/reading.go
@@ -0,0 +1,117 @@
+package lavattempt
+
+import (
+	"context"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/pkg/errors"
+	"google.golang.org/protobuf/proto"
+
+	"lavenderswitch/core/models/lavid"
+	"lavenderswitch/core/modules/lavframe"
+	"lavenderswitch/entry/models/lavrequest"
+	"lavenderswitch/wire/lavwire"
+)
+
+// reading is the answer so far, across connections.
+type reading struct {
+	client   *Client
+	sink     lavrequest.Sink
+	sinkErr  error
+	headSeen bool
+	offset   uint64
+	digest   xxhash.Digest
+	started  bool
+	usage    lavrequest.Usage
+	refusal  *lavwire.Refusal
+}
+
+// exchange sends one message and reads frames until the answer ends, the connection fails or falls silent.
+func (r *reading) exchange(ctx context.Context, url string, message proto.Message) error {
+	if !r.started {
+		r.digest.Reset()
+		r.started = true
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	watchdog := time.AfterFunc(r.client.SilenceTimeout, cancel)
+	defer watchdog.Stop()
+	response, err := r.client.open(ctx, url, message)
+	if err != nil {
+		return err
+	}
+	defer response.Body.Close()
+	frames := lavframe.NewReader(response.Body)
+	for {
+		frame, err := frames.Read()
+		if err != nil {
+			return errors.Wrap(err, "stream ended before the answer did")
+		}
+		watchdog.Reset(r.client.SilenceTimeout)
+		ended, err := r.take(frame)
+		if ended || err != nil {
+			return err
+		}
+	}
+}
+
+func (r *reading) take(frame *lavwire.Frame) (bool, error) {
+	if load := frame.GetLoad(); load != nil {
+		r.client.Loads.Record(load, time.Now())
+	}
+	switch kind := frame.GetKind().(type) {
+	case *lavwire.Frame_Head:
+		return false, r.takeHead(kind.Head)
+	case *lavwire.Frame_Chunk:
+		return false, r.takeChunk(kind.Chunk)
+	case *lavwire.Frame_End:
+		return true, r.takeEnd(kind.End)
+	case *lavwire.Frame_Refusal:
+		r.refusal = kind.Refusal
+		return true, nil
+	default:
+		return false, nil
+	}
+}
+
+func (r *reading) takeHead(head *lavwire.Head) error {
+	if r.headSeen {
+		return nil
+	}
+	r.headSeen = true
+	r.sinkErr = r.sink.Head(lavrequest.Head{
+		StatusCode:  int(head.GetStatusCode()),
+		ContentType: head.GetContentType(),
+		Version:     lavid.VersionID(head.GetVersionId()),
+		Stored:      head.GetStored(),
+	})
+	return r.sinkErr
+}
+
+// takeChunk passes on the bytes that the sink does not have yet.
+func (r *reading) takeChunk(chunk *lavwire.Chunk) error {
+	if chunk.GetOffset() > r.offset {
+		return errors.Errorf("chunk at offset %d leaves a gap after %d", chunk.GetOffset(), r.offset)
+	}
+	known := r.offset - chunk.GetOffset()
+	if known >= uint64(len(chunk.GetData())) {
+		return nil
+	}
+	data := chunk.GetData()[known:]
+	r.offset += uint64(len(data))
+	_, _ = r.digest.Write(data)
+	r.sinkErr = r.sink.Chunk(data)
+	return r.sinkErr
+}
+
+func (r *reading) takeEnd(end *lavwire.End) error {
+	if end.GetLength() != r.offset || end.GetChecksum() != r.digest.Sum64() {
+		return errors.Errorf("answer has %d of %d bytes or a wrong checksum", r.offset, end.GetLength())
+	}
+	r.usage = lavrequest.Usage{
+		InputTokens:  lavid.Tokens(end.GetUsage().GetInputTokens()),
+		OutputTokens: lavid.Tokens(end.GetUsage().GetOutputTokens()),
+	}
+	return nil
+}
--- /dev/null
+++ b/entry/services/lavbilling/doc.go
@@ -0,0 +1,2 @@
+// Package lavbilling writes one bill for each request to the table service.
+package lavbilling
--- /dev/null
+++ b/fake/cmd/doc.go
@@ -0,0 +1,2 @@
+// Package lavcmd holds the subcommands of lavenderfake.
+package lavcmd
--- /dev/null
+++ b/fake/services/lavengine/doc.go
@@ -0,0 +1,2 @@
+// Package lavengine stands in for a model engine.
+package lavengine
--- /dev/null
+++ b/fake/services/lavplain/doc.go
@@ -0,0 +1,2 @@
+// Package lavplain stands in for a plain service and counts how often each request ran.
+package lavplain
--- /dev/null
+++ b/side/models/lavsetting/doc.go
@@ -0,0 +1,2 @@
+// Package lavsetting holds the settings of lavenderswitch-side.
+package lavsetting
--- /dev/null
+++ b/side/routers/lavattempt/doc.go
@@ -0,0 +1,2 @@
+// Package lavattempt serves entry hosts: attempts as streams of frames, and the Side service.
+package lavattempt
--- /dev/null
+++ b/side/services/lavbackend/doc.go
@@ -0,0 +1,2 @@
+// Package lavbackend speaks to the backend server beside this process.
+package lavbackend
--- /dev/null
+++ b/tests/doc.go
@@ -0,0 +1,2 @@
+// Package lavtests holds the integration tests of the whole system.
+package lavtests
