Spread configuration between hosts with evidence of its age

Cause: every host polled the store on its own, which grows with the fleet, and a host that was cut off or paused went on deciding with an old number.

Hosts now exchange numbers, patches and evidence with a few peers, a few hosts a second read the store for all, and Current.InForce gives a configuration only while a read of the store is at most 4 s old or hosts in most data centres said within 2 s that they know no higher number. Evidence counts from the moment a question was sent, so a pause or a late reply only makes it older. A submission repeats the same insert, tells hosts in other data centres before it answers and says whether most have it. Rows sort from the newest number down, so one small read finds out whether there is more.

Ruled out: pushes as evidence (a request may be read long after it was sent); reads by every host (1,020 a second at full size); a bound on the host's own failed reads (a cut link looks the same as an outage).

The larger of the two clocks in elapsed has no test, because a stopped monotonic clock cannot be made in one.

--- a/core/modules/lavlife/part.go
+++ b/core/modules/lavlife/part.go
@@ -39,3 +39,13 @@
 		}
 	}
 }
+
+// Sleep waits for a length of time or until ctx ends.
+func Sleep(ctx context.Context, length time.Duration) {
+	timer := time.NewTimer(length)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
--- /dev/null
+++ b/core/services/lavmembership/table_test.go
@@ -0,0 +1,88 @@
+package lavmembership
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"lavenderswitch/core/models/lavid"
+	"lavenderswitch/core/modules/lavplatform"
+)
+
+var start = time.Unix(1_000_000, 0)
+
+func listOf(count int) []lavplatform.Host {
+	var hosts []lavplatform.Host
+	for i := range count {
+		hosts = append(hosts, lavplatform.Host{
+			ID: lavid.HostID(fmt.Sprint("host-", i)), Role: lavplatform.RoleEntry,
+			Address: fmt.Sprint("127.0.0.1:", 1000+i), DataCentre: lavid.DataCentreID(fmt.Sprint("dc-", i%5)),
+		})
+	}
+	return hosts
+}
+
+func newTable(count int) *Table {
+	table := New(Member{ID: "self", Role: lavplatform.RoleEntry, DataCentre: "dc-0"})
+	table.Merge(listOf(count), start)
+	return table
+}
+
+func TestPeersAreFewAndReachEveryDataCentre(t *testing.T) {
+	is := is.New(t)
+	table := newTable(1000)
+	random := rand.New(rand.NewPCG(1, 1))
+	used := make(map[lavid.HostID]bool)
+	dataCentres := make(map[lavid.DataCentreID]bool)
+	for range 200 {
+		for _, member := range table.Pick(2, random, start) {
+			used[member.ID] = true
+			dataCentres[member.DataCentre] = true
+		}
+	}
+	is.Equal(len(used), viewSize)
+	is.Equal(len(dataCentres), 5)
+	is.Equal(len(table.PickRemote(2, random, start)), 8) // two in each of four other data centres
+}
+
+func TestSilentHostIsLeftOutAndTriedAgain(t *testing.T) {
+	is := is.New(t)
+	table := newTable(2)
+	table.Failed("host-0", start)
+	is.Equal(len(table.Owners(start)), 3) // one failure is not enough
+	table.Failed("host-0", start)
+	is.Equal(len(table.Owners(start)), 2)
+	is.Equal(len(table.Live(start.Add(firstPause))), 2) // tried again after a pause
+	table.Heard(Member{ID: "host-0", Role: lavplatform.RoleEntry}, start)
+	is.Equal(len(table.Live(start)), 2)
+}
+
+func TestLeavingHostStaysLeavingWhileListLags(t *testing.T) {
+	is := is.New(t)
+	table := newTable(2)
+	leaving := Member{ID: "host-0", Role: lavplatform.RoleEntry, Address: "127.0.0.1:1000", Leaving: true}
+	table.Heard(leaving, start)
+	table.Merge(listOf(2), start.Add(time.Second))
+	is.Equal(len(table.Owners(start)), 2) // the list does not know yet
+	table.Leave()
+	is.Equal(len(table.Owners(start)), 1)
+}
+
+func TestHostWithoutListAndWordIsForgotten(t *testing.T) {
+	is := is.New(t)
+	table := newTable(2)
+	table.Heard(Member{ID: "host-1", Address: "127.0.0.1:1001"}, start)
+	table.Merge(nil, start.Add(time.Second))
+	is.Equal(table.Count(), 2) // host-0 went with the list; host-1 was heard
+	table.Merge(nil, start.Add(keepUnlisted+time.Second))
+	is.Equal(table.Count(), 1)
+}
+
+func TestListCostsEachHostABoundedRate(t *testing.T) {
+	is := is.New(t)
+	is.Equal(PollInterval(3), shortestPoll)
+	is.True(1020*hostBytes/PollInterval(1020).Seconds() <= listBytesPerSecond)
+}
--- /dev/null
+++ b/core/services/lavspread/currency_test.go
@@ -0,0 +1,84 @@
+package lavspread
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"lavenderswitch/core/models/lavconfig"
+	"lavenderswitch/core/models/lavid"
+	"lavenderswitch/core/modules/laverror"
+	"lavenderswitch/core/services/lavmembership"
+	"lavenderswitch/wire/lavwire"
+)
+
+var start = time.Unix(1_000_000, 0)
+
+func threeDataCentres() *lavconfig.Document {
+	document := (*lavconfig.Document)(nil).WithTables()
+	document.Number = 1
+	for _, id := range []lavid.DataCentreID{"dc-1", "dc-2", "dc-3"} {
+		document.DataCentres[id] = lavconfig.DataCentre{State: lavconfig.InService}
+	}
+	return document
+}
+
+func TestConfigurationDecidesNothingWithoutEvidence(t *testing.T) {
+	is := is.New(t)
+	current := NewCurrent()
+	current.Adopt(threeDataCentres(), start)
+	is.True(current.InForce(start) == nil) // a number alone does not tell that it is the newest
+	is.True(laverror.Is(current.Check(start), laverror.KindConfigUnavailable))
+	current.Confirm(start)
+	is.True(current.InForce(start.Add(ConfirmBound)) != nil)
+	is.True(current.InForce(start.Add(ConfirmBound+time.Millisecond)) == nil) // isolated or paused for longer
+}
+
+func TestMostDataCentresKeepConfigurationInForceWhileStoreIsDown(t *testing.T) {
+	is := is.New(t)
+	current := NewCurrent()
+	current.Adopt(threeDataCentres(), start)
+	vouches := map[lavid.DataCentreID]time.Time{"dc-1": start, "dc-9": start}
+	current.Learn(Evidence{Number: 1, Vouches: vouches})
+	is.True(current.InForce(start) == nil) // one of three, and one that the configuration does not name
+	current.Learn(Evidence{Number: 1, Vouches: map[lavid.DataCentreID]time.Time{"dc-2": start}})
+	is.True(current.InForce(start.Add(VouchBound)) != nil)
+	is.True(current.InForce(start.Add(VouchBound+time.Millisecond)) == nil)
+}
+
+func TestHigherNumberElsewhereIsNoEvidence(t *testing.T) {
+	is := is.New(t)
+	current := NewCurrent()
+	current.Adopt(threeDataCentres(), start)
+	is.True(!current.Learn(Evidence{Number: 2, Confirmed: start}))
+	is.True(current.InForce(start) == nil)
+}
+
+func TestPatchWithOtherDigestIsRefused(t *testing.T) {
+	is := is.New(t)
+	replica := NewReplica(lavmembership.Member{ID: "a"}, NewCurrent())
+	replica.Current.Adopt(threeDataCentres(), start)
+	patch := &lavwire.ConfigPatch{Number: 2, Patch: []byte(`[{"op":"remove","path":"/DataCentres/dc-3"}]`), Digest: 1}
+	request := &lavwire.ConfigExchange{SenderId: "b", Number: 2, Patches: []*lavwire.ConfigPatch{patch}, Push: true}
+	reply, err := replica.Answer(request, false, start)
+	is.NoErr(err)
+	is.True(reply.GetWantDocument())
+	is.Equal(replica.Current.Number(), lavid.ConfigNumber(1))
+}
+
+func TestReadersPerSecondDoNotGrowWithHosts(t *testing.T) {
+	is := is.New(t)
+	for _, count := range []int{3, 100, 1020} {
+		reads := 0
+		for second := range int64(20) {
+			for host := range count {
+				if chosen(lavid.HostID(rune('a'+host)), second, count, readersPerSecond) {
+					reads++
+				}
+			}
+		}
+		is.True(reads <= 20*20) // at most 20 reads a second
+		is.True(reads >= 20)    // and at least one
+	}
+}
--- a/core/services/lavspread/current.go
+++ b/core/services/lavspread/current.go
@@ -6,30 +6,50 @@
 
 	"lavenderswitch/core/models/lavconfig"
 	"lavenderswitch/core/models/lavid"
+	"lavenderswitch/core/modules/laverror"
 )
 
+// The bounds within which evidence allows new work.
+const (
+	// ConfirmBound is how long a comparison with the store stays valid.
+	ConfirmBound = 4 * time.Second
+	// VouchBound is how long a host's word that it knows no higher number stays valid.
+	VouchBound = 2 * time.Second
+)
+
+const retryAfterStale = time.Second
+
+// Evidence says up to when a holder of Number knew every accepted configuration.
+type Evidence struct {
+	Number lavid.ConfigNumber
+	// Confirmed is the start of the newest read of the store that found nothing above Number; zero when there was none.
+	Confirmed time.Time
+	// Vouches holds for each data centre when a host in it last knew nothing above Number.
+	Vouches map[lavid.DataCentreID]time.Time
+}
+
 // Current holds the newest configuration that this process has seen.
 type Current struct {
 	mu       sync.RWMutex
 	document *lavconfig.Document
-	checked  time.Time
+	evidence Evidence
 	changed  chan struct{}
 }
 
 // NewCurrent returns a holder without a configuration.
 func NewCurrent() *Current {
-	return &Current{changed: make(chan struct{})}
+	return &Current{changed: make(chan struct{}), evidence: Evidence{Vouches: make(map[lavid.DataCentreID]time.Time)}}
 }
 
 // Adopt replaces the configuration by a newer one and ignores any other, so that the number never goes back.
-func (c *Current) Adopt(document *lavconfig.Document, now time.Time) bool {
+func (c *Current) Adopt(document *lavconfig.Document, _ time.Time) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.checked = now
 	if c.document != nil && document.Number <= c.document.Number {
 		return false
 	}
 	c.document = document
+	c.evidence.Number = document.Number
 	close(c.changed)
 	c.changed = make(chan struct{})
 	return true
@@ -51,18 +71,52 @@
 	return document.Number
 }
 
-// Confirm records that the configuration was compared with the store or a peer.
-func (c *Current) Confirm(now time.Time) {
+// Confirm records that a read of the store which began at started found no number above the current one.
+func (c *Current) Confirm(started time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.checked = now
+	c.confirm(started)
+}
+
+func (c *Current) confirm(started time.Time) {
+	if started.After(c.evidence.Confirmed) {
+		c.evidence.Confirmed = started
+	}
+}
+
+// Learn takes over the evidence of a peer unless the peer knows a higher number.
+func (c *Current) Learn(peer Evidence) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if peer.Number > c.evidence.Number {
+		return false
+	}
+	c.confirm(peer.Confirmed)
+	for id, heard := range peer.Vouches {
+		if heard.After(c.evidence.Vouches[id]) {
+			c.evidence.Vouches[id] = heard
+		}
+	}
+	return true
+}
+
+// Evidence returns a copy of the present evidence.
+func (c *Current) Evidence() Evidence {
+	c.mu.RLock()
+	defer c.mu.RUnlock()
+	copied := c.evidence
+	copied.Vouches = make(map[lavid.DataCentreID]time.Time, len(c.evidence.Vouches))
+	for id, heard := range c.evidence.Vouches {
+		copied.Vouches[id] = heard
+	}
+	return copied
 }
 
-// Age returns the time since the configuration was last compared with the store or a peer.
+// Age returns the time since every accepted configuration was known to be held here.
 func (c *Current) Age(now time.Time) time.Duration {
 	c.mu.RLock()
 	defer c.mu.RUnlock()
-	return now.Sub(c.checked)
+	return elapsed(c.evidence.Confirmed, now)
 }
 
 // Changed returns a channel that closes at the next adoption.
@@ -71,3 +125,49 @@
 	defer c.mu.RUnlock()
 	return c.changed
 }
+
+// InForce returns the configuration, or nil when there is none that may decide new work now.
+func (c *Current) InForce(now time.Time) *lavconfig.Document {
+	c.mu.RLock()
+	defer c.mu.RUnlock()
+	if c.document == nil || !c.evidence.allows(c.document, now) {
+		return nil
+	}
+	return c.document
+}
+
+// Check returns an error with its remedy when no configuration may decide new work now.
+func (c *Current) Check(now time.Time) error {
+	if c.InForce(now) != nil {
+		return nil
+	}
+	return laverror.New(
+		laverror.KindConfigUnavailable,
+		"this host cannot tell whether its configuration is the newest",
+		"try another host; restore the way from this host to the store or to hosts in other data centres",
+	).WithRetryAfter(retryAfterStale)
+}
+
+// allows tells whether a comparison with the store is recent, or hosts in most data centres know no higher number.
+func (e Evidence) allows(document *lavconfig.Document, now time.Time) bool {
+	if elapsed(e.Confirmed, now) <= ConfirmBound {
+		return true
+	}
+	vouching := 0
+	for id := range document.DataCentres {
+		if elapsed(e.Vouches[id], now) <= VouchBound {
+			vouching++
+		}
+	}
+	return vouching >= Majority(len(document.DataCentres))
+}
+
+// Majority returns how many of count data centres are more than half of them.
+func Majority(count int) int {
+	return count/2 + 1
+}
+
+// elapsed takes the larger of the monotonic and the wall clock time, because a suspended machine may stop the former.
+func elapsed(since, now time.Time) time.Duration {
+	return max(now.Sub(since), now.Round(0).Sub(since.Round(0)))
+}
--- /dev/null
+++ b/core/services/lavspread/exchange.go
@@ -0,0 +1,173 @@
+package lavspread
+
+import (
+	"encoding/json"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"lavenderswitch/core/models/lavid"
+	"lavenderswitch/core/modules/lavplatform"
+	"lavenderswitch/core/services/lavmembership"
+	"lavenderswitch/wire/lavwire"
+)
+
+// errDigest says that patches led to another document than at the sender.
+var errDigest = errors.New("patches give another document than at the sender; ask for the whole document")
+
+// Replica is a host's copy of the configuration, with what it needs to bring others up to date.
+type Replica struct {
+	Self    lavmembership.Member
+	Current *Current
+	log     patchLog
+}
+
+// NewReplica returns a replica around a holder.
+func NewReplica(self lavmembership.Member, current *Current) *Replica {
+	return &Replica{Self: self, Current: current}
+}
+
+// Greeting returns a message that states the sender and its number and nothing more.
+func (r *Replica) Greeting(leaving bool) *lavwire.ConfigExchange {
+	return &lavwire.ConfigExchange{
+		SenderId:      string(r.Self.ID),
+		SenderAddress: r.Self.Address,
+		DataCentreId:  string(r.Self.DataCentre),
+		Role:          string(r.Self.Role),
+		Leaving:       leaving,
+		Number:        uint64(r.Current.Number()),
+	}
+}
+
+// Answer takes over what a request carries and returns what its sender lacks, with the evidence known at now.
+func (r *Replica) Answer(request *lavwire.ConfigExchange, leaving bool, now time.Time) (*lavwire.ConfigExchange, error) {
+	applyErr := r.Apply(request, now)
+	reply := r.Greeting(leaving)
+	reply.WantDocument = errors.Is(applyErr, errDigest)
+	r.addEvidence(reply, now)
+	if request.GetPush() {
+		return reply, nil
+	}
+	return reply, r.Fill(reply, request)
+}
+
+// addEvidence states the evidence of this host; its own word counts for its data centre from now.
+func (r *Replica) addEvidence(reply *lavwire.ConfigExchange, now time.Time) {
+	evidence := r.Current.Evidence()
+	reply.Number = uint64(evidence.Number)
+	if age := elapsed(evidence.Confirmed, now); age <= ConfirmBound {
+		millis := roundUp(age)
+		reply.ConfirmedAgeMillis = &millis
+	}
+	evidence.Vouches[r.Self.DataCentre] = now
+	for id, heard := range evidence.Vouches {
+		if age := elapsed(heard, now); age <= VouchBound {
+			reply.Vouches = append(reply.Vouches, &lavwire.ConfigVouch{DataCentreId: string(id), AgeMillis: roundUp(age)})
+		}
+	}
+}
+
+// roundUp returns whole milliseconds, never fewer than the age.
+func roundUp(age time.Duration) int64 {
+	return int64((age + time.Millisecond - 1) / time.Millisecond)
+}
+
+// Fill adds to a message the patches that its receiver lacks, or the whole document when they are not kept.
+func (r *Replica) Fill(message, receiver *lavwire.ConfigExchange) error {
+	document := r.Current.Document()
+	known := lavid.ConfigNumber(receiver.GetNumber())
+	if document == nil || known >= document.Number {
+		return nil
+	}
+	if known > 0 && !receiver.GetWantDocument() {
+		message.Patches = r.log.between(known, document.Number)
+	}
+	if len(message.Patches) > 0 {
+		return nil
+	}
+	var err error
+	message.Document, err = r.log.document(document)
+	return err
+}
+
+// Apply takes over the patches or the document of a message.
+func (r *Replica) Apply(message *lavwire.ConfigExchange, now time.Time) error {
+	if len(message.GetDocument()) > 0 {
+		document, err := expand(message.GetDocument())
+		if err != nil {
+			return err
+		}
+		r.Current.Adopt(document, now)
+		return nil
+	}
+	for _, patch := range message.GetPatches() {
+		if err := r.applyPatch(patch, now); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (r *Replica) applyPatch(patch *lavwire.ConfigPatch, now time.Time) error {
+	base := r.Current.Document()
+	number := lavid.ConfigNumber(patch.GetNumber())
+	if base == nil || number != base.Number+1 {
+		return nil
+	}
+	document, err := Build(base, Patch{Base: base.Number, Operations: json.RawMessage(patch.GetPatch())})
+	if err != nil {
+		return errDigest
+	}
+	sum, err := digest(document)
+	if err != nil {
+		return err
+	}
+	if sum != patch.GetDigest() {
+		return errDigest
+	}
+	if r.Current.Adopt(document, now) {
+		r.log.append(patch)
+	}
+	return nil
+}
+
+// AdoptAccepted takes over a row of the store and keeps its patch for peers.
+func (r *Replica) AdoptAccepted(accepted Accepted, now time.Time) error {
+	document := accepted.Document.WithTables()
+	sum, err := digest(document)
+	if err != nil {
+		return err
+	}
+	if r.Current.Adopt(document, now) {
+		r.log.append(&lavwire.ConfigPatch{Number: uint64(document.Number), Patch: accepted.Patch, Digest: sum})
+	}
+	return nil
+}
+
+// LearnFrom takes over the evidence of a reply; ages are counted from the time when the request was sent.
+func (r *Replica) LearnFrom(reply *lavwire.ConfigExchange, sent time.Time) bool {
+	evidence := Evidence{Number: lavid.ConfigNumber(reply.GetNumber()), Vouches: make(map[lavid.DataCentreID]time.Time)}
+	if reply.ConfirmedAgeMillis != nil {
+		evidence.Confirmed = sent.Add(-time.Duration(reply.GetConfirmedAgeMillis()) * time.Millisecond)
+	}
+	for _, vouch := range reply.GetVouches() {
+		evidence.Vouches[lavid.DataCentreID(vouch.GetDataCentreId())] = sent.Add(-time.Duration(vouch.GetAgeMillis()) * time.Millisecond)
+	}
+	return r.Current.Learn(evidence)
+}
+
+// Sender returns the host that sent a message.
+func Sender(message *lavwire.ConfigExchange) lavmembership.Member {
+	return lavmembership.Member{
+		ID:         lavid.HostID(message.GetSenderId()),
+		Role:       lavplatform.HostRole(message.GetRole()),
+		Address:    message.GetSenderAddress(),
+		DataCentre: lavid.DataCentreID(message.GetDataCentreId()),
+		Leaving:    message.GetLeaving(),
+	}
+}
+
+// behind tells whether a peer's number is below the one in force here.
+func (r *Replica) behind(peer *lavwire.ConfigExchange) bool {
+	return lavid.ConfigNumber(peer.GetNumber()) < r.Current.Number()
+}
--- /dev/null
+++ b/core/services/lavspread/fleet_test.go
@@ -0,0 +1,143 @@
+package lavspread
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/sirupsen/logrus"
+	"github.com/sourcegraph/conc"
+
+	"lavenderswitch/core/models/lavid"
+	"lavenderswitch/core/modules/laverror"
+	"lavenderswitch/core/modules/lavplatform"
+	"lavenderswitch/core/services/lavmembership"
+)
+
+// fleet is a set of hosts over loopback and their table service.
+type fleet struct {
+	rows      *memoryRows
+	spreaders []*Spreader
+	servers   []*httptest.Server
+}
+
+// startFleet runs hosts in three data centres until the test ends.
+func startFleet(t *testing.T, count int) *fleet {
+	f := &fleet{rows: newMemoryRows()}
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	var hosts []lavplatform.Host
+	for i := range count {
+		server := httptest.NewUnstartedServer(nil)
+		host := lavplatform.Host{
+			ID: lavid.HostID(fmt.Sprint("host-", i)), Role: lavplatform.RoleEntry,
+			Address: server.Listener.Addr().String(), DataCentre: lavid.DataCentreID(fmt.Sprint("dc-", i%3+1)),
+		}
+		table := lavmembership.New(lavmembership.Member{ID: host.ID, Role: host.Role, Address: host.Address, DataCentre: host.DataCentre})
+		spreader := New(Options{Rows: f.rows, Peers: table, Current: NewCurrent(), Client: NewHTTPClient(nil), Scheme: "http://", Log: log})
+		server.Config.Handler = spreader.Handler()
+		hosts = append(hosts, host)
+		f.spreaders = append(f.spreaders, spreader)
+		f.servers = append(f.servers, server)
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	var parts conc.WaitGroup
+	for i, spreader := range f.spreaders {
+		spreader.options.Peers.(*lavmembership.Table).Merge(hosts, time.Now())
+		f.servers[i].Start()
+		parts.Go(func() { spreader.Run(ctx) })
+	}
+	t.Cleanup(func() {
+		stop()
+		parts.Wait()
+		for _, server := range f.servers {
+			server.Close()
+		}
+	})
+	return f
+}
+
+func (f *fleet) numberAt(i int) lavid.ConfigNumber { return f.spreaders[i].options.Current.Number() }
+
+func eventually(t *testing.T, within time.Duration, what string, holds func() bool) {
+	t.Helper()
+	for deadline := time.Now().Add(within); time.Now().Before(deadline); time.Sleep(10 * time.Millisecond) {
+		if holds() {
+			return
+		}
+	}
+	t.Fatalf("not within %v: %s", within, what)
+}
+
+func (f *fleet) allInForce(number lavid.ConfigNumber) func() bool {
+	return func() bool {
+		for _, spreader := range f.spreaders {
+			document := spreader.options.Current.InForce(time.Now())
+			if document == nil || document.Number != number {
+				return false
+			}
+		}
+		return true
+	}
+}
+
+func firstPatch() Patch {
+	return Patch{ID: "first", Operations: json.RawMessage(`[
+		{"op":"add","path":"/DataCentres/dc-1","value":{"State":"InService"}},
+		{"op":"add","path":"/DataCentres/dc-2","value":{"State":"InService"}},
+		{"op":"add","path":"/DataCentres/dc-3","value":{"State":"InService"}}]`)}
+}
+
+func addService(id lavid.PatchID, base lavid.ConfigNumber) Patch {
+	return Patch{ID: id, Base: base, Operations: json.RawMessage(fmt.Sprintf(
+		`[{"op":"test","path":"/Number","value":%d},{"op":"add","path":"/Services/%s","value":{}}]`, base, id))}
+}
+
+func TestAcceptedConfigurationIsInForceEverywhereThroughStoreOutage(t *testing.T) {
+	is := is.New(t)
+	f := startFleet(t, 12)
+	receipt, err := f.spreaders[0].Submit(t.Context(), firstPatch())
+	is.NoErr(err)
+	is.Equal(receipt.Number, lavid.ConfigNumber(1))
+	f.rows.setDown(true)
+	eventually(t, 4*time.Second, "first configuration everywhere", f.allInForce(1))
+	time.Sleep(ConfirmBound + time.Second) // the store's confirmation lapses; hosts vouch for each other
+	is.True(f.allInForce(1)())
+	_, err = f.spreaders[1].Submit(t.Context(), addService("doubt", 1))
+	is.True(laverror.Is(err, laverror.KindInDoubt))
+	f.rows.setDown(false)
+	receipt, err = f.spreaders[2].Submit(t.Context(), addService("doubt", 1)) // settled at another host
+	is.NoErr(err)
+	is.Equal(receipt.Number, lavid.ConfigNumber(2))
+	is.True(receipt.InForce) // pushed to the other data centres before the answer
+	is.Equal(len(receipt.Reached), 3)
+	_, err = f.spreaders[3].Submit(t.Context(), addService("other", 1))
+	is.True(laverror.Is(err, laverror.KindConflict))
+	receipt, err = f.spreaders[4].Submit(t.Context(), addService("doubt", 1)) // repeated once more
+	is.NoErr(err)
+	is.Equal(receipt.Number, lavid.ConfigNumber(2))
+	eventually(t, 4*time.Second, "second configuration everywhere", f.allInForce(2))
+}
+
+func TestHostCutOffFromStoreAndPeersStopsDeciding(t *testing.T) {
+	is := is.New(t)
+	f := startFleet(t, 4)
+	_, err := f.spreaders[0].Submit(t.Context(), firstPatch())
+	is.NoErr(err)
+	eventually(t, 4*time.Second, "configuration everywhere", f.allInForce(1))
+	f.rows.setDown(true)
+	for _, server := range f.servers[1:] {
+		server.Close()
+	}
+	eventually(t, ConfirmBound+time.Second, "no configuration decides any more", func() bool {
+		return f.spreaders[0].options.Current.Check(time.Now()) != nil
+	})
+	is.Equal(f.numberAt(0), lavid.ConfigNumber(1)) // it keeps the number and waits
+	is.True(strings.Contains(f.spreaders[0].options.Current.Check(time.Now()).Error(), "try another host"))
+}
--- /dev/null
+++ b/core/services/lavspread/log.go
@@ -0,0 +1,66 @@
+package lavspread
+
+import (
+	"sync"
+
+	"lavenderswitch/core/models/lavconfig"
+	"lavenderswitch/core/models/lavid"
+	"lavenderswitch/wire/lavwire"
+)
+
+// keptPatches bounds the patches that are kept to bring peers up to date.
+const keptPatches = 32
+
+// patchLog holds the newest accepted patches without gaps, and the compressed form of the newest document.
+type patchLog struct {
+	mu         sync.Mutex
+	patches    []*lavwire.ConfigPatch
+	compressed []byte
+	number     lavid.ConfigNumber
+}
+
+// append keeps a patch; one that does not follow the last drops those before it.
+func (l *patchLog) append(patch *lavwire.ConfigPatch) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if count := len(l.patches); count > 0 && l.patches[count-1].GetNumber()+1 != patch.GetNumber() {
+		l.patches = nil
+	}
+	l.patches = append(l.patches, patch)
+	if len(l.patches) > keptPatches {
+		l.patches = append([]*lavwire.ConfigPatch(nil), l.patches[1:]...)
+	}
+}
+
+// between returns the patches that lead from one number to another, or nothing when some are missing.
+func (l *patchLog) between(from, to lavid.ConfigNumber) []*lavwire.ConfigPatch {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var found []*lavwire.ConfigPatch
+	for _, patch := range l.patches {
+		number := lavid.ConfigNumber(patch.GetNumber())
+		if number > from && number <= to {
+			found = append(found, patch)
+		}
+	}
+	if len(found) != int(to-from) {
+		return nil
+	}
+	return found
+}
+
+// document returns the compressed form of a document, made once for each number.
+func (l *patchLog) document(document *lavconfig.Document) ([]byte, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.number == document.Number && l.compressed != nil {
+		return l.compressed, nil
+	}
+	data, err := compress(document)
+	if err != nil {
+		return nil, err
+	}
+	l.number = document.Number
+	l.compressed = data
+	return data, nil
+}
--- a/core/services/lavspread/patch.go
+++ b/core/services/lavspread/patch.go
@@ -1,9 +1,11 @@
 package lavspread
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
+	"time"
 
 	jsonpatch "github.com/evanphx/json-patch/v5"
 	"github.com/pkg/errors"
@@ -25,7 +27,7 @@
 
 // Build returns the document that a patch gives on its base.
 func Build(base *lavconfig.Document, patch Patch) (*lavconfig.Document, error) {
-	before, err := json.Marshal(base)
+	before, err := json.Marshal(base.WithTables())
 	if err != nil {
 		return nil, errors.Wrap(err, "encode configuration")
 	}
@@ -37,9 +39,9 @@
 	if err != nil {
 		return nil, laverror.New(laverror.KindInvalidConfig, "patch does not apply: "+err.Error(), "read the configuration and correct the paths")
 	}
-	document := &lavconfig.Document{}
-	if err := json.Unmarshal(after, document); err != nil {
-		return nil, laverror.New(laverror.KindInvalidConfig, "patched configuration is not valid: "+err.Error(), "correct the values")
+	document, err := lavconfig.Decode(after)
+	if err != nil {
+		return nil, err
 	}
 	document.Number = patch.Base + 1
 	return document, nil
@@ -50,27 +52,68 @@
 	if base.Number != patch.Base {
 		return nil, conflict(patch.Base, base.Number)
 	}
-	document, err := Build(base, patch)
+	insert, err := buildInsert(base, patch, time.Now())
 	if err != nil {
 		return nil, err
 	}
-	value, err := json.Marshal(Accepted{PatchID: patch.ID, Author: patch.Author, Patch: patch.Operations, Document: *document})
+	accepted, err := insertRow(ctx, rows, insert, patch)
 	if err != nil {
-		return nil, errors.Wrap(err, "encode configuration")
+		return nil, err
+	}
+	return &accepted.Document, nil
+}
+
+func buildInsert(base *lavconfig.Document, patch Patch, now time.Time) (lavplatform.Insert, error) {
+	document, err := Build(base, patch)
+	if err != nil {
+		return lavplatform.Insert{}, err
+	}
+	value, err := json.Marshal(Accepted{
+		PatchID:             patch.ID,
+		Author:              patch.Author,
+		SubmittedUnixMillis: now.UnixMilli(),
+		Patch:               patch.Operations,
+		Document:            *document,
+	})
+	if err != nil {
+		return lavplatform.Insert{}, errors.Wrap(err, "encode configuration")
 	}
-	insert := lavplatform.Insert{Table: ConfigTable, Key: Key(document.Number), Writer: string(patch.ID), Value: value}
+	return lavplatform.Insert{Table: ConfigTable, Key: Key(document.Number), Writer: string(patch.ID), Value: value}, nil
+}
+
+// insertRow writes the row of a patch; a lost reply leaves the patch in doubt until the same insert is answered.
+func insertRow(ctx context.Context, rows Rows, insert lavplatform.Insert, patch Patch) (Accepted, error) {
 	written, err := rows.Insert(ctx, insert)
 	if lavplatform.IsErrStoreUnavailable(err) {
-		remedy := fmt.Sprintf("submit patch %s again against configuration %d", patch.ID, patch.Base)
-		return nil, laverror.New(laverror.KindInDoubt, "the store gave no reply", remedy).WithRun(laverror.InDoubt)
+		return Accepted{}, inDoubt(patch)
 	}
 	if err != nil {
-		return nil, err
+		return Accepted{}, err
+	}
+	accepted, err := decodeRow(written.Row)
+	if err != nil {
+		return Accepted{}, err
 	}
 	if !written.Won {
-		return nil, conflict(patch.Base, document.Number)
+		return accepted, conflict(patch.Base, accepted.Document.Number)
 	}
-	return document, nil
+	return accepted, matchOperations(accepted, patch)
+}
+
+// matchOperations refuses a patch id that was already used for other operations.
+func matchOperations(accepted Accepted, patch Patch) error {
+	var stored, sent bytes.Buffer
+	if json.Compact(&stored, accepted.Patch) == nil && json.Compact(&sent, patch.Operations) == nil && bytes.Equal(stored.Bytes(), sent.Bytes()) {
+		return nil
+	}
+	message := fmt.Sprintf("patch id %s belongs to other operations, accepted as configuration %d", patch.ID, accepted.Document.Number)
+	return laverror.New(laverror.KindRequestMismatch, message, "submit these operations under a new patch id")
+}
+
+func inDoubt(patch Patch) error {
+	message := fmt.Sprintf("the store gave no reply, so patch %s may be in force or not", patch.ID)
+	remedy := fmt.Sprintf("submit the same operations under patch id %s against configuration %d again; repeating never applies them twice", patch.ID, patch.Base)
+	return laverror.New(laverror.KindInDoubt, message, remedy).WithRun(laverror.InDoubt)
 }
 
 func conflict(base, current lavid.ConfigNumber) error {
--- a/core/services/lavspread/store.go
+++ b/core/services/lavspread/store.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"strconv"
 	"time"
 
 	"github.com/pkg/errors"
@@ -11,6 +12,7 @@
 	"lavenderswitch/core/models/lavconfig"
 	"lavenderswitch/core/models/lavid"
 	"lavenderswitch/core/modules/lavplatform"
+	"lavenderswitch/core/services/lavmembership"
 )
 
 // ConfigTable holds one row for each accepted configuration.
@@ -18,10 +20,12 @@
 
 // Accepted is the row of one accepted configuration.
 type Accepted struct {
-	PatchID  lavid.PatchID
-	Author   string
-	Patch    json.RawMessage
-	Document lavconfig.Document
+	PatchID lavid.PatchID
+	Author  string
+	// SubmittedUnixMillis is when the author's entry host first wrote the row.
+	SubmittedUnixMillis int64
+	Patch               json.RawMessage
+	Document            lavconfig.Document
 }
 
 // Rows is the part of the table service that configuration needs.
@@ -31,36 +35,98 @@
 	Scan(ctx context.Context, table, after string, limit int) ([]lavplatform.Row, error)
 }
 
-// Key returns the row key of a number; keys sort as numbers do.
+// highestNumber bounds the keys; rows sort from the highest number down, so that one read finds the newest.
+const highestNumber lavid.ConfigNumber = 999_999_999_999
+
+// Key returns the row key of a number; the newest number has the lowest key.
 func Key(number lavid.ConfigNumber) string {
-	return fmt.Sprintf("%012d", number)
+	return fmt.Sprintf("%012d", highestNumber-number)
+}
+
+// KeyNumber returns the number of a row key.
+func KeyNumber(key string) (lavid.ConfigNumber, error) {
+	value, err := strconv.ParseUint(key, 10, 64)
+	if err != nil || lavid.ConfigNumber(value) > highestNumber {
+		return 0, errors.Errorf("configuration row %s has no number; restore the row in the table service", key)
+	}
+	return highestNumber - lavid.ConfigNumber(value), nil
 }
 
-const scanLimit = 50
+// ReadNewer adopts the newest configuration in the store; started is the time just before the call.
+func ReadNewer(ctx context.Context, rows Rows, current *Current, started time.Time) error {
+	return NewReplica(lavmembership.Member{}, current).ReadNewer(ctx, rows, started)
+}
+
+// ReadNewer adopts the newest configuration in the store; started is the time just before the call.
+func (r *Replica) ReadNewer(ctx context.Context, rows Rows, started time.Time) error {
+	accepted, err := ReadAccepted(ctx, rows, r.Current.Number()+1)
+	if lavplatform.IsErrRowNotExist(err) {
+		r.Current.Confirm(started)
+		return nil
+	}
+	if err != nil {
+		return errors.Wrap(err, "read configuration")
+	}
+	if err := r.AdoptAccepted(accepted, started); err != nil {
+		return err
+	}
+	newest, err := ReadNewest(ctx, rows)
+	if err != nil {
+		return err
+	}
+	if err := r.AdoptAccepted(newest, started); err != nil {
+		return err
+	}
+	r.Current.Confirm(started)
+	return nil
+}
 
-// ReadNewer adopts every configuration in the store that follows the current one.
-func ReadNewer(ctx context.Context, rows Rows, current *Current, now time.Time) error {
-	for {
-		found, err := rows.Scan(ctx, ConfigTable, Key(current.Number()), scanLimit)
+// ReadNewest returns the newest accepted configuration.
+func ReadNewest(ctx context.Context, rows Rows) (Accepted, error) {
+	found, err := rows.Scan(ctx, ConfigTable, "", 1)
+	if err != nil {
+		return Accepted{}, errors.Wrap(err, "read newest configuration")
+	}
+	if len(found) == 0 {
+		return Accepted{}, errors.New("the table service has lost the configuration; restore its rows")
+	}
+	return decodeRow(found[0])
+}
+
+// ReadAccepted returns the accepted configuration of one number.
+func ReadAccepted(ctx context.Context, rows Rows, number lavid.ConfigNumber) (Accepted, error) {
+	row, err := rows.Get(ctx, ConfigTable, Key(number))
+	if err != nil {
+		return Accepted{}, err
+	}
+	return decodeRow(row)
+}
+
+// ReadHistory returns up to limit accepted configurations below a number, newest first; zero starts at the newest.
+func ReadHistory(ctx context.Context, rows Rows, below lavid.ConfigNumber, limit int) ([]Accepted, error) {
+	after := ""
+	if below > 0 {
+		after = Key(below)
+	}
+	found, err := rows.Scan(ctx, ConfigTable, after, limit)
+	if err != nil {
+		return nil, errors.Wrap(err, "read configuration history")
+	}
+	history := make([]Accepted, 0, len(found))
+	for _, row := range found {
+		accepted, err := decodeRow(row)
 		if err != nil {
-			return errors.Wrap(err, "read configurations")
-		}
-		if len(found) == 0 {
-			current.Confirm(now)
-			return nil
-		}
-		if err := adoptLast(found, current, now); err != nil {
-			return err
+			return nil, err
 		}
+		history = append(history, accepted)
 	}
+	return history, nil
 }
 
-func adoptLast(found []lavplatform.Row, current *Current, now time.Time) error {
+func decodeRow(row lavplatform.Row) (Accepted, error) {
 	var accepted Accepted
-	last := found[len(found)-1]
-	if err := json.Unmarshal(last.Value, &accepted); err != nil {
-		return errors.Wrapf(err, "decode configuration row %s; restore the row in the table service", last.Key)
+	if err := json.Unmarshal(row.Value, &accepted); err != nil {
+		return Accepted{}, errors.Wrapf(err, "decode configuration row %s; restore the row in the table service", row.Key)
 	}
-	current.Adopt(&accepted.Document, now)
-	return nil
+	return accepted, nil
 }
