--- /dev/null
+++ b/core/services/lavbill/writer.go
@@ -0,0 +1,99 @@
+package lavbill
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"lavenderswitch/core/modules/lavlife"
+	"lavenderswitch/core/modules/lavplatform"
+	"lavenderswitch/wire/lavwire"
+)
+
+const (
+	batchSize     = 200
+	flushInterval = 200 * time.Millisecond
+)
+
+// Rows is the part of the table service that bills need.
+type Rows interface {
+	InsertAll(ctx context.Context, inserts []lavplatform.Insert) ([]lavplatform.Written, error)
+}
+
+// Writer writes pending bills and takes those that other processes hand over.
+type Writer struct {
+	lavlife.Part
+	Pending *Pending
+	Rows    Rows
+	Log     *logrus.Logger
+
+	flushing sync.Mutex
+}
+
+// Run flushes until ctx ends.
+func (w *Writer) Run(ctx context.Context) {
+	defer w.Finish()
+	lavlife.Tick(ctx, flushInterval, func(time.Time) { w.Flush(ctx) })
+}
+
+// Flush writes all pending bills in batches and stops at the first that the store does not confirm.
+func (w *Writer) Flush(ctx context.Context) {
+	w.flushing.Lock()
+	defer w.flushing.Unlock()
+	for {
+		batch := w.Pending.Batch(batchSize)
+		if len(batch) == 0 {
+			return
+		}
+		if _, err := w.Rows.InsertAll(ctx, rows(batch)); err != nil {
+			w.Log.WithError(err).WithField("pending", w.Pending.Len()).Warning("bills are not confirmed; writing them again at the next tick")
+			return
+		}
+		w.Pending.Confirm(batch)
+	}
+}
+
+func rows(batch []Bill) []lavplatform.Insert {
+	inserts := make([]lavplatform.Insert, 0, len(batch))
+	for _, bill := range batch {
+		inserts = append(inserts, bill.row())
+	}
+	return inserts
+}
+
+// Hold keeps bills of another process until they are written; it serves lavwire.Bills.
+func (w *Writer) Hold(_ context.Context, batch *lavwire.BillBatch) (*lavwire.BillAck, error) {
+	ack := &lavwire.BillAck{}
+	for _, message := range batch.GetBills() {
+		if !w.Pending.Add(FromWire(message)) {
+			ack.Refused++
+		}
+	}
+	return ack, nil
+}
+
+// HandOver gives all pending bills to another process, for a host that ends while the store is unavailable.
+func (w *Writer) HandOver(ctx context.Context, holder lavwire.Bills, sender string) error {
+	w.flushing.Lock()
+	defer w.flushing.Unlock()
+	for {
+		batch := w.Pending.Batch(batchSize)
+		if len(batch) == 0 {
+			return nil
+		}
+		message := &lavwire.BillBatch{SenderId: sender}
+		for _, bill := range batch {
+			message.Bills = append(message.Bills, bill.ToWire())
+		}
+		ack, err := holder.Hold(ctx, message)
+		if err != nil {
+			return err
+		}
+		if ack.GetRefused() > 0 {
+			return lavplatform.ErrStoreUnavailable{Reason: "the other process holds too many bills"}
+		}
+		w.Pending.Confirm(batch)
+	}
+}
--- /dev/null
+++ b/core/services/lavsession/pin_test.go
@@ -0,0 +1,48 @@
+package lavsession
+
+import (
+	"encoding/json"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"lavenderswitch/core/models/lavid"
+)
+
+func TestDecideKeepsThePinUnlessItIsReplaced(t *testing.T) {
+	now := time.Unix(100, 0)
+	known := Pin{Version: "v1", Stored: true}
+	tests := []struct {
+		name     string
+		exists   bool
+		proposal Proposal
+		version  string
+		changed  bool
+	}{
+		{"new session takes the proposal", false, Proposal{Proposed: "v2"}, "v2", true},
+		{"known session keeps its version", true, Proposal{Proposed: "v2"}, "v1", false},
+		{"withdrawn version is replaced", true, Proposal{Proposed: "v2", Replaces: "v1"}, "v2", true},
+		{"late replacement of another version is void", true, Proposal{Proposed: "v3", Replaces: "v0"}, "v1", false},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			pin, changed := Decide(known, test.exists, test.proposal, now)
+			is.Equal(string(pin.Version), test.version)
+			is.Equal(changed, test.changed)
+		})
+	}
+}
+
+func TestDerivedSessionIsTheSameInLaterTurns(t *testing.T) {
+	is := is.New(t)
+	first := Derive(json.RawMessage(`[{"role":"system","content":"s"},{"role":"user","content":"hello"}]`))
+	later := Derive(json.RawMessage(`[{"role":"system","content":"s"},{"role":"user","content":"hello"},{"role":"assistant","content":"hi"},{"role":"user","content":"more"}]`))
+	other := Derive(json.RawMessage(`[{"role":"system","content":"s"},{"role":"user","content":"good day"}]`))
+	is.Equal(first.Session, later.Session)
+	is.True(first.First)
+	is.True(!later.First)
+	is.True(first.Session != other.Session)
+	is.Equal(Derive(json.RawMessage(`{`)).Session, lavid.SessionID(""))
+}
--- a/entry/cmd/host.go
+++ b/entry/cmd/host.go
@@ -12,18 +12,34 @@
 	"lavenderswitch/core/modules/lavdump"
 	"lavenderswitch/core/modules/lavhttp"
 	"lavenderswitch/core/modules/lavlife"
+	"lavenderswitch/core/modules/lavmetric"
 	"lavenderswitch/core/modules/lavplatform"
+	"lavenderswitch/core/modules/lavring"
+	"lavenderswitch/core/services/lavbill"
+	"lavenderswitch/core/services/lavledger"
+	"lavenderswitch/core/services/lavsession"
 	"lavenderswitch/core/services/lavspread"
 	"lavenderswitch/entry/models/lavsetting"
 	"lavenderswitch/entry/routers/lavcaller"
 	"lavenderswitch/entry/routers/lavoperator"
+	"lavenderswitch/entry/routers/lavpeer"
 	"lavenderswitch/entry/services/lavattempt"
-	"lavenderswitch/entry/services/lavbilling"
 	"lavenderswitch/entry/services/lavfleet"
+	"lavenderswitch/entry/services/lavgate"
+	"lavenderswitch/entry/services/lavpin"
+	"lavenderswitch/entry/services/lavrate"
 	"lavenderswitch/entry/services/lavserve"
+	"lavenderswitch/entry/services/lavtrace"
 	"lavenderswitch/wire/lavwire"
 )
 
+const (
+	attachTimeout = 3 * time.Second
+	sessionPins   = 200_000
+	recentTraces  = 500
+	scheme        = "http://"
+)
+
 // host holds the parts of an entry host.
 type host struct {
 	settings   lavsetting.Settings
@@ -31,57 +47,109 @@
 	platform   *lavplatform.Client
 	current    *lavspread.Current
 	fleet      *lavfleet.Fleet
-	billing    *lavbilling.Billing
+	bills      *lavbill.Writer
+	pins       *lavpin.Owner
+	resolver   *lavpin.Resolver
 	service    *lavserve.Service
+	traces     *lavtrace.Ring
+	metrics    *lavmetric.Set
 	dump       *lavdump.Registry
+	peerClient *http.Client
+	router     *lavcaller.Router
 	callers    *lavhttp.Server
 	operators  *lavhttp.Server
+	peers      *lavhttp.Server
 	parts      conc.WaitGroup
 	background context.Context
 	stop       context.CancelFunc
 }
 
-func newHost(settings lavsetting.Settings, log *logrus.Logger) *host {
-	h := &host{settings: settings, log: log, current: lavspread.NewCurrent(), fleet: lavfleet.New(), dump: lavdump.NewRegistry()}
-	h.platform = lavplatform.NewClient(settings.PlatformAddress)
-	h.billing = &lavbilling.Billing{Rows: h.platform, Configs: h.current, Log: log}
-	attempts := lavattempt.New()
-	attempts.SilenceTimeout = settings.SilenceTimeout.Duration
+func newHost(settings lavsetting.Settings, log *logrus.Logger) (*host, error) {
+	h := &host{
+		settings: settings,
+		log:      log,
+		platform: lavplatform.NewClient(settings.PlatformAddress),
+		current:  lavspread.NewCurrent(),
+		fleet:    lavfleet.New(),
+		traces:   lavtrace.NewRing(recentTraces),
+		metrics:  lavmetric.NewSet(),
+		dump:     lavdump.NewRegistry(),
+	}
+	h.peerClient = &http.Client{Transport: lavattempt.NewTransport()}
+	h.bills = &lavbill.Writer{Pending: lavbill.NewPending(lavbill.MaxPending), Rows: h.platform, Log: log}
+	if err := h.addSessions(); err != nil {
+		return nil, err
+	}
+	h.addService()
+	h.background, h.stop = context.WithCancel(context.Background())
+	h.metrics.Publish("Entry")
+	h.dump.Register("Config", func() any { return h.current.Number() })
+	h.dump.Register("Requests", func() any { return h.traces.Dump() })
+	h.dump.Register("Fleet", func() any { return h.fleet.Dump() })
+	h.dump.Register("PendingBills", func() any { return h.bills.Pending.Len() })
+	h.dump.Register("SessionPins", func() any { return h.pins.Pins.Len() })
+	return h, nil
+}
+
+func (h *host) addSessions() error {
+	table, err := lavsession.NewTable(sessionPins)
+	if err != nil {
+		return err
+	}
+	h.pins = &lavpin.Owner{Host: h.settings.HostID, Pins: table, Rows: h.platform, Log: h.log}
+	h.resolver = &lavpin.Resolver{Host: h.settings.HostID, Members: h, Local: h.pins, HTTP: h.peerClient, Scheme: scheme, Log: h.log}
+	h.pins.Replicas = h.resolver
+	return nil
+}
+
+func (h *host) addService() {
+	attempts := lavattempt.New(lavattempt.NewTransport())
+	attempts.SilenceTimeout = h.settings.SilenceTimeout.Duration
 	attempts.AttachTimeout = attachTimeout
 	attempts.Loads = h.fleet
 	h.service = &lavserve.Service{
-		Host:     settings.HostID,
+		Host:     h.settings.HostID,
 		Configs:  h.current,
 		Attempts: attempts,
+		Sessions: h.resolver,
+		Seals:    lavledger.New(h.platform),
 		Fleet:    h.fleet,
-		Bills:    h.billing,
-		Log:      log,
-		Scheme:   "http://",
+		Bills:    h.bills.Pending,
+		Planner:  lavrate.Rater{},
+		Raters:   lavrate.Rater{},
+		Gate:     lavgate.New(h.current),
+		Traces:   h.traces,
+		Metrics:  h.metrics,
+		Log:      h.log,
+		Scheme:   scheme,
+		Holders:  func(base string) lavwire.Bills { return lavwire.NewBillsProtobufClient(base, h.peerClient) },
 	}
-	h.dump.Register("Config", func() any { return h.current.Number() })
-	h.background, h.stop = context.WithCancel(context.Background())
-	return h
 }
 
-const attachTimeout = 5 * time.Second
-
 func (h *host) listen(ctx context.Context) error {
-	callers := &lavcaller.Router{Configs: h.current, Server: h.service, RequestTimeout: h.settings.RequestTimeout.Duration}
+	h.router = &lavcaller.Router{Configs: h.current, Server: h.service, RequestTimeout: h.settings.RequestTimeout.Duration}
 	operators := &lavoperator.Router{Configs: h, KeyHashes: h.settings.OperatorKeyHashes, Dump: h.dump}
+	peers := &lavpeer.Router{Sessions: h.pins, Bills: h.bills}
 	var err error
-	h.callers, err = lavhttp.Listen(ctx, h.settings.CallerAddress, callers.Routes(), nil, lavhttp.DefaultLimits())
+	h.callers, err = lavhttp.Listen(ctx, h.settings.CallerAddress, h.router.Routes(), nil, lavhttp.DefaultLimits())
 	if err != nil {
 		return err
 	}
 	h.operators, err = lavhttp.Listen(ctx, h.settings.OperatorAddress, operators.Routes(), nil, lavhttp.DefaultLimits())
+	if err != nil {
+		return err
+	}
+	h.peers, err = lavhttp.Listen(ctx, h.settings.PeerAddress, peers.Routes(), nil, lavhttp.DefaultLimits())
 	return err
 }
 
 func (h *host) start() {
 	h.serve(h.callers)
 	h.serve(h.operators)
+	h.serve(h.peers)
+	h.parts.Go(func() { h.bills.Run(h.background) })
+	h.parts.Go(func() { h.pins.Run(h.background) })
 	h.tick(configTick, h.readConfig)
-	h.tick(billTick, func(time.Time) { h.billing.Flush(h.background) })
 	h.tick(loadTick, h.readLoads)
 }
 
@@ -103,22 +171,31 @@
 	}
 }
 
-// readLoads asks servers whose load was never reported, so that they can be chosen.
-func (h *host) readLoads(time.Time) {
+// readLoads asks a few servers whose load is unknown or old, so that they can be chosen.
+func (h *host) readLoads(now time.Time) {
 	document := h.current.Document()
 	if document == nil {
 		return
 	}
-	for _, row := range document.BackendServers {
-		ctx, cancel := context.WithTimeout(h.background, loadTick)
-		load, err := lavwire.NewSideProtobufClient("http://"+row.SideAddress, http.DefaultClient).ReadLoad(ctx, &lavwire.ReadLoadRequest{})
-		cancel()
-		if err == nil {
-			h.fleet.Record(load, time.Now())
-		}
+	for _, id := range h.fleet.Stale(document, now) {
+		h.readLoad(document.BackendServers[id].SideAddress)
+	}
+}
+
+func (h *host) readLoad(address string) {
+	ctx, cancel := context.WithTimeout(h.background, loadTick)
+	defer cancel()
+	load, err := lavwire.NewSideProtobufClient(scheme+address, h.peerClient).ReadLoad(ctx, &lavwire.ReadLoadRequest{})
+	if err == nil {
+		h.fleet.Record(load, time.Now())
 	}
 }
 
+// Entries returns the live entry hosts.
+func (h *host) Entries(time.Time) []lavring.Member {
+	return []lavring.Member{{ID: h.settings.HostID, DataCentre: h.settings.DataCentre, Address: h.settings.PeerAddress}}
+}
+
 // Document returns the configuration in force here.
 func (h *host) Document() *lavconfig.Document {
 	return h.current.Document()
@@ -140,13 +217,19 @@
 
 // shutDown ends the listeners once running requests are answered, then writes the last bills.
 func (h *host) shutDown(ctx context.Context) error {
+	h.router.Drain()
+	time.Sleep(h.settings.ReadinessDelay.Duration)
 	err := h.callers.Shutdown(ctx)
 	h.stop()
+	h.bills.Flush(ctx)
+	h.pins.WriteBehind(ctx)
 	operatorErr := h.operators.Shutdown(ctx)
+	peerErr := h.peers.Shutdown(ctx)
 	h.parts.Wait()
-	h.billing.Flush(ctx)
-	if err != nil {
-		return err
+	for _, failed := range []error{err, operatorErr, peerErr} {
+		if failed != nil {
+			return failed
+		}
 	}
-	return operatorErr
+	return nil
 }
--- a/entry/cmd/run.go
+++ b/entry/cmd/run.go
@@ -36,7 +36,10 @@
 }
 
 func run(ctx context.Context, settings lavsetting.Settings, log *logrus.Logger) error {
-	host := newHost(settings, log)
+	host, err := newHost(settings, log)
+	if err != nil {
+		return err
+	}
 	if err := host.listen(ctx); err != nil {
 		return err
 	}
@@ -50,6 +53,5 @@
 
 const (
 	configTick = 500 * time.Millisecond
-	billTick   = 200 * time.Millisecond
 	loadTick   = 200 * time.Millisecond
 )
--- a/entry/models/lavrequest/request.go
+++ b/entry/models/lavrequest/request.go
@@ -11,7 +11,11 @@
 	ID      lavid.RequestID
 	Account lavid.AccountID
 	Session lavid.SessionID
-	Class   lavid.TaskClass
+	// FirstTurn says that the session was derived from a conversation without an answer yet.
+	FirstTurn bool
+	// Named is the model as the caller wrote it.
+	Named string
+	Class lavid.TaskClass
 	// Model and Version limit the choice; both are empty for a plain service.
 	Model   lavid.ModelID
 	Version lavid.VersionID
@@ -19,8 +23,12 @@
 	Service lavid.ServiceID
 	Call    lavid.CallID
 	// Idempotent says that the work may run more than once.
-	Idempotent      bool
-	Stream          bool
+	Idempotent bool
+	Stream     bool
+	// WantsUsage says that the caller asked for the usage event of a stream.
+	WantsUsage bool
+	// SessionMoved says that the session had to leave its version.
+	SessionMoved    bool
 	Method          string
 	Path            string
 	ContentType     string
@@ -51,6 +59,11 @@
 	Chunk(data []byte) error
 }
 
+// Starter is a Sink that can tell whether bytes have reached the caller.
+type Starter interface {
+	Started() bool
+}
+
 // Whole is a Sink that keeps the answer until it is whole.
 type Whole struct {
 	Start Head
--- a/entry/models/lavsetting/settings.go
+++ b/entry/models/lavsetting/settings.go
@@ -26,6 +26,8 @@
 	LogLevel          string
 	// DrainTimeout bounds a graceful shutdown.
 	DrainTimeout lavsettings.Duration
+	// ReadinessDelay is how long the host still answers after its readiness has turned negative.
+	ReadinessDelay lavsettings.Duration
 	// RequestTimeout bounds a request whose caller states no other.
 	RequestTimeout lavsettings.Duration
 	// SilenceTimeout is how long a stream may stay without a frame before it is attached again.
@@ -45,6 +47,7 @@
 	return Settings{
 		LogLevel:       "info",
 		DrainTimeout:   lavsettings.Duration{Duration: 2 * time.Minute},
+		ReadinessDelay: lavsettings.Duration{Duration: 2 * time.Second},
 		RequestTimeout: lavsettings.Duration{Duration: time.Minute},
 		SilenceTimeout: lavsettings.Duration{Duration: time.Second},
 	}
@@ -61,6 +64,7 @@
 	faults.Add(err == nil && parsed.Host != "", "PlatformAddress", s.PlatformAddress, "give a URL such as http://127.0.0.1:7000")
 	faults.Add(len(s.OperatorKeyHashes) > 0, "OperatorKeyHashes", len(s.OperatorKeyHashes), "give the SHA-256 hash of at least one operator's key")
 	faults.Add(s.DrainTimeout.Duration > 0, "DrainTimeout", s.DrainTimeout, "give a time above zero")
+	faults.Add(s.ReadinessDelay.Duration >= 0, "ReadinessDelay", s.ReadinessDelay, "give a time of zero or more")
 	faults.Add(s.RequestTimeout.Duration > 0, "RequestTimeout", s.RequestTimeout, "give a time above zero")
 	faults.Add(s.SilenceTimeout.Duration > 0, "SilenceTimeout", s.SilenceTimeout, "give a time above zero")
 	return faults.Err()
--- a/entry/routers/lavcaller/body.go
+++ b/entry/routers/lavcaller/body.go
@@ -14,10 +14,18 @@
 	"lavenderswitch/entry/models/lavrequest"
 )
 
-const defaultMaxBodyBytes = 8 << 20
+const (
+	defaultMaxBodyBytes = 8 << 20
+	// bodyTimeout bounds how slowly a caller may send a body.
+	bodyTimeout = 30 * time.Second
+	maxKeyBytes = 256
+)
 
 // begin reads what every kind of request has: body, ids and deadline.
 func (r *Router) begin(w http.ResponseWriter, request *http.Request, id lavid.AccountID, account lavconfig.ClientAccount) (*lavrequest.Request, error) {
+	deadlines := http.NewResponseController(w)
+	_ = deadlines.SetReadDeadline(time.Now().Add(bodyTimeout))
+	defer func() { _ = deadlines.SetReadDeadline(time.Time{}) }()
 	limit := account.MaxBodyBytes
 	if limit <= 0 {
 		limit = defaultMaxBodyBytes
@@ -28,6 +36,9 @@
 	}
 	now := time.Now()
 	requestID := request.Header.Get(HeaderIdempotencyKey)
+	if len(requestID) > maxKeyBytes || len(request.Header.Get(HeaderSession)) > maxKeyBytes {
+		return nil, laverror.New(laverror.KindBadRequest, "Idempotency-Key or Lavender-Session is too long", "send at most 256 bytes")
+	}
 	if requestID == "" {
 		requestID = uuid.NewString()
 	}
--- a/entry/routers/lavcaller/chat.go
+++ b/entry/routers/lavcaller/chat.go
@@ -7,6 +7,8 @@
 	"lavenderswitch/core/models/lavid"
 	"lavenderswitch/core/modules/laverror"
 	"lavenderswitch/core/modules/lavhttp"
+	"lavenderswitch/core/services/lavsession"
+	"lavenderswitch/entry/models/lavrequest"
 )
 
 // modelAuto leaves the choice of the version to the plan.
@@ -19,6 +21,9 @@
 	Stream   bool            `json:"stream"`
 	Messages json.RawMessage `json:"messages"`
 	MaxTok   lavid.Tokens    `json:"max_tokens"`
+	Options  struct {
+		IncludeUsage bool `json:"include_usage"`
+	} `json:"stream_options"`
 }
 
 func (r *Router) chat(w http.ResponseWriter, request *http.Request) {
@@ -37,19 +42,33 @@
 		lavhttp.WriteError(w, laverror.New(laverror.KindBadRequest, "body is not JSON: "+err.Error(), "send a chat completions request"))
 		return
 	}
-	if len(body.Messages) == 0 {
+	if !hasMessages(body.Messages) {
 		lavhttp.WriteError(w, laverror.New(laverror.KindBadRequest, "body has no messages", "send at least one message"))
 		return
 	}
 	accepted.Path = pathChat
 	accepted.Idempotent = true
 	accepted.Stream = body.Stream
+	accepted.WantsUsage = body.Options.IncludeUsage
 	accepted.EstimatedTokens = body.MaxTok + lavid.Tokens(len(accepted.Body)/bytesPerToken)
 	r.nameModel(accepted, body.Model)
-	answer := newAnswer(w, accepted)
-	if err := r.Server.Serve(request.Context(), accepted, answer); err != nil {
-		answer.fail(err)
+	nameSession(accepted, body.Messages)
+	r.answer(w, request, accepted)
+}
+
+// nameSession takes the session from its header or, for callers that send none, from the conversation.
+func nameSession(accepted *lavrequest.Request, messages json.RawMessage) {
+	turn := lavsession.Derive(messages)
+	if accepted.Session != "" {
+		return
 	}
+	accepted.Session = turn.Session
+	accepted.FirstTurn = turn.First
+}
+
+func hasMessages(messages json.RawMessage) bool {
+	var list []json.RawMessage
+	return json.Unmarshal(messages, &list) == nil && len(list) > 0
 }
 
 // bytesPerToken estimates the tokens of a prompt from its bytes.
--- a/entry/routers/lavcaller/models.go
+++ b/entry/routers/lavcaller/models.go
@@ -42,7 +42,11 @@
 
 // nameModel resolves the model field: auto, a version, or a model.
 func (r *Router) nameModel(accepted *lavrequest.Request, name string) {
-	if name == "" || name == modelAuto {
+	if name == "" {
+		name = modelAuto
+	}
+	accepted.Named = name
+	if name == modelAuto {
 		return
 	}
 	if _, ok := r.Configs.Document().Versions[lavid.VersionID(name)]; ok {
--- a/entry/routers/lavcaller/router.go
+++ b/entry/routers/lavcaller/router.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/julienschmidt/httprouter"
@@ -21,6 +22,7 @@
 	HeaderTaskClass      = "Lavender-Task-Class"
 	HeaderVersion        = "Lavender-Version"
 	HeaderRequest        = "Lavender-Request"
+	HeaderSessionMoved   = "Lavender-Session-Moved"
 )
 
 // Configs gives the configuration in force here.
@@ -38,6 +40,13 @@
 	Configs        Configs
 	Server         Server
 	RequestTimeout time.Duration
+
+	draining atomic.Bool
+}
+
+// Drain makes the readiness answer negative, so that the balancer sends no more callers.
+func (r *Router) Drain() {
+	r.draining.Store(true)
 }
 
 // Routes returns the handler of every path.
@@ -52,7 +61,7 @@
 }
 
 func (r *Router) ready(w http.ResponseWriter, _ *http.Request) {
-	if r.Configs.Document() == nil {
+	if r.draining.Load() || r.Configs.Document() == nil {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
@@ -73,3 +82,13 @@
 	}
 	return "", lavconfig.ClientAccount{}, laverror.New(laverror.KindUnauthorized, "the API key is not known", "send Authorization: Bearer with a key of a client account")
 }
+
+// answer serves an accepted request and writes its answer or error.
+func (r *Router) answer(w http.ResponseWriter, request *http.Request, accepted *lavrequest.Request) {
+	answer := newAnswer(w, accepted)
+	if err := r.Server.Serve(request.Context(), accepted, answer); err != nil {
+		answer.fail(err)
+		return
+	}
+	answer.finish()
+}
--- a/entry/routers/lavcaller/service.go
+++ b/entry/routers/lavcaller/service.go
@@ -38,8 +38,5 @@
 	accepted.Idempotent = row.Idempotent
 	accepted.Method = row.Method
 	accepted.Path = row.Path
-	answer := newAnswer(w, accepted)
-	if err := r.Server.Serve(request.Context(), accepted, answer); err != nil {
-		answer.fail(err)
-	}
+	r.answer(w, request, accepted)
 }
--- /dev/null
+++ b/entry/routers/lavpeer/doc.go
@@ -0,0 +1,2 @@
+// Package lavpeer serves other entry hosts and side processes.
+package lavpeer
--- /dev/null
+++ b/entry/routers/lavpeer/router.go
@@ -0,0 +1,27 @@
+package lavpeer
+
+import (
+	"net/http"
+
+	"github.com/julienschmidt/httprouter"
+
+	"lavenderswitch/wire/lavwire"
+)
+
+// Router answers peers.
+type Router struct {
+	Sessions lavwire.Sessions
+	Bills    lavwire.Bills
+}
+
+// Routes returns the handler of every service.
+func (r *Router) Routes() http.Handler {
+	router := httprouter.New()
+	mount(router, lavwire.NewSessionsServer(r.Sessions))
+	mount(router, lavwire.NewBillsServer(r.Bills))
+	return router
+}
+
+func mount(router *httprouter.Router, service lavwire.TwirpServer) {
+	router.Handler(http.MethodPost, service.PathPrefix()+"*method", service)
+}
--- a/entry/services/lavattempt/client.go
+++ b/entry/services/lavattempt/client.go
@@ -18,6 +18,7 @@
 const (
 	connectTimeout  = 500 * time.Millisecond
 	attachPause     = 100 * time.Millisecond
+	sealTimeout     = time.Second
 	idleConnections = 64
 )
 
@@ -33,14 +34,25 @@
 	// AttachTimeout bounds the tries to attach again after a connection was lost.
 	AttachTimeout time.Duration
 	Loads         Loads
-	http          *http.Client
+
+	shared *http.Client
+	// fresh opens a new connection for every call, because one that is kept may have gone silent.
+	fresh *http.Client
+}
+
+// New returns a client over the dialler and TLS settings of transport; its exported fields are set before first use.
+func New(transport *http.Transport) *Client {
+	shared := transport.Clone()
+	shared.MaxIdleConnsPerHost = idleConnections
+	fresh := transport.Clone()
+	fresh.DisableKeepAlives = true
+	return &Client{shared: &http.Client{Transport: shared}, fresh: &http.Client{Transport: fresh}}
 }
 
-// New returns a client; its exported fields are set before first use.
-func New() *Client {
+// NewTransport returns a transport with the connect timeout between processes.
+func NewTransport() *http.Transport {
 	dialer := &net.Dialer{Timeout: connectTimeout}
-	transport := &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: idleConnections, IdleConnTimeout: time.Minute}
-	return &Client{http: &http.Client{Transport: transport}}
+	return &http.Transport{DialContext: dialer.DialContext, IdleConnTimeout: time.Minute}
 }
 
 // Result is what became of an attempt.
@@ -50,60 +62,71 @@
 	Usage   lavrequest.Usage
 	// Delivered counts the body bytes that the sink took.
 	Delivered uint64
+	// Unreachable says that the side process did not answer any more; what became of the attempt is not known.
+	Unreachable bool
 }
 
-// Run sends the attempt to the side process at address and copies the answer into sink.
+// Run sends the attempt to the side process at the base URL and copies the answer into sink.
 //
-// After a lost or silent connection it attaches again; when that fails too it
-// seals the attempt, so that a refusal "not run" is true.
-func (c *Client) Run(ctx context.Context, address string, attempt *lavwire.Attempt, sink lavrequest.Sink) (Result, error) {
-	reading := &reading{client: c, sink: sink}
-	err := reading.exchange(ctx, address+"/attempt", attempt)
-	for err != nil && reading.sinkErr == nil && ctx.Err() == nil {
-		err = c.recover(ctx, address, attempt, reading)
-		if err != nil && reading.refusal == nil {
-			return Result{Delivered: reading.offset}, err
-		}
-	}
-	if reading.sinkErr != nil {
-		return Result{Delivered: reading.offset}, errors.Wrap(reading.sinkErr, "write the answer to the caller")
-	}
-	if err != nil {
-		return Result{Delivered: reading.offset}, errors.Wrap(err, "read the answer")
+// After a lost or silent connection it attaches over a new one; when the side
+// process does not know the attempt it is sealed, so that "not run" is true.
+// An error means that the sink failed or ctx ended.
+func (c *Client) Run(ctx context.Context, base string, attempt *lavwire.Attempt, sink lavrequest.Sink) (Result, error) {
+	reading := newReading(c, sink)
+	err := reading.exchange(ctx, c.shared, base+"/attempt", attempt)
+	if err != nil && reading.sinkErr == nil && ctx.Err() == nil {
+		err = c.recover(ctx, base, attempt, reading)
 	}
-	return Result{Refusal: reading.refusal, Usage: reading.usage, Delivered: reading.offset}, nil
+	return reading.result(ctx, err)
 }
 
-// recover attaches over new connections until one delivers the rest or AttachTimeout passes, then seals.
-func (c *Client) recover(ctx context.Context, address string, attempt *lavwire.Attempt, reading *reading) error {
-	c.http.CloseIdleConnections()
-	limited, cancel := context.WithTimeout(ctx, c.AttachTimeout)
-	defer cancel()
-	for limited.Err() == nil {
-		attach := &lavwire.Attach{
-			AttemptId: attempt.GetAttemptId(),
-			RequestId: attempt.GetRequestId(),
-			AccountId: attempt.GetAccountId(),
-			Offset:    reading.offset,
-		}
-		before := reading.offset
-		err := reading.exchange(limited, address+"/attach", attach)
-		if err == nil && reading.refusal.GetKind() == lavwire.RefusalKind_REFUSAL_KIND_ATTEMPT_UNKNOWN {
-			return c.seal(limited, address, attempt, reading)
-		}
+// Attach copies the answer of a running attempt of the same request into sink.
+func (c *Client) Attach(ctx context.Context, base string, attempt *lavwire.Attempt, sink lavrequest.Sink) (Result, error) {
+	reading := newReading(c, sink)
+	return reading.result(ctx, c.recover(ctx, base, attempt, reading))
+}
+
+// errUnreachable says that no new connection brought frames within AttachTimeout.
+var errUnreachable = errors.New("side process does not answer; its attempt is in doubt")
+
+// recover attaches over new connections until the answer ends; each that delivers bytes extends the time.
+func (c *Client) recover(ctx context.Context, base string, attempt *lavwire.Attempt, reading *reading) error {
+	giveUp := time.Now().Add(c.AttachTimeout)
+	for ctx.Err() == nil && time.Now().Before(giveUp) {
+		before := reading.frames
+		err := c.attachOnce(ctx, base, attempt, reading)
 		if err == nil || reading.sinkErr != nil {
 			return err
 		}
-		if reading.offset > before {
-			return nil
+		if reading.frames > before {
+			giveUp = time.Now().Add(c.AttachTimeout)
 		}
-		pause(limited, attachPause)
+		pause(ctx, attachPause)
 	}
-	return errors.New("side process cannot be reached; its attempt is in doubt")
+	return errUnreachable
 }
 
-func (c *Client) seal(ctx context.Context, address string, attempt *lavwire.Attempt, reading *reading) error {
-	side := lavwire.NewSideProtobufClient(address, c.http)
+func (c *Client) attachOnce(ctx context.Context, base string, attempt *lavwire.Attempt, reading *reading) error {
+	attach := &lavwire.Attach{
+		AttemptId: attempt.GetAttemptId(),
+		RequestId: attempt.GetRequestId(),
+		AccountId: attempt.GetAccountId(),
+		Offset:    reading.offset,
+	}
+	if err := reading.exchange(ctx, c.fresh, base+"/attach", attach); err != nil {
+		return err
+	}
+	if reading.refusal.GetKind() != lavwire.RefusalKind_REFUSAL_KIND_ATTEMPT_UNKNOWN {
+		return nil
+	}
+	return c.seal(ctx, base, attempt, reading)
+}
+
+// seal makes an attempt that the side process does not know impossible for good.
+func (c *Client) seal(ctx context.Context, base string, attempt *lavwire.Attempt, reading *reading) error {
+	ctx, cancel := context.WithTimeout(ctx, sealTimeout)
+	defer cancel()
+	side := lavwire.NewSideProtobufClient(base, c.fresh)
 	response, err := side.Seal(ctx, &lavwire.SealRequest{
 		AttemptId: attempt.GetAttemptId(),
 		RequestId: attempt.GetRequestId(),
@@ -120,6 +143,15 @@
 	return nil
 }
 
+// Cancel tells a side process that nobody wants the answer of an idempotent attempt any more.
+func (c *Client) Cancel(ctx context.Context, base string, attempt *lavwire.Attempt) error {
+	ctx, cancel := context.WithTimeout(ctx, sealTimeout)
+	defer cancel()
+	side := lavwire.NewSideProtobufClient(base, c.shared)
+	_, err := side.Cancel(ctx, &lavwire.CancelRequest{AttemptId: attempt.GetAttemptId()})
+	return errors.Wrap(err, "cancel the attempt")
+}
+
 func pause(ctx context.Context, length time.Duration) {
 	select {
 	case <-ctx.Done():
@@ -127,7 +159,7 @@
 	}
 }
 
-func (c *Client) open(ctx context.Context, url string, message proto.Message) (*http.Response, error) {
+func open(ctx context.Context, client *http.Client, url string, message proto.Message) (*http.Response, error) {
 	body, err := proto.Marshal(message)
 	if err != nil {
 		return nil, errors.Wrap(err, "encode the attempt")
@@ -137,7 +169,7 @@
 		return nil, errors.Wrap(err, "build the attempt; check the server's SideAddress in the configuration")
 	}
 	request.Header.Set("Content-Type", "application/protobuf")
-	response, err := c.http.Do(request)
+	response, err := client.Do(request)
 	if err != nil {
 		return nil, errors.Wrap(err, "send the attempt")
 	}
--- a/entry/services/lavattempt/reading.go
+++ b/entry/services/lavattempt/reading.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -21,23 +22,36 @@
 	sinkErr  error
 	headSeen bool
 	offset   uint64
-	digest   xxhash.Digest
-	started  bool
+	frames   int
+	digest   *xxhash.Digest
 	usage    lavrequest.Usage
 	refusal  *lavwire.Refusal
 }
 
-// exchange sends one message and reads frames until the answer ends, the connection fails or falls silent.
-func (r *reading) exchange(ctx context.Context, url string, message proto.Message) error {
-	if !r.started {
-		r.digest.Reset()
-		r.started = true
+func newReading(client *Client, sink lavrequest.Sink) *reading {
+	return &reading{client: client, sink: sink, digest: xxhash.New()}
+}
+
+// result tells what the reading came to; err is that of its last exchange.
+func (r *reading) result(ctx context.Context, err error) (Result, error) {
+	result := Result{Refusal: r.refusal, Usage: r.usage, Delivered: r.offset}
+	if r.sinkErr != nil {
+		return result, errors.Wrap(r.sinkErr, "write the answer to the caller")
 	}
+	if err != nil && ctx.Err() != nil {
+		return result, errors.Wrap(ctx.Err(), "read the answer")
+	}
+	result.Unreachable = err != nil
+	return result, nil
+}
+
+// exchange sends one message and reads frames until the answer ends, the connection fails or falls silent.
+func (r *reading) exchange(ctx context.Context, client *http.Client, url string, message proto.Message) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	watchdog := time.AfterFunc(r.client.SilenceTimeout, cancel)
 	defer watchdog.Stop()
-	response, err := r.client.open(ctx, url, message)
+	response, err := open(ctx, client, url, message)
 	if err != nil {
 		return err
 	}
@@ -48,11 +62,13 @@
 		if err != nil {
 			return errors.Wrap(err, "stream ended before the answer did")
 		}
-		watchdog.Reset(r.client.SilenceTimeout)
+		r.frames++
+		watchdog.Stop()
 		ended, err := r.take(frame)
 		if ended || err != nil {
 			return err
 		}
+		watchdog.Reset(r.client.SilenceTimeout)
 	}
 }
 
@@ -106,7 +122,7 @@
 }
 
 func (r *reading) takeEnd(end *lavwire.End) error {
-	if end.GetLength() != r.offset || end.GetChecksum() != r.digest.Sum64() {
+	if !r.headSeen || end.GetLength() != r.offset || end.GetChecksum() != r.digest.Sum64() {
 		return errors.Errorf("answer has %d of %d bytes or a wrong checksum", r.offset, end.GetLength())
 	}
 	r.usage = lavrequest.Usage{
--- a/entry/services/lavfleet/fleet.go
+++ b/entry/services/lavfleet/fleet.go
@@ -17,6 +17,8 @@
 	Reported time.Time
 	// FailedUntil keeps a server that did not answer out of the choice.
 	FailedUntil time.Time
+	// InFlight counts this host's own attempts at the server.
+	InFlight int
 }
 
 // Fleet is the table of backend servers.
--- /dev/null
+++ b/entry/services/lavfleet/probe.go
@@ -0,0 +1,73 @@
+package lavfleet
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"lavenderswitch/core/models/lavconfig"
+	"lavenderswitch/core/models/lavid"
+)
+
+const (
+	// probesPerTick bounds the load queries of one tick, whatever the size of the fleet.
+	probesPerTick = 4
+	// staleAfter is the age at which a load is asked for again.
+	staleAfter = time.Second
+)
+
+// Stale returns a few servers in service whose load is unknown or old, the oldest first.
+func (f *Fleet) Stale(document *lavconfig.Document, now time.Time) []lavid.BackendServerID {
+	type aged struct {
+		id       lavid.BackendServerID
+		reported time.Time
+	}
+	var old []aged
+	for id, row := range document.BackendServers {
+		server, _ := f.servers.Get(id)
+		if inService(document, row) && now.Sub(server.Reported) > staleAfter && !now.Before(server.FailedUntil) {
+			old = append(old, aged{id, server.Reported})
+		}
+	}
+	slices.SortFunc(old, func(a, b aged) int {
+		return cmp.Or(a.reported.Compare(b.reported), cmp.Compare(a.id, b.id))
+	})
+	ids := make([]lavid.BackendServerID, 0, probesPerTick)
+	for _, server := range old[:min(probesPerTick, len(old))] {
+		ids = append(ids, server.id)
+	}
+	return ids
+}
+
+// Row is a server as the state dump shows it.
+type Row struct {
+	ID          lavid.BackendServerID
+	Running     int
+	Limit       int
+	InFlight    int
+	Cold        bool
+	Leaving     bool
+	Versions    []string
+	Reported    time.Time
+	FailedUntil time.Time
+}
+
+// Dump returns all servers that this host has heard of.
+func (f *Fleet) Dump() []Row {
+	rows := make([]Row, 0, f.servers.Len())
+	for _, id := range f.servers.IDs() {
+		server, _ := f.servers.Get(id)
+		rows = append(rows, Row{
+			ID:          id,
+			Running:     int(server.Load.GetRunning()),
+			Limit:       int(server.Load.GetLimit()),
+			InFlight:    server.InFlight,
+			Cold:        server.Load.GetCold(),
+			Leaving:     server.Load.GetLeaving(),
+			Versions:    server.Load.GetLoadedVersions(),
+			Reported:    server.Reported,
+			FailedUntil: server.FailedUntil,
+		})
+	}
+	return rows
+}
--- /dev/null
+++ b/entry/services/lavpin/owner.go
@@ -0,0 +1,200 @@
+package lavpin
+
+import (
+	"context"
+	"encoding/json"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
+
+	"lavenderswitch/core/models/lavid"
+	"lavenderswitch/core/modules/lavlife"
+	"lavenderswitch/core/modules/lavplatform"
+	"lavenderswitch/core/services/lavsession"
+	"lavenderswitch/wire/lavwire"
+)
+
+const (
+	// storeTimeout bounds how long a new session waits for the table service.
+	storeTimeout = 150 * time.Millisecond
+	// maxUnwritten bounds the pins that wait for the table service; the oldest sessions keep theirs in memory only.
+	maxUnwritten  = 50_000
+	writeInterval = 500 * time.Millisecond
+	writeBatch    = 200
+)
+
+// Rows is the part of the table service that sessions need.
+type Rows interface {
+	Get(ctx context.Context, table, key string) (lavplatform.Row, error)
+	Insert(ctx context.Context, insert lavplatform.Insert) (lavplatform.Written, error)
+	InsertAll(ctx context.Context, inserts []lavplatform.Insert) ([]lavplatform.Written, error)
+	Swap(ctx context.Context, swap lavplatform.Swap) (lavplatform.Written, error)
+}
+
+// Replicas forwards a pin to the other owner of a session.
+type Replicas interface {
+	Replicate(ctx context.Context, key lavsession.Key, version lavid.VersionID)
+}
+
+// Owner holds the pins of the sessions that this host owns; it serves lavwire.Sessions.
+type Owner struct {
+	lavlife.Part
+	Host     lavid.HostID
+	Pins     *lavsession.Table
+	Rows     Rows
+	Replicas Replicas
+	Log      *logrus.Logger
+
+	mu        sync.Mutex
+	unwritten []lavsession.Key
+}
+
+type storedPin struct {
+	Version lavid.VersionID
+	Moves   int
+}
+
+// Pin returns the version of a session, and pins the proposed one when there is none.
+func (o *Owner) Pin(ctx context.Context, request *lavwire.PinRequest) (*lavwire.PinResponse, error) {
+	proposal := lavsession.Proposal{
+		Key: lavsession.Key{
+			Account: lavid.AccountID(request.GetAccountId()),
+			Session: lavid.SessionID(request.GetSessionId()),
+			Model:   request.GetModelId(),
+		},
+		Proposed: lavid.VersionID(request.GetProposedVersionId()),
+		Replaces: lavid.VersionID(request.GetReplacesVersionId()),
+	}
+	if request.GetReplica() {
+		o.Pins.Store(proposal.Key, lavsession.Pin{Version: proposal.Proposed, Used: time.Now()})
+		return &lavwire.PinResponse{VersionId: request.GetProposedVersionId()}, nil
+	}
+	pin := o.decide(ctx, proposal, request.GetProvisional(), time.Now())
+	return &lavwire.PinResponse{VersionId: string(pin.Version), Moved: pin.Moves > 0 && pin.Version == proposal.Proposed && proposal.Replaces != ""}, nil
+}
+
+// decide settles a session's version; a provisional session stays in memory until its second turn.
+func (o *Owner) decide(ctx context.Context, proposal lavsession.Proposal, provisional bool, now time.Time) lavsession.Pin {
+	known, exists := o.Pins.Known(proposal.Key)
+	if !exists && !provisional {
+		known, exists = o.read(ctx, proposal.Key)
+	}
+	if !exists && proposal.Proposed == "" {
+		return lavsession.Pin{}
+	}
+	pin, changed := lavsession.Decide(known, exists, proposal, now)
+	if !provisional && !pin.Stored {
+		pin = o.write(ctx, proposal, pin)
+	}
+	o.Pins.Store(proposal.Key, pin)
+	if changed {
+		o.Replicas.Replicate(ctx, proposal.Key, pin.Version)
+	}
+	return pin
+}
+
+func (o *Owner) read(ctx context.Context, key lavsession.Key) (lavsession.Pin, bool) {
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	row, err := o.Rows.Get(ctx, lavsession.SessionTable, key.String())
+	if err != nil {
+		return lavsession.Pin{}, false
+	}
+	pin, err := decodePin(row)
+	if err != nil {
+		o.Log.WithError(err).Warning("session row is not readable; pinning the session anew")
+		return lavsession.Pin{}, false
+	}
+	return pin, true
+}
+
+// write stores a pin; another owner's earlier row wins unless its version is the one being replaced.
+func (o *Owner) write(ctx context.Context, proposal lavsession.Proposal, pin lavsession.Pin) lavsession.Pin {
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	insert := o.insert(proposal.Key, pin)
+	written, err := o.Rows.Insert(ctx, insert)
+	if err != nil {
+		o.writeLater(proposal.Key)
+		return pin
+	}
+	if written.Won {
+		pin.Stored = true
+		return pin
+	}
+	stored, err := decodePin(written.Row)
+	if err != nil {
+		return pin
+	}
+	if proposal.Replaces == "" || stored.Version != proposal.Replaces {
+		return stored
+	}
+	swap := lavplatform.Swap{Insert: insert, Revision: written.Row.Revision}
+	if swapped, err := o.Rows.Swap(ctx, swap); err == nil {
+		if winner, err := decodePin(swapped.Row); err == nil {
+			return winner
+		}
+	}
+	o.writeLater(proposal.Key)
+	return pin
+}
+
+func (o *Owner) insert(key lavsession.Key, pin lavsession.Pin) lavplatform.Insert {
+	value, err := json.Marshal(storedPin{Version: pin.Version, Moves: pin.Moves})
+	if err != nil {
+		panic(err)
+	}
+	return lavplatform.Insert{Table: lavsession.SessionTable, Key: key.String(), Writer: string(o.Host) + "/" + string(pin.Version), Value: value}
+}
+
+func decodePin(row lavplatform.Row) (lavsession.Pin, error) {
+	var stored storedPin
+	if err := json.Unmarshal(row.Value, &stored); err != nil {
+		return lavsession.Pin{}, errors.Wrapf(err, "decode session row %s", row.Key)
+	}
+	return lavsession.Pin{Version: stored.Version, Moves: stored.Moves, Stored: true}, nil
+}
+
+func (o *Owner) writeLater(key lavsession.Key) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if len(o.unwritten) < maxUnwritten {
+		o.unwritten = append(o.unwritten, key)
+	}
+}
+
+// Run writes the pins that the table service has not confirmed until ctx ends.
+func (o *Owner) Run(ctx context.Context) {
+	defer o.Finish()
+	lavlife.Tick(ctx, writeInterval, func(time.Time) { o.WriteBehind(ctx) })
+}
+
+// WriteBehind writes one batch of unconfirmed pins and adopts the rows of other owners that came first.
+func (o *Owner) WriteBehind(ctx context.Context) {
+	o.mu.Lock()
+	keys := o.unwritten[:min(writeBatch, len(o.unwritten))]
+	o.mu.Unlock()
+	inserts := make([]lavplatform.Insert, 0, len(keys))
+	for _, key := range keys {
+		pin, _ := o.Pins.Known(key)
+		inserts = append(inserts, o.insert(key, pin))
+	}
+	if len(inserts) == 0 {
+		return
+	}
+	written, err := o.Rows.InsertAll(ctx, inserts)
+	if err != nil {
+		o.Log.WithError(err).WithField("pending", len(keys)).Warning("sessions are not stored; writing them again at the next tick")
+		return
+	}
+	for i, result := range written {
+		if pin, err := decodePin(result.Row); err == nil {
+			o.Pins.Store(keys[i], pin)
+		}
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.unwritten = o.unwritten[len(keys):]
+}
--- /dev/null
+++ b/entry/services/lavpin/resolver.go
@@ -0,0 +1,96 @@
+package lavpin
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"lavenderswitch/core/models/lavid"
+	"lavenderswitch/core/modules/lavlog"
+	"lavenderswitch/core/modules/lavring"
+	"lavenderswitch/core/services/lavsession"
+	"lavenderswitch/wire/lavwire"
+)
+
+const ownerTimeout = 400 * time.Millisecond
+
+// Members gives the live entry hosts, this one included.
+type Members interface {
+	Entries(now time.Time) []lavring.Member
+}
+
+// Resolver asks the owners of a session for its version.
+type Resolver struct {
+	Host    lavid.HostID
+	Members Members
+	Local   lavwire.Sessions
+	HTTP    *http.Client
+	// Scheme precedes the address of a peer, such as "http://".
+	Scheme string
+	Log    *logrus.Logger
+}
+
+// Ask is a question for the version of a session.
+type Ask struct {
+	Key         lavsession.Key
+	Proposed    lavid.VersionID
+	Replaces    lavid.VersionID
+	Provisional bool
+}
+
+// Resolve returns the version of a session and whether it had to move; the first owner that answers decides.
+func (r *Resolver) Resolve(ctx context.Context, ask Ask) (lavid.VersionID, bool) {
+	request := &lavwire.PinRequest{
+		AccountId:         string(ask.Key.Account),
+		SessionId:         string(ask.Key.Session),
+		ModelId:           ask.Key.Model,
+		ProposedVersionId: string(ask.Proposed),
+		ReplacesVersionId: string(ask.Replaces),
+		Provisional:       ask.Provisional,
+	}
+	for _, owner := range lavring.Owners(r.Members.Entries(time.Now()), ask.Key.String()) {
+		limited, cancel := context.WithTimeout(ctx, ownerTimeout)
+		response, err := r.client(owner).Pin(limited, request)
+		cancel()
+		if err == nil {
+			return lavid.VersionID(response.GetVersionId()), response.GetMoved()
+		}
+		r.Log.WithError(err).WithField(lavlog.FieldPeer, owner.ID).Warning("session owner did not answer; asking the next one")
+	}
+	response, err := r.Local.Pin(ctx, request)
+	if err != nil {
+		return ask.Proposed, false
+	}
+	return lavid.VersionID(response.GetVersionId()), response.GetMoved()
+}
+
+// Replicate sends a pin to the other owner of a session; a lost copy costs a read of the table service later.
+func (r *Resolver) Replicate(ctx context.Context, key lavsession.Key, version lavid.VersionID) {
+	request := &lavwire.PinRequest{
+		AccountId:         string(key.Account),
+		SessionId:         string(key.Session),
+		ModelId:           key.Model,
+		ProposedVersionId: string(version),
+		Replica:           true,
+	}
+	for _, owner := range lavring.Owners(r.Members.Entries(time.Now()), key.String()) {
+		if owner.ID == r.Host {
+			continue
+		}
+		limited, cancel := context.WithTimeout(ctx, ownerTimeout)
+		_, err := r.client(owner).Pin(limited, request)
+		cancel()
+		if err != nil {
+			r.Log.WithError(err).WithField(lavlog.FieldPeer, owner.ID).Warning("second session owner did not answer; it reads the pin from the store later")
+		}
+	}
+}
+
+func (r *Resolver) client(owner lavring.Member) lavwire.Sessions {
+	if owner.ID == r.Host {
+		return r.Local
+	}
+	return lavwire.NewSessionsProtobufClient(r.Scheme+owner.Address, r.HTTP)
+}
--- /dev/null
+++ b/entry/services/lavrate/doc.go
@@ -0,0 +1,2 @@
+// Package lavrate connects plans and evidence to the rating service.
+package lavrate
--- a/entry/services/lavserve/body.go
+++ b/entry/services/lavserve/body.go
@@ -7,7 +7,7 @@
 	"lavenderswitch/entry/models/lavrequest"
 )
 
-// bodyFor returns the request's body with the model field set to the chosen version.
+// bodyFor returns the request's body for the chosen version; streams ask for their usage, which the bill needs.
 func bodyFor(request *lavrequest.Request, version lavid.VersionID) []byte {
 	if version == "" {
 		return request.Body
@@ -21,6 +21,9 @@
 		return request.Body
 	}
 	fields["model"] = name
+	if request.Stream {
+		fields["stream_options"] = json.RawMessage(`{"include_usage":true}`)
+	}
 	body, err := json.Marshal(fields)
 	if err != nil {
 		return request.Body
--- a/entry/services/lavserve/serve.go
+++ b/entry/services/lavserve/serve.go
@@ -2,42 +2,64 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"time"
 
-	"github.com/google/uuid"
 	"github.com/sirupsen/logrus"
 
 	"lavenderswitch/core/models/lavconfig"
 	"lavenderswitch/core/models/lavid"
 	"lavenderswitch/core/modules/laverror"
-	"lavenderswitch/core/modules/lavlog"
-	"lavenderswitch/core/services/lavbalance"
-	"lavenderswitch/core/services/lavplan"
+	"lavenderswitch/core/modules/lavmetric"
+	"lavenderswitch/core/services/lavbill"
+	"lavenderswitch/core/services/lavledger"
 	"lavenderswitch/entry/models/lavrequest"
 	"lavenderswitch/entry/services/lavattempt"
 	"lavenderswitch/entry/services/lavfleet"
+	"lavenderswitch/entry/services/lavpin"
+	"lavenderswitch/entry/services/lavtrace"
 	"lavenderswitch/wire/lavwire"
 )
 
-// maxAttempts bounds the backend servers tried for one stage of a plan.
-const maxAttempts = 8
-
-const retryAfterNoServer = 2 * time.Second
+// The counters and histograms of the service.
+const (
+	metricRequests   = "Requests"
+	metricAnswered   = "Answered"
+	metricFailed     = "Failed"
+	metricAttempts   = "Attempts"
+	metricRetries    = "Retries"
+	metricSeals      = "Seals"
+	metricEscalated  = "Escalations"
+	metricMoved      = "SessionsMoved"
+	metricElapsed    = "Elapsed"
+	metricPinElapsed = "PinElapsed"
+)
 
 // Configs gives the configuration in force here.
 type Configs interface {
 	Document() *lavconfig.Document
 }
 
-// Attempts sends one attempt.
+// Attempts sends attempts to side processes.
 type Attempts interface {
-	Run(ctx context.Context, address string, attempt *lavwire.Attempt, sink lavrequest.Sink) (lavattempt.Result, error)
+	Run(ctx context.Context, base string, attempt *lavwire.Attempt, sink lavrequest.Sink) (lavattempt.Result, error)
+	Attach(ctx context.Context, base string, attempt *lavwire.Attempt, sink lavrequest.Sink) (lavattempt.Result, error)
+	Cancel(ctx context.Context, base string, attempt *lavwire.Attempt) error
+}
+
+// Sessions finds the version of a session.
+type Sessions interface {
+	Resolve(ctx context.Context, ask lavpin.Ask) (lavid.VersionID, bool)
 }
 
-// Bills takes what a finished request costs.
+// Seals makes a call that may not be repeated impossible in the ledger.
+type Seals interface {
+	Seal(ctx context.Context, claim lavledger.Claim) (lavledger.Position, error)
+}
+
+// Bills keeps the bill of a finished request; it returns false when it holds too many.
 type Bills interface {
-	Record(request *lavrequest.Request, version lavid.VersionID, usage lavrequest.Usage, now time.Time)
+	Add(bill lavbill.Bill) bool
+	Full() bool
 }
 
 // Service serves requests.
@@ -45,104 +67,96 @@
 	Host     lavid.HostID
 	Configs  Configs
 	Attempts Attempts
+	Sessions Sessions
+	Seals    Seals
 	Fleet    *lavfleet.Fleet
 	Bills    Bills
+	Planner  Planner
+	Raters   Raters
+	Gate     Gate
+	Traces   *lavtrace.Ring
+	Metrics  *lavmetric.Set
 	Log      *logrus.Logger
 	// Scheme precedes the address of a side process, such as "http://".
 	Scheme string
+	// Holders hands the bill of a checked stage to the side process that answered it.
+	Holders func(base string) lavwire.Bills
 }
 
+// retryAfterShort is told to callers when no better time is known.
+const retryAfterShort = 2 * time.Second
+
 // Serve answers a request into sink, or returns a typed error that states whether the work ran.
 func (s *Service) Serve(ctx context.Context, request *lavrequest.Request, sink lavrequest.Sink) error {
 	ctx, cancel := context.WithDeadline(ctx, request.Deadline)
 	defer cancel()
+	s.Metrics.Count(metricRequests, 1)
 	document := s.Configs.Document()
 	if document == nil {
-		return laverror.New(laverror.KindConfigUnavailable, "this host has no configuration yet", "retry").WithRetryAfter(retryAfterNoServer)
+		return laverror.New(laverror.KindConfigUnavailable, "this host has no configuration yet", "retry at another host").WithRetryAfter(retryAfterShort)
 	}
-	if request.Service != "" {
-		return s.serveStage(ctx, document, request, "", sink)
+	if s.Bills.Full() {
+		return laverror.New(laverror.KindStoreUnavailable, "too many bills wait for the store", "retry later").WithRetryAfter(retryAfterShort)
 	}
-	query := lavplan.Query{Account: request.Account, Model: request.Model, Version: request.Version, Class: request.Class}
-	plan, ok := lavplan.Choose(document, query, time.Now())
-	if !ok {
-		return laverror.New(laverror.KindNotAllowed, "no allowed version serves this model", "choose one that GET /v1/models lists")
+	work := &work{Service: s, document: document, request: request, sink: sink}
+	work.trace = s.Traces.Begin(request.ID, request.Account, document.Number, request.Arrived)
+	err := work.serve(ctx)
+	err = work.stateRun(err)
+	s.Metrics.Observe(metricElapsed, time.Since(request.Arrived))
+	if err != nil {
+		s.Metrics.Count(metricFailed, 1)
+		work.note(lavtrace.Step{Kind: lavtrace.StepFailed, Reason: err.Error()})
+		return err
 	}
-	return s.serveStage(ctx, document, request, plan.Stages[0].Version, sink)
+	s.Metrics.Count(metricAnswered, 1)
+	work.note(lavtrace.Step{Kind: lavtrace.StepAnswered})
+	return nil
 }
 
-func (s *Service) serveStage(ctx context.Context, document *lavconfig.Document, request *lavrequest.Request, version lavid.VersionID, sink lavrequest.Sink) error {
-	need := lavfleet.Need{Version: version, Service: request.Service}
-	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
-	for range maxAttempts {
-		now := time.Now()
-		chosen, ok := lavbalance.Choose(s.Fleet.Candidates(document, need, now), random, now)
-		if !ok {
-			break
-		}
-		attempt := s.newAttempt(document, request, version, chosen.ID, now)
-		row := document.BackendServers[chosen.ID]
-		result, err := s.Attempts.Run(ctx, s.Scheme+row.SideAddress, attempt, sink)
-		if err == nil && result.Refusal == nil {
-			s.Bills.Record(request, version, result.Usage, time.Now())
-			return nil
-		}
-		if retry, final := s.judge(request, attempt, result, err); !retry {
-			return final
-		}
-		if err != nil {
-			s.Fleet.RecordFailure(chosen.ID, time.Now())
-		}
-		need.Excluded = append(need.Excluded, chosen.ID)
-	}
-	return laverror.New(laverror.KindNoServer, "no backend server could take the request", "retry later").WithRetryAfter(retryAfterNoServer)
+// work is one request on its way.
+type work struct {
+	*Service
+	document *lavconfig.Document
+	request  *lavrequest.Request
+	sink     lavrequest.Sink
+	trace    *lavtrace.Trace
+	// earlier sums the stages before the present one.
+	earlier earlierStages
+	// checkedBill bills the last checked stage when it turns out to end the request.
+	checkedBill func()
+	// run is what earlier attempts and stages may have done.
+	run laverror.RunState
 }
 
-// judge decides whether a failed attempt may be followed by another, and the final error when not.
-func (s *Service) judge(request *lavrequest.Request, attempt *lavwire.Attempt, result lavattempt.Result, err error) (bool, error) {
-	entry := s.Log.WithFields(logrus.Fields{
-		lavlog.FieldRequest: request.ID,
-		lavlog.FieldAttempt: attempt.GetAttemptId(),
-		lavlog.FieldServer:  attempt.GetBackendServerId(),
-	})
-	run := lavwire.RunState_RUN_STATE_IN_DOUBT
-	if result.Refusal != nil {
-		run = result.Refusal.GetRunState()
-		entry = entry.WithField("refusal", result.Refusal.GetKind().String())
-	}
-	if result.Delivered > 0 {
-		entry.WithError(err).Warning("answer broke off after bytes reached the caller")
-		return false, laverror.New(laverror.KindBackendFailed, "the answer broke off", "repeat the request").WithRun(laverror.Ran)
+// stateRun corrects an error that says not run when an earlier attempt or stage may have.
+func (w *work) stateRun(err error) error {
+	if err == nil || w.run == "" {
+		return err
 	}
-	if run == lavwire.RunState_RUN_STATE_NOT_RUN || request.Idempotent {
-		entry.WithError(err).Info("attempt gave no answer; trying the next backend server")
-		return true, nil
+	typed := laverror.As(err)
+	if typed.Run != laverror.NotRun {
+		return err
 	}
-	entry.WithError(err).Warning("call may have run; refusing with in doubt")
-	final := laverror.New(laverror.KindInDoubt, "the call may have run", "repeat it with the same idempotency key, which never runs it twice")
-	return false, final.WithRun(laverror.InDoubt).WithRetryAfter(retryAfterNoServer)
+	return typed.WithRun(w.run)
+}
+
+type earlierStages struct {
+	count int
+	cost  lavid.NanoUnits
 }
 
-func (s *Service) newAttempt(document *lavconfig.Document, request *lavrequest.Request, version lavid.VersionID, server lavid.BackendServerID, now time.Time) *lavwire.Attempt {
-	return &lavwire.Attempt{
-		AttemptId:       uuid.NewString(),
-		RequestId:       string(request.ID),
-		AccountId:       string(request.Account),
-		BackendServerId: string(server),
-		ConfigNumber:    uint64(document.Number),
-		TimeoutMillis:   request.Deadline.Sub(now).Milliseconds(),
-		VersionId:       string(version),
-		ServiceId:       string(request.Service),
-		CallId:          string(request.Call),
-		Idempotent:      request.Idempotent,
-		Stream:          request.Stream,
-		SessionId:       string(request.Session),
-		EstimatedTokens: int64(request.EstimatedTokens),
-		Method:          request.Method,
-		Path:            request.Path,
-		ContentType:     request.ContentType,
-		Body:            bodyFor(request, version),
-		Fingerprint:     request.Fingerprint,
-		SenderId:        string(s.Host),
+func (w *work) note(step lavtrace.Step) {
+	step.At = time.Now()
+	w.trace.Add(step)
+}
+
+func (w *work) serve(ctx context.Context) error {
+	if w.request.Service != "" {
+		return w.serveStage(ctx, stage{})
+	}
+	plan, err := w.plan(ctx)
+	if err != nil {
+		return err
 	}
+	return w.serveStages(ctx, plan)
 }
--- /dev/null
+++ b/entry/services/lavtrace/doc.go
@@ -0,0 +1,2 @@
+// Package lavtrace remembers why recent requests went where they went.
+package lavtrace
--- /dev/null
+++ b/entry/services/lavtrace/ring.go
@@ -0,0 +1,107 @@
+package lavtrace
+
+import (
+	"sync"
+	"time"
+
+	"lavenderswitch/core/models/lavid"
+)
+
+// Step is one decision about a request.
+type Step struct {
+	At      time.Time
+	Kind    StepKind
+	Server  lavid.BackendServerID `json:",omitempty"`
+	Version lavid.VersionID       `json:",omitempty"`
+	Attempt lavid.AttemptID       `json:",omitempty"`
+	Reason  string                `json:",omitempty"`
+}
+
+// StepKind is what was decided.
+type StepKind string
+
+// The decisions that are remembered.
+const (
+	StepPlanned  StepKind = "Planned"
+	StepPinned   StepKind = "Pinned"
+	StepQueued   StepKind = "Queued"
+	StepChosen   StepKind = "Chosen"
+	StepRefused  StepKind = "Refused"
+	StepRated    StepKind = "Rated"
+	StepSealed   StepKind = "Sealed"
+	StepAttached StepKind = "Attached"
+	StepBilled   StepKind = "Billed"
+	StepAnswered StepKind = "Answered"
+	StepFailed   StepKind = "Failed"
+)
+
+// Trace is the decisions about one request, without its body.
+type Trace struct {
+	Request lavid.RequestID
+	Account lavid.AccountID
+	Config  lavid.ConfigNumber
+	Arrived time.Time
+	Steps   []Step
+
+	mu sync.Mutex
+}
+
+// Add appends a step.
+func (t *Trace) Add(step Step) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.Steps = append(t.Steps, step)
+}
+
+// Copy is a Trace as the state dump shows it.
+type Copy struct {
+	Request lavid.RequestID
+	Account lavid.AccountID
+	Config  lavid.ConfigNumber
+	Arrived time.Time
+	Steps   []Step
+}
+
+func (t *Trace) copy() Copy {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	steps := make([]Step, len(t.Steps))
+	copy(steps, t.Steps)
+	return Copy{Request: t.Request, Account: t.Account, Config: t.Config, Arrived: t.Arrived, Steps: steps}
+}
+
+// Ring holds the traces of the most recent requests.
+type Ring struct {
+	mu     sync.Mutex
+	traces []*Trace
+	next   int
+}
+
+// NewRing returns a ring of size traces.
+func NewRing(size int) *Ring {
+	return &Ring{traces: make([]*Trace, size)}
+}
+
+// Begin starts the trace of a request.
+func (r *Ring) Begin(request lavid.RequestID, account lavid.AccountID, config lavid.ConfigNumber, now time.Time) *Trace {
+	trace := &Trace{Request: request, Account: account, Config: config, Arrived: now}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.traces[r.next] = trace
+	r.next = (r.next + 1) % len(r.traces)
+	return trace
+}
+
+// Dump returns the remembered traces, newest last.
+func (r *Ring) Dump() []Copy {
+	r.mu.Lock()
+	ordered := append(append([]*Trace{}, r.traces[r.next:]...), r.traces[:r.next]...)
+	r.mu.Unlock()
+	copies := make([]Copy, 0, len(ordered))
+	for _, trace := range ordered {
+		if trace != nil {
+			copies = append(copies, trace.copy())
+		}
+	}
+	return copies
+}
