--- /dev/null
+++ b/core/services/lavlimit/limiter_test.go
@@ -0,0 +1,133 @@
+package lavlimit
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+)
+
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+// fill admits all that fits, answers each request with the given latency and ticks.
+func fill(l *Limiter, first time.Duration, now time.Time) (time.Time, int) {
+	var permits []*Permit
+	for {
+		permit, ok := l.Admit(100, now)
+		if !ok {
+			break
+		}
+		permits = append(permits, permit)
+	}
+	now = now.Add(first)
+	for _, permit := range permits {
+		permit.Token(1, now)
+	}
+	for _, permit := range permits {
+		permit.Done(Succeeded, now)
+	}
+	now = now.Add(max(TickInterval, windowAge-first))
+	l.Tick(now)
+	return now, len(permits)
+}
+
+func warm(l *Limiter, now time.Time) time.Time {
+	for range 12 {
+		now, _ = fill(l, 100*time.Millisecond, now)
+	}
+	return now
+}
+
+func TestFreshServerStartsLowAndDoublesToItsMaximum(t *testing.T) {
+	is := is.New(t)
+	l := New(EngineSettings(32), start)
+	now, admitted := fill(l, 100*time.Millisecond, start)
+	is.Equal(admitted, 2)
+	_, admitted = fill(l, 100*time.Millisecond, now)
+	is.Equal(admitted, 4)
+	warm(l, now)
+	is.Equal(l.Limit(), 32)
+}
+
+func TestLimitFallsByTheMeasuredExcess(t *testing.T) {
+	is := is.New(t)
+	l := New(EngineSettings(32), start)
+	now := warm(l, start)
+	l.baseline = baseline{}
+	fill(l, 3400*time.Millisecond, now)
+	is.Equal(l.Limit(), 16)
+}
+
+func TestWarmServerThatTurnsColdCollapsesBeforeItsAnswersEnd(t *testing.T) {
+	is := is.New(t)
+	l := New(EngineSettings(32), start)
+	now := warm(l, start)
+	for range 10 {
+		l.Admit(100, now)
+	}
+	l.Tick(now.Add(900 * time.Millisecond))
+	is.Equal(l.Limit(), 2)
+	is.Equal(l.Snapshot().Collapses, 1)
+	_, ok := l.Admit(100, now.Add(time.Second))
+	is.True(!ok)
+}
+
+func TestTwoFailuresCollapseTheLimit(t *testing.T) {
+	is := is.New(t)
+	l := New(EngineSettings(32), start)
+	now := warm(l, start)
+	for range 2 {
+		permit, _ := l.Admit(100, now)
+		permit.Done(Failed, now)
+		permit.Done(Failed, now)
+	}
+	is.Equal(l.Limit(), 2)
+}
+
+func TestUnusedLimitShrinks(t *testing.T) {
+	is := is.New(t)
+	l := New(EngineSettings(32), start)
+	now := warm(l, start)
+	l.Tick(now.Add(idleAge))
+	is.Equal(l.Limit(), 16)
+}
+
+func TestPlainServiceFindsItsKnee(t *testing.T) {
+	is := is.New(t)
+	l := New(PlainSettings(100), start)
+	now := start
+	for range 60 {
+		latency := 20 * time.Millisecond * time.Duration(max(8, l.Limit())) / 8
+		now, _ = fill(l, latency, now)
+	}
+	is.True(l.Limit() >= 8)
+	is.True(l.Limit() <= 20)
+}
+
+func TestWorkInProgressNeverPassesTheLimitAtAdmission(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		l := New(EngineSettings(rapid.IntRange(1, 40).Draw(t, "max")), start)
+		now := start
+		var permits []*Permit
+		for range rapid.IntRange(1, 200).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 800).Draw(t, "pause")) * time.Millisecond)
+			before := l.Snapshot()
+			if permit, ok := l.Admit(100, now); ok {
+				permits = append(permits, permit)
+				if before.Running > 0 && before.Running >= before.Limit {
+					t.Fatalf("admitted at %d of %d", before.Running, before.Limit)
+				}
+			}
+			if len(permits) > 0 && rapid.Bool().Draw(t, "end") {
+				permits[0].Token(1, now)
+				permits[0].Done(Outcome(rapid.IntRange(0, 2).Draw(t, "outcome")), now)
+				permits = permits[1:]
+			}
+			l.Tick(now)
+		}
+		if l.Snapshot().Running != len(permits) {
+			t.Fatal("running differs from the open permits")
+		}
+	})
+}
