Add the fair queue with deadlines

Cause: waiting requests had no order, no bound and no deadline, so one client account could fill a pool. Ruled out: deficit round robin, whose quantum has to exceed the largest request in tokens; a first-in first-out queue; a drain rate that counts idle time, which refuses the first requests of a burst. Conclusion: virtual finish times by token cost, half the queue reserved for accounts below their part, and waits predicted from the measured drain rate.

--- /dev/null
+++ b/core/services/lavqueue/queue.go
@@ -0,0 +1,140 @@
+package lavqueue
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"lavenderswitch/core/models/lavid"
+)
+
+// Settings bounds a queue.
+type Settings struct {
+	// MaxRequests bounds the requests that wait.
+	MaxRequests int
+	// MaxTokens bounds the estimated tokens that wait.
+	MaxTokens lavid.Tokens
+}
+
+// Item is a request that waits for a backend server.
+type Item struct {
+	Account lavid.AccountID
+	// Weight is the account's part relative to other accounts; zero counts as one.
+	Weight   float64
+	Tokens   lavid.Tokens
+	Deadline time.Time
+	// Value is the owner's own record of the request.
+	Value any
+}
+
+// Ticket is a queued item.
+type Ticket struct {
+	Item
+	pushed time.Time
+	finish float64
+	order  uint64
+	index  int
+}
+
+// Waited returns how long the ticket has been queued.
+func (t *Ticket) Waited(now time.Time) time.Duration {
+	return now.Sub(t.pushed)
+}
+
+// Queue holds the waiting requests of one pool of backend servers; its owner serialises the calls.
+type Queue struct {
+	settings Settings
+	accounts map[lavid.AccountID]*flow
+	tickets  ticketHeap
+	virtual  float64
+	order    uint64
+	tokens   lavid.Tokens
+	drain    drainRate
+	expired  []*Ticket
+	random   *rand.Rand
+}
+
+// New returns an empty queue.
+func New(settings Settings, random *rand.Rand, now time.Time) *Queue {
+	return &Queue{
+		settings: settings,
+		accounts: make(map[lavid.AccountID]*flow),
+		drain:    drainRate{started: now, idle: true},
+		random:   random,
+	}
+}
+
+// Push queues an item or says why it is refused.
+func (q *Queue) Push(item Item, now time.Time) (*Ticket, *Refusal) {
+	if refusal := q.judge(item, now); refusal != nil {
+		return nil, refusal
+	}
+	ticket := &Ticket{Item: item, pushed: now, order: q.order}
+	q.order++
+	q.flow(item.Account).push(ticket, q.virtual)
+	q.tickets.push(ticket)
+	q.tokens += item.Tokens
+	return ticket, nil
+}
+
+// Pop removes the next request that is still in time, or returns false when there is none.
+func (q *Queue) Pop(now time.Time) (*Ticket, bool) {
+	for q.tickets.Len() > 0 {
+		ticket := q.tickets.pop()
+		q.virtual = max(q.virtual, ticket.start())
+		q.forget(ticket)
+		if now.Before(ticket.Deadline) {
+			return ticket, true
+		}
+		q.expired = append(q.expired, ticket)
+	}
+	return nil, false
+}
+
+// Expire removes and returns the requests whose deadline has passed.
+func (q *Queue) Expire(now time.Time) []*Ticket {
+	expired := q.expired
+	q.expired = nil
+	for _, ticket := range q.tickets.overdue(now) {
+		q.Remove(ticket)
+		expired = append(expired, ticket)
+	}
+	return expired
+}
+
+// Remove takes a ticket out before its turn, as when its caller has gone.
+func (q *Queue) Remove(ticket *Ticket) {
+	if q.tickets.remove(ticket) {
+		q.forget(ticket)
+	}
+}
+
+// Len returns the number of waiting requests.
+func (q *Queue) Len() int {
+	return q.tickets.Len()
+}
+
+func (q *Queue) forget(ticket *Ticket) {
+	q.tokens -= ticket.Tokens
+	flow := q.accounts[ticket.Account]
+	flow.waiting--
+	flow.tokens -= ticket.Tokens
+	if q.Len() == 0 {
+		q.reset()
+	}
+}
+
+// reset starts a new busy period, in which no account owes service.
+func (q *Queue) reset() {
+	clear(q.accounts)
+	q.virtual = 0
+	q.drain.idle = true
+}
+
+func (q *Queue) flow(account lavid.AccountID) *flow {
+	if found, ok := q.accounts[account]; ok {
+		return found
+	}
+	added := &flow{}
+	q.accounts[account] = added
+	return added
+}
