Choose backend servers by load with its age, cache and distance

Cause: the choice compared two random servers by a load of any age, so a burst between two reports went to the same server. Ruled out: the least loaded of all, which herds on stale reports; prefix affinity by hashing alone, which has no bound on imbalance. Conclusion: reports lose weight with age, own work since the report is added, other regions wait until this one is full, a cached prefix attracts up to 0.9 of the limit, and returning servers ramp.

--- a/core/services/lavbalance/choose.go
+++ b/core/services/lavbalance/choose.go
@@ -3,33 +3,130 @@
 import (
 	"math/rand/v2"
 	"time"
-
-	"lavenderswitch/core/models/lavid"
 )
 
-// Candidate is one backend server that may take the attempt, with its load as last reported.
-type Candidate struct {
-	ID         lavid.BackendServerID
-	DataCentre lavid.DataCentreID
-	Running    int
-	Limit      int
-	// Reported is when the load was reported; zero when it never was.
-	Reported time.Time
-}
+const (
+	// fullLoad is the load at which a server is expected to refuse.
+	fullLoad = 1.0
+	// fullPenalty ranks every full server behind every other.
+	fullPenalty = 100
+	// cachedGain is the part of the cost that a cached prefix saves.
+	cachedGain = 0.5
+	// maxCachedLoad bounds the imbalance that a cached prefix may cause.
+	maxCachedLoad = 0.9
+	// coldCost is added for a server in its slow start.
+	coldCost = 0.1
+	// regionCost and farCost are added for distance.
+	regionCost = 0.1
+	farCost    = 1.0
+	// usualFirstToken stands in for an unknown time to the first token.
+	usualFirstToken = 500 * time.Millisecond
+)
 
-// Choose returns the less loaded of two random candidates, or false when there is none.
-func Choose(candidates []Candidate, random *rand.Rand, _ time.Time) (Candidate, bool) {
+// Choose returns the better of two random candidates, or of the likeliest cached one, or false when there is none.
+func Choose(candidates []Candidate, random *rand.Rand, now time.Time) (Candidate, bool) {
 	if len(candidates) == 0 {
 		return Candidate{}, false
 	}
-	first := candidates[random.IntN(len(candidates))]
-	second := candidates[random.IntN(len(candidates))]
-	if second.load() < first.load() {
-		return second, true
+	candidates = local(candidates, now)
+	first, second := pick(len(candidates), random)
+	best := better(&candidates[first], &candidates[second], now)
+	if cached := likeliest(candidates, now); cached != nil {
+		best = better(cached, best, now)
+	}
+	if best.cost(now) < fullPenalty {
+		return *best, true
+	}
+	return *leastCost(candidates, now), true
+}
+
+// local leaves other regions out while this one has room.
+func local(candidates []Candidate, now time.Time) []Candidate {
+	room := false
+	near := make([]Candidate, 0, len(candidates))
+	for i := range candidates {
+		if candidates[i].Distance == OtherRegion {
+			continue
+		}
+		near = append(near, candidates[i])
+		room = room || candidates[i].load(now) <= fullLoad
+	}
+	if room {
+		return near
+	}
+	return candidates
+}
+
+// leastCost compares all, for when those drawn are full or far.
+func leastCost(candidates []Candidate, now time.Time) *Candidate {
+	best := &candidates[0]
+	for i := range candidates[1:] {
+		best = better(best, &candidates[i+1], now)
+	}
+	return best
+}
+
+func pick(count int, random *rand.Rand) (int, int) {
+	first := random.IntN(count)
+	if count == 1 {
+		return first, first
+	}
+	second := random.IntN(count - 1)
+	if second >= first {
+		second++
+	}
+	return first, second
+}
+
+func better(a, b *Candidate, now time.Time) *Candidate {
+	if b.cost(now) < a.cost(now) {
+		return b
+	}
+	return a
+}
+
+// likeliest returns the candidate with the most likely cached prefix that has room, or nil.
+func likeliest(candidates []Candidate, now time.Time) *Candidate {
+	var best *Candidate
+	for i := range candidates {
+		candidate := &candidates[i]
+		if candidate.CachedPrefix <= 0 || candidate.load(now) > maxCachedLoad {
+			continue
+		}
+		if best == nil || candidate.CachedPrefix > best.CachedPrefix {
+			best = candidate
+		}
+	}
+	return best
+}
+
+// cost is comparable between candidates; lower is better.
+func (c *Candidate) cost(now time.Time) float64 {
+	load := c.load(now)
+	cost := load * c.slowness()
+	if load <= maxCachedLoad {
+		cost *= 1 - cachedGain*c.CachedPrefix
+	}
+	if c.Cold {
+		cost += coldCost
 	}
-	return first, true
+	switch c.Distance {
+	case SameRegion:
+		cost += regionCost
+	case OtherRegion:
+		cost += farCost
+	case SameDataCentre:
+	}
+	if load > fullLoad {
+		cost += fullPenalty
+	}
+	return cost
 }
 
-func (c Candidate) load() float64 {
-	return float64(c.Running+1) / float64(max(c.Limit, 1))
+// slowness weighs servers of unlike speed by the time to their first token.
+func (c *Candidate) slowness() float64 {
+	if c.FirstToken <= 0 {
+		return 1
+	}
+	return 0.5 + 0.5*float64(c.FirstToken)/float64(usualFirstToken)
 }
