Measurement command and its table of rows

Cause: measurements of several decisions must print one table with seeds. Ruled out: Go benchmarks, which compare times and have no aims or baselines. Figures: none yet; the command prints an empty table. Conclusion: measurements add themselves to measures() in tests/cmd/lavmeasure.

--- /dev/null
+++ b/tests/cmd/lavmeasure/main.go
@@ -0,0 +1,63 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/urfave/cli/v3"
+
+	"lavenderswitch/tests/measures/lavreport"
+)
+
+const defaultSeed = 20261203
+
+// measures lists the measurements in the order in which they are printed.
+func measures() []lavreport.Measure {
+	var all []lavreport.Measure
+	return all
+}
+
+func main() {
+	if err := command().Run(context.Background(), os.Args); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+}
+
+func command() *cli.Command {
+	return &cli.Command{
+		Name:  "lavmeasure",
+		Usage: "measure the decisions against their baselines",
+		Flags: []cli.Flag{
+			&cli.Uint64Flag{Name: "seed", Value: defaultSeed, Usage: "seed of all random numbers"},
+			&cli.StringFlag{Name: "only", Usage: "run the measures whose names start with this"},
+			&cli.StringFlag{Name: "plots", Usage: "directory for plots; none are drawn without it"},
+		},
+		Action: func(_ context.Context, command *cli.Command) error {
+			options := lavreport.Options{Seed: command.Uint64("seed"), PlotDirectory: command.String("plots")}
+			return run(command.Root().Writer, command.String("only"), options)
+		},
+	}
+}
+
+func run(out io.Writer, only string, options lavreport.Options) error {
+	var rows []lavreport.Row
+	for _, measure := range measures() {
+		if !strings.HasPrefix(measure.Name, only) {
+			continue
+		}
+		started := time.Now()
+		measured, err := measure.Run(options)
+		if err != nil {
+			return errors.Wrap(err, "measure "+measure.Name)
+		}
+		fmt.Fprintf(os.Stderr, "%s took %s\n", measure.Name, time.Since(started).Round(time.Millisecond))
+		rows = append(rows, measured...)
+	}
+	return lavreport.Print(out, rows)
+}
--- /dev/null
+++ b/tests/measures/lavreport/doc.go
@@ -0,0 +1,2 @@
+// Package lavreport holds the rows that measurements give and prints them as one table.
+package lavreport
--- /dev/null
+++ b/tests/measures/lavreport/row.go
@@ -0,0 +1,83 @@
+package lavreport
+
+import (
+	"fmt"
+	"io"
+	"strings"
+	"text/tabwriter"
+
+	"github.com/pkg/errors"
+)
+
+// Verdict says whether a row meets its aim.
+type Verdict string
+
+// The verdicts; a baseline has none.
+const (
+	Met      Verdict = "met"
+	Missed   Verdict = "missed"
+	Baseline Verdict = "-"
+)
+
+// Judge returns the verdict on an aim.
+func Judge(met bool) Verdict {
+	if met {
+		return Met
+	}
+	return Missed
+}
+
+// Figure is one measured value with its name and unit in the text.
+type Figure struct {
+	Name string
+	Text string
+}
+
+// Number returns a figure with the given count of decimals.
+func Number(name string, value float64, decimals int) Figure {
+	return Figure{Name: name, Text: fmt.Sprintf("%.*f", decimals, value)}
+}
+
+// Row is one line of the table.
+type Row struct {
+	Measure string
+	Case    string
+	Policy  string
+	Seed    uint64
+	Figures []Figure
+	Aim     string
+	Verdict Verdict
+}
+
+// Measure runs one measurement and returns its rows.
+type Measure struct {
+	Name string
+	Run  func(options Options) ([]Row, error)
+}
+
+// Options are what every measurement is given.
+type Options struct {
+	Seed uint64
+	// PlotDirectory receives plots; empty draws none.
+	PlotDirectory string
+}
+
+const columnPadding = 2
+
+// Print writes rows as one aligned table.
+func Print(out io.Writer, rows []Row) error {
+	writer := tabwriter.NewWriter(out, 0, 0, columnPadding, ' ', 0)
+	fmt.Fprintln(writer, "Measure\tCase\tPolicy\tFigures\tSeed\tAim\tVerdict")
+	for _, row := range rows {
+		fmt.Fprintf(writer, "%s\t%s\t%s\t%s\t%d\t%s\t%s\n", row.Measure, row.Case, row.Policy, figures(row.Figures), row.Seed, row.Aim, row.Verdict)
+	}
+	return errors.Wrap(writer.Flush(), "write table")
+}
+
+func figures(all []Figure) string {
+	parts := make([]string, 0, len(all))
+	for _, figure := range all {
+		parts = append(parts, figure.Name+" "+figure.Text)
+	}
+	return strings.Join(parts, ", ")
+}
