Plans on a frontier of cost and quality, with a multiplier per account

Cause: the plan took the cheapest version whose configured quality met the target, knew no ratings and no cascades. Ruled out: a target per task class, which pays for quality where it is dear; a multiplier moved by steps, which follows the noise of late ratings. The multiplier is solved on each tick from the mix of requests instead.

--- /dev/null
+++ b/core/services/lavevidence/collector.go
@@ -0,0 +1,62 @@
+package lavevidence
+
+import (
+	"slices"
+	"sync"
+
+	"lavenderswitch/core/models/lavid"
+)
+
+// Collector sums the counts of one sender until their owner has confirmed them.
+type Collector struct {
+	mu      sync.Mutex
+	sums    map[Key]Counts
+	number  uint64
+	pending *Report
+}
+
+// NewCollector returns a collector whose reports are numbered above first, which must grow over restarts of a sender.
+func NewCollector(first uint64) *Collector {
+	return &Collector{sums: make(map[Key]Counts), number: first}
+}
+
+// Add counts one answer or one late rating.
+func (c *Collector) Add(count Count) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.sums[count.Key] = c.sums[count.Key].Plus(count.Counts)
+}
+
+// Next returns the report to send: the unconfirmed one again, or a new one with the counts since.
+func (c *Collector) Next(sender lavid.HostID) (Report, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.pending != nil {
+		return *c.pending, true
+	}
+	if len(c.sums) == 0 {
+		return Report{}, false
+	}
+	c.number++
+	c.pending = &Report{Sender: sender, Number: c.number, Counts: sorted(c.sums)}
+	c.sums = make(map[Key]Counts)
+	return *c.pending, true
+}
+
+// Confirm drops the report with the number once its owner has merged it.
+func (c *Collector) Confirm(number uint64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.pending != nil && c.pending.Number == number {
+		c.pending = nil
+	}
+}
+
+func sorted(sums map[Key]Counts) []Count {
+	counts := make([]Count, 0, len(sums))
+	for key, sum := range sums {
+		counts = append(counts, Count{Key: key, Counts: sum})
+	}
+	slices.SortFunc(counts, func(a, b Count) int { return a.Compare(b.Key) })
+	return counts
+}
--- /dev/null
+++ b/core/services/lavevidence/estimate.go
@@ -0,0 +1,91 @@
+package lavevidence
+
+import (
+	"math"
+	"time"
+
+	"lavenderswitch/core/models/lavconfig"
+	"lavenderswitch/core/models/lavid"
+)
+
+// Estimate is what is known of a version on a task class.
+type Estimate struct {
+	// Accepted is the expected share of answers that the rating service accepts.
+	Accepted lavid.Quality
+	// Deviation is the standard deviation of Accepted.
+	Deviation float64
+	// Rated is the weight of the ratings behind the estimate.
+	Rated float64
+	// RatedShare is the part of answers with a rating.
+	RatedShare lavid.Share
+	Failed     lavid.Share
+	Cost       lavid.NanoUnits
+}
+
+// Interval bounds a quality.
+type Interval struct {
+	Low  lavid.Quality
+	High lavid.Quality
+}
+
+// Estimate returns the estimate of a key; the configured expected quality stands in where ratings are few.
+func (t *Table) Estimate(document *lavconfig.Document, key Key, now time.Time) Estimate {
+	counts := t.read(key, now)
+	prior := t.prior(document, key, now)
+	weight := t.settings.VersionRated
+	accepted := (counts.Accepted + weight*prior) / (counts.Rated + weight)
+	return Estimate{
+		Accepted:   lavid.Quality(accepted),
+		Deviation:  math.Sqrt(accepted * (1 - accepted) / (counts.Rated + weight + 1)),
+		Rated:      counts.Rated,
+		RatedShare: lavid.Share(ratio(counts.Rated, counts.Answers)),
+		Failed:     lavid.Share(ratio(counts.Failed, counts.Answers+counts.Failed)),
+		Cost:       t.cost(document, key, counts),
+	}
+}
+
+// Bounds returns the lowest and the highest acceptance that the missing ratings allow, whatever their reason.
+func (t *Table) Bounds(key Key, now time.Time) Interval {
+	counts := t.read(key, now)
+	if counts.Answers <= 0 {
+		return Interval{Low: 0, High: 1}
+	}
+	missing := max(counts.Answers-counts.Rated, 0)
+	all := counts.Rated + missing
+	return Interval{
+		Low:  lavid.Quality(counts.Accepted / all),
+		High: lavid.Quality((counts.Accepted + missing) / all),
+	}
+}
+
+// prior returns the estimate of the next wider group: the class without predecessor, the version, or the configuration.
+func (t *Table) prior(document *lavconfig.Document, key Key, now time.Time) float64 {
+	if key.After != "" {
+		wider := t.Estimate(document, Key{Version: key.Version, Class: key.Class}, now)
+		return float64(wider.Accepted)
+	}
+	expected := float64(document.Versions[key.Version].ExpectedQuality)
+	if key.Class == "" {
+		return expected
+	}
+	whole := t.read(Key{Version: key.Version}, now)
+	weight := t.settings.PriorRated
+	return (whole.Accepted + weight*expected) / (whole.Rated + weight)
+}
+
+func (t *Table) cost(document *lavconfig.Document, key Key, counts Counts) lavid.NanoUnits {
+	if counts.Answers >= 1 && counts.Cost > 0 {
+		return lavid.NanoUnits(float64(counts.Cost) / counts.Answers)
+	}
+	version := document.Versions[key.Version]
+	input := version.InputPrice * lavid.NanoUnits(t.settings.AssumedInput)
+	output := version.OutputPrice * lavid.NanoUnits(t.settings.AssumedOutput)
+	return input + output
+}
+
+func ratio(part, whole float64) float64 {
+	if whole <= 0 {
+		return 0
+	}
+	return part / whole
+}
--- /dev/null
+++ b/core/services/lavplan/observe.go
@@ -0,0 +1,51 @@
+package lavplan
+
+import (
+	"time"
+
+	"lavenderswitch/core/models/lavconfig"
+	"lavenderswitch/core/models/lavid"
+	"lavenderswitch/core/services/lavevidence"
+)
+
+// Rating is what is known of one answer.
+type Rating string
+
+// The ratings; an answer whose rating is missing or still to come is unrated.
+const (
+	Unrated       Rating = "Unrated"
+	RatedAccepted Rating = "Accepted"
+	RatedRejected Rating = "Rejected"
+)
+
+// Delivery is an answer that was delivered to its caller.
+type Delivery struct {
+	Account lavid.AccountID
+	Key     lavevidence.Key
+	// Rating is the one known before delivery.
+	Rating Rating
+}
+
+// ObserveDelivery counts a delivered answer into the measured quality of its account.
+func (s *State) ObserveDelivery(document *lavconfig.Document, delivery Delivery, now time.Time) {
+	accepted := float64(s.Evidence.Estimate(document, delivery.Key, now).Accepted)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	found := s.balance(delivery.Account, now)
+	shifted := clamp(accepted+found.offset(s.settings), 0, 1)
+	found.delivered++
+	found.good += s.settings.Rater.good(shifted, delivery.Rating)
+}
+
+// ObserveRating counts a rating, however late, of any answer of an account, delivered or rejected before.
+func (s *State) ObserveRating(document *lavconfig.Document, account lavid.AccountID, key lavevidence.Key, accepted bool, now time.Time) {
+	expected := float64(s.Evidence.Estimate(document, key, now).Accepted)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	found := s.balance(account, now)
+	found.rated++
+	found.surplus -= expected
+	if accepted {
+		found.surplus++
+	}
+}
--- a/core/services/lavplan/plan.go
+++ b/core/services/lavplan/plan.go
@@ -1,7 +1,7 @@
 package lavplan
 
 import (
-	"cmp"
+	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -15,9 +15,27 @@
 	Checked bool
 }
 
+// Reason says why a plan was chosen.
+type Reason string
+
+// The reasons for a plan.
+const (
+	ReasonCheapest    Reason = "cheapest plan that keeps the account on its quality target"
+	ReasonUnreachable Reason = "quality target out of reach; best expected quality"
+	ReasonPinned      Reason = "session keeps its version"
+	ReasonNamed       Reason = "caller named the version"
+	ReasonExplored    Reason = "explored to learn the quality of a plan"
+	ReasonRollOut     Reason = "share of a version under roll-out"
+	ReasonOnlyRollOut Reason = "only a version under roll-out is open to the request"
+)
+
 // Plan lists the stages of a request, first to last.
 type Plan struct {
 	Stages []Stage
+	Reason Reason
+	// Quality and Cost are expected, per request.
+	Quality lavid.Quality
+	Cost    lavid.NanoUnits
 }
 
 // Query is what the plan depends on.
@@ -28,44 +46,50 @@
 	// Version limits the plan to one version; empty leaves the choice open.
 	Version lavid.VersionID
 	Class   lavid.TaskClass
+	// Pinned is the version that the request's session is on; empty for a new session.
+	Pinned lavid.VersionID
+	// CanCheck says that an answer can be rated before it is delivered.
+	CanCheck bool
 }
 
-// Choose returns the cheapest allowed version that meets the account's quality target.
-func Choose(document *lavconfig.Document, query Query, _ time.Time) (Plan, bool) {
-	account := document.ClientAccounts[query.Account]
-	usable := Usable(document, query)
-	if len(usable) == 0 {
-		return Plan{}, false
+// Choose returns the cheapest plan that keeps the account on its quality target, and false when no version may serve.
+func Choose(document *lavconfig.Document, state *State, query Query, random *rand.Rand, now time.Time) (Plan, bool) {
+	state.mu.Lock()
+	defer state.mu.Unlock()
+	if plan, ok := state.pinned(document, query, now); ok {
+		return plan, true
 	}
-	for _, id := range usable {
-		if document.Versions[id].ExpectedQuality >= account.QualityTarget {
-			return Plan{Stages: []Stage{{Version: id}}}, true
-		}
+	open := state.open(document, query)
+	if len(open.serving) == 0 {
+		return state.onlyRollOut(document, query, open, now)
 	}
-	best := slices.MaxFunc(usable, func(a, b lavid.VersionID) int {
-		return cmp.Compare(document.Versions[a].ExpectedQuality, document.Versions[b].ExpectedQuality)
-	})
-	return Plan{Stages: []Stage{{Version: best}}}, true
+	found := state.frontier(document, query, open, now)
+	plan := state.choosePoint(document, query, found, random, now)
+	if query.Version != "" {
+		plan.Reason = ReasonNamed
+	}
+	if plan.Reason == ReasonExplored {
+		return plan, true
+	}
+	return state.substitute(document, plan, open, random), true
 }
 
-// Usable returns the versions that the query may use, cheapest first.
-func Usable(document *lavconfig.Document, query Query) []lavid.VersionID {
-	var usable []lavid.VersionID
-	for _, id := range document.ClientAccounts[query.Account].AllowedVersions {
-		version, ok := document.Versions[id]
-		if !ok || version.State == lavconfig.VersionWithdrawn {
-			continue
-		}
-		if query.Model != "" && version.Model != query.Model {
-			continue
-		}
-		if query.Version != "" && id != query.Version {
-			continue
-		}
-		usable = append(usable, id)
+// pinned keeps a session on its version as long as that may serve; a stopped version keeps its sessions until withdrawn.
+func (s *State) pinned(document *lavconfig.Document, query Query, now time.Time) (Plan, bool) {
+	if query.Pinned == "" || !slices.Contains(Usable(document, query), query.Pinned) {
+		return Plan{}, false
 	}
-	slices.SortStableFunc(usable, func(a, b lavid.VersionID) int {
-		return cmp.Compare(document.Versions[a].OutputPrice, document.Versions[b].OutputPrice)
-	})
-	return usable
+	return s.single(document, query, query.Pinned, ReasonPinned, now), true
+}
+
+func (s *State) onlyRollOut(document *lavconfig.Document, query Query, open openVersions, now time.Time) (Plan, bool) {
+	if len(open.rollingOut) == 0 {
+		return Plan{}, false
+	}
+	return s.single(document, query, open.rollingOut[0], ReasonOnlyRollOut, now), true
+}
+
+func (s *State) single(document *lavconfig.Document, query Query, version lavid.VersionID, reason Reason, now time.Time) Plan {
+	at := s.evaluate(document, query, []lavid.VersionID{version}, now)
+	return at.plan(reason)
 }
--- /dev/null
+++ b/core/services/lavplan/state.go
@@ -0,0 +1,103 @@
+package lavplan
+
+import (
+	"sync"
+	"time"
+
+	"lavenderswitch/core/models/lavconfig"
+	"lavenderswitch/core/models/lavid"
+	"lavenderswitch/core/services/lavevidence"
+)
+
+// Settings are the constants of planning.
+type Settings struct {
+	Rater Rater
+	// CheckCost is the price of one rating.
+	CheckCost lavid.NanoUnits
+	// ExploreShare bounds the requests whose plan is chosen to learn.
+	ExploreShare lavid.Share
+	// EnoughDeviation is the deviation below which a plan's quality counts as known.
+	EnoughDeviation float64
+	// HalfLife is the time after which a request weighs half in the mix and the measured quality of an account.
+	HalfLife time.Duration
+	// Gain is how much of a measured miss of the target is made up for.
+	Gain float64
+	// MaxCorrection bounds what the aim differs from the target.
+	MaxCorrection lavid.Quality
+	// OffsetRated is the weight, in rated answers, of the assumption that an account's requests are of usual difficulty.
+	OffsetRated float64
+}
+
+// DefaultSettings returns the settings for production.
+func DefaultSettings() Settings {
+	return Settings{
+		ExploreShare:    0.02,
+		EnoughDeviation: 0.025,
+		HalfLife:        10 * time.Minute,
+		Gain:            1,
+		MaxCorrection:   0.02,
+		OffsetRated:     200,
+	}
+}
+
+// shape is what queries of an account differ in as far as plans go.
+type shape struct {
+	model    lavid.ModelID
+	version  lavid.VersionID
+	class    lavid.TaskClass
+	canCheck bool
+}
+
+type frontierKey struct {
+	account lavid.AccountID
+	number  lavid.ConfigNumber
+	shape   shape
+}
+
+// State is what planning at one host remembers; it may be lost at any time.
+type State struct {
+	Evidence *lavevidence.Table
+
+	mu        sync.Mutex
+	settings  Settings
+	exposure  Exposure
+	balances  map[lavid.AccountID]*balance
+	frontiers map[frontierKey]frontier
+}
+
+// NewState returns a state that knows the configuration only.
+func NewState(settings Settings, evidence *lavevidence.Table) *State {
+	return &State{
+		Evidence:  evidence,
+		settings:  settings,
+		balances:  make(map[lavid.AccountID]*balance),
+		frontiers: make(map[frontierKey]frontier),
+	}
+}
+
+// SetExposure replaces what the owners of versions decided.
+func (s *State) SetExposure(exposure Exposure) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.exposure = exposure
+	clear(s.frontiers)
+}
+
+// frontier returns the plans open to a query, worked out once per tick.
+func (s *State) frontier(document *lavconfig.Document, query Query, open openVersions, now time.Time) frontier {
+	key := frontierKey{account: query.Account, number: document.Number, shape: query.shape()}
+	found, ok := s.frontiers[key]
+	if !ok {
+		found = s.buildFrontier(document, query, open, now)
+		s.frontiers[key] = found
+	}
+	return found
+}
+
+func (q Query) shape() shape {
+	return shape{model: q.Model, version: q.Version, class: q.Class, canCheck: q.CanCheck}
+}
+
+func (s shape) query(account lavid.AccountID) Query {
+	return Query{Account: account, Model: s.model, Version: s.version, Class: s.class, CanCheck: s.canCheck}
+}
--- /dev/null
+++ b/core/services/lavplan/usable.go
@@ -0,0 +1,113 @@
+package lavplan
+
+import (
+	"cmp"
+	"math/rand/v2"
+	"slices"
+
+	"lavenderswitch/core/models/lavconfig"
+	"lavenderswitch/core/models/lavid"
+)
+
+// openVersions are the versions that a new session may use, cheapest first.
+type openVersions struct {
+	serving    []lavid.VersionID
+	rollingOut []lavid.VersionID
+}
+
+// Usable returns the versions that the query may use, cheapest first.
+func Usable(document *lavconfig.Document, query Query) []lavid.VersionID {
+	var usable []lavid.VersionID
+	for _, id := range document.ClientAccounts[query.Account].AllowedVersions {
+		version, ok := document.Versions[id]
+		if !ok || version.State == lavconfig.VersionWithdrawn {
+			continue
+		}
+		if query.Model != "" && version.Model != query.Model {
+			continue
+		}
+		if query.Version != "" && id != query.Version {
+			continue
+		}
+		usable = append(usable, id)
+	}
+	slices.SortStableFunc(usable, func(a, b lavid.VersionID) int {
+		return cmp.Compare(document.Versions[a].OutputPrice, document.Versions[b].OutputPrice)
+	})
+	return slices.Compact(usable)
+}
+
+// open returns the usable versions that are not stopped; a serving one that is stopped stays when nothing else is left.
+func (s *State) open(document *lavconfig.Document, query Query) openVersions {
+	var open openVersions
+	var stopped []lavid.VersionID
+	for _, id := range Usable(document, query) {
+		rollingOut := document.Versions[id].State == lavconfig.VersionRollingOut
+		switch {
+		case s.exposure.stopped(id) && !rollingOut:
+			stopped = append(stopped, id)
+		case s.exposure.stopped(id):
+		case rollingOut:
+			open.rollingOut = append(open.rollingOut, id)
+		default:
+			open.serving = append(open.serving, id)
+		}
+	}
+	if len(open.serving) == 0 && len(open.rollingOut) == 0 {
+		open.serving = stopped
+	}
+	return open
+}
+
+// substitute gives versions under roll-out their share of the sessions of the version that they replace.
+func (s *State) substitute(document *lavconfig.Document, plan Plan, open openVersions, random *rand.Rand) Plan {
+	drawn := lavid.Share(random.Float64())
+	for _, id := range open.rollingOut {
+		share := min(s.exposure.share(id), document.Versions[id].MaxShare)
+		if drawn >= share {
+			drawn -= share
+			continue
+		}
+		return replaceStage(plan, document.Versions[id].Replaces, id)
+	}
+	return plan
+}
+
+func replaceStage(plan Plan, replaced, by lavid.VersionID) Plan {
+	at := slices.IndexFunc(plan.Stages, func(stage Stage) bool { return stage.Version == replaced })
+	if at < 0 {
+		return plan
+	}
+	changed := plan
+	changed.Stages = slices.Clone(plan.Stages)
+	changed.Stages[at].Version = by
+	changed.Reason = ReasonRollOut
+	return changed
+}
+
+// Exposure is what the evidence on versions permits, as their owners decided.
+type Exposure struct {
+	// Stopped versions get no new sessions.
+	Stopped []lavid.VersionID
+	Shares  []VersionShare
+}
+
+// VersionShare is the part of new sessions that a version under roll-out may take now.
+type VersionShare struct {
+	Version lavid.VersionID
+	Share   lavid.Share
+}
+
+func (e Exposure) stopped(id lavid.VersionID) bool {
+	return slices.Contains(e.Stopped, id)
+}
+
+// share is zero for a version that no owner has decided on.
+func (e Exposure) share(id lavid.VersionID) lavid.Share {
+	for _, row := range e.Shares {
+		if row.Version == id {
+			return row.Share
+		}
+	}
+	return 0
+}
--- a/entry/cmd/host.go
+++ b/entry/cmd/host.go
@@ -13,6 +13,8 @@
 	"lavenderswitch/core/modules/lavhttp"
 	"lavenderswitch/core/modules/lavlife"
 	"lavenderswitch/core/modules/lavplatform"
+	"lavenderswitch/core/services/lavevidence"
+	"lavenderswitch/core/services/lavplan"
 	"lavenderswitch/core/services/lavspread"
 	"lavenderswitch/entry/models/lavsetting"
 	"lavenderswitch/entry/routers/lavcaller"
@@ -55,6 +57,7 @@
 		Attempts: attempts,
 		Fleet:    h.fleet,
 		Bills:    h.billing,
+		Plans:    lavplan.NewState(lavplan.DefaultSettings(), lavevidence.NewTable(lavevidence.DefaultSettings())),
 		Log:      log,
 		Scheme:   "http://",
 	}
--- a/entry/services/lavserve/serve.go
+++ b/entry/services/lavserve/serve.go
@@ -47,6 +47,7 @@
 	Attempts Attempts
 	Fleet    *lavfleet.Fleet
 	Bills    Bills
+	Plans    *lavplan.State
 	Log      *logrus.Logger
 	// Scheme precedes the address of a side process, such as "http://".
 	Scheme string
@@ -64,7 +65,8 @@
 		return s.serveStage(ctx, document, request, "", sink)
 	}
 	query := lavplan.Query{Account: request.Account, Model: request.Model, Version: request.Version, Class: request.Class}
-	plan, ok := lavplan.Choose(document, query, time.Now())
+	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	plan, ok := lavplan.Choose(document, s.Plans, query, random, time.Now())
 	if !ok {
 		return laverror.New(laverror.KindNotAllowed, "no allowed version serves this model", "choose one that GET /v1/models lists")
 	}
--- a/tests/cmd/lavmeasure/main.go
+++ b/tests/cmd/lavmeasure/main.go
@@ -12,14 +12,16 @@
 	"github.com/urfave/cli/v3"
 
 	"lavenderswitch/tests/measures/lavreport"
+	"lavenderswitch/tests/measures/quality/lavcost"
 )
 
 const defaultSeed = 20261203
 
 // measures lists the measurements in the order in which they are printed.
 func measures() []lavreport.Measure {
-	var all []lavreport.Measure
-	return all
+	return []lavreport.Measure{
+		lavcost.Measure,
+	}
 }
 
 func main() {
--- a/tests/measures/lavreport/row.go
+++ b/tests/measures/lavreport/row.go
@@ -81,3 +81,8 @@
 	}
 	return strings.Join(parts, ", ")
 }
+
+// Signed formats a number with its sign and two decimals.
+func Signed(value float64) string {
+	return fmt.Sprintf("%+.2f", value)
+}
--- /dev/null
+++ b/tests/measures/quality/lavcost/oracle.go
@@ -0,0 +1,163 @@
+package lavcost
+
+import (
+	"cmp"
+	"math"
+	"slices"
+)
+
+// choice is one plan on one class with its true quality and cost per request of the account.
+type choice struct {
+	quality float64
+	cost    float64
+}
+
+// restricted is an oracle that knows the true quality of every plan per account and class, but no request's outcome.
+type restricted struct {
+	// hulls holds the best choices of each account and class, weighted by the class's part of the requests.
+	hulls [][][]choice
+}
+
+func newRestricted(w *world) *restricted {
+	oracle := &restricted{}
+	orders := w.orders()
+	for account := range w.accounts {
+		var hulls [][]choice
+		for class := range w.classes {
+			hulls = append(hulls, upperHull(w.choices(account, class, orders)))
+		}
+		oracle.hulls = append(oracle.hulls, hulls)
+	}
+	return oracle
+}
+
+// orders lists every sequence of one to three versions, each dearer than the one before.
+func (w *world) orders() [][]int {
+	var orders [][]int
+	for first := range w.versions {
+		orders = append(orders, []int{first})
+		for second := first + 1; second < len(w.versions); second++ {
+			orders = append(orders, []int{first, second})
+			for third := second + 1; third < len(w.versions); third++ {
+				orders = append(orders, []int{first, second, third})
+			}
+		}
+	}
+	return orders
+}
+
+// choices sums every order over the requests of an account and class, as part of all requests of the account.
+func (w *world) choices(account, class int, orders [][]int) []choice {
+	sums := make([]choice, len(orders))
+	requests := 0.0
+	for _, drawn := range w.requests {
+		if drawn.account != account {
+			continue
+		}
+		requests++
+		if drawn.class != class {
+			continue
+		}
+		for i, order := range orders {
+			last, cost := w.run(drawn, order)
+			sums[i].cost += cost
+			if drawn.answers[last].good {
+				sums[i].quality++
+			}
+		}
+	}
+	for i := range sums {
+		sums[i].quality /= requests
+		sums[i].cost /= requests
+	}
+	return sums
+}
+
+// cost returns the least cost per request at which the account's quality is expected to come to the target.
+func (r *restricted) cost(account int, target float64) float64 {
+	var steps []choice
+	cost, missing := 0.0, target
+	for _, hull := range r.hulls[account] {
+		cost += hull[0].cost
+		missing -= hull[0].quality
+		for i := 1; i < len(hull); i++ {
+			steps = append(steps, choice{quality: hull[i].quality - hull[i-1].quality, cost: hull[i].cost - hull[i-1].cost})
+		}
+	}
+	slices.SortFunc(steps, func(a, b choice) int { return cmp.Compare(a.cost/a.quality, b.cost/b.quality) })
+	for _, step := range steps {
+		if missing <= 0 {
+			return cost
+		}
+		part := min(1, missing/step.quality)
+		cost += part * step.cost
+		missing -= part * step.quality
+	}
+	return cost
+}
+
+func upperHull(all []choice) []choice {
+	slices.SortFunc(all, func(a, b choice) int {
+		return cmp.Or(cmp.Compare(a.cost, b.cost), cmp.Compare(b.quality, a.quality))
+	})
+	hull := all[:1:1]
+	at := 0
+	for {
+		best, price := -1, math.Inf(1)
+		for i := at + 1; i < len(all); i++ {
+			gain := all[i].quality - all[at].quality
+			if gain > 0 && (all[i].cost-all[at].cost)/gain < price {
+				best, price = i, (all[i].cost-all[at].cost)/gain
+			}
+		}
+		if best < 0 {
+			return hull
+		}
+		hull = append(hull, all[best])
+		at = best
+	}
+}
+
+// outcomeOracle knows the outcome of every version on every request; it buys the cheapest good answers first.
+func (w *world) outcomeOracle() *result {
+	all := newResult(len(w.accounts))
+	for account, truth := range w.accounts {
+		w.buy(all, account, float64(truth.target))
+	}
+	return all
+}
+
+type purchase struct {
+	at    request
+	good  bool
+	extra float64
+	base  float64
+}
+
+func (w *world) buy(all *result, account int, target float64) {
+	var purchases []purchase
+	for _, drawn := range w.requests {
+		if drawn.account == account {
+			purchases = append(purchases, w.cheapestGood(drawn))
+		}
+	}
+	slices.SortStableFunc(purchases, func(a, b purchase) int { return cmp.Compare(a.extra, b.extra) })
+	needed := int(math.Ceil(target * float64(len(purchases))))
+	for i, bought := range purchases {
+		if i < needed && bought.good {
+			all.add(bought.at.at, account, true, bought.base+bought.extra)
+			continue
+		}
+		all.add(bought.at.at, account, bought.good && bought.extra == 0, bought.base)
+	}
+}
+
+func (w *world) cheapestGood(drawn request) purchase {
+	base := w.versions[0].cost(drawn.tokens)
+	for version, outcome := range drawn.answers {
+		if outcome.good {
+			return purchase{at: drawn, good: true, base: base, extra: w.versions[version].cost(drawn.tokens) - base}
+		}
+	}
+	return purchase{at: drawn, base: base, extra: math.Inf(1)}
+}
--- /dev/null
+++ b/tests/measures/quality/lavcost/plot.go
@@ -0,0 +1,52 @@
+package lavcost
+
+import (
+	"path/filepath"
+
+	"github.com/pkg/errors"
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/plotutil"
+	"gonum.org/v1/plot/vg"
+)
+
+const (
+	plotWidth  = 7 * vg.Inch
+	plotHeight = 4 * vg.Inch
+)
+
+// draw writes quality minus target and cost per request of each account over time.
+func draw(w *world, got *result, directory string) error {
+	if directory == "" {
+		return nil
+	}
+	quality := func(account int, sum tally) float64 {
+		return (sum.quality() - float64(w.accounts[account].target)) * 100
+	}
+	err := drawOne(w, got, "Quality minus target, points", filepath.Join(directory, "cost-quality.svg"), quality)
+	if err != nil {
+		return err
+	}
+	cost := func(_ int, sum tally) float64 { return sum.perRequest() / 1e6 }
+	return drawOne(w, got, "Cost per request, thousandths of the unit", filepath.Join(directory, "cost-cost.svg"), cost)
+}
+
+func drawOne(w *world, got *result, title, path string, value func(account int, sum tally) float64) error {
+	canvas := plot.New()
+	canvas.Title.Text = title
+	canvas.X.Label.Text = "minutes"
+	var lines []any
+	for account, truth := range w.accounts {
+		var points plotter.XYs
+		for i, sum := range got.windows[account] {
+			if sum.requests > 0 {
+				points = append(points, plotter.XY{X: float64(i+1) * windowLength.Minutes(), Y: value(account, sum)})
+			}
+		}
+		lines = append(lines, string(truth.id), points)
+	}
+	if err := plotutil.AddLines(canvas, lines...); err != nil {
+		return errors.Wrap(err, "draw lines")
+	}
+	return errors.Wrap(canvas.Save(plotWidth, plotHeight, path), "write plot")
+}
