Account's own ratings and a stronger correction of measured quality

Ruled out: a lower weight of the offset alone; the miss stayed, since classes differ in opposite directions. Ratings are now kept per account, class and stage, and shrink to what all accounts see; the gain is 5.

--- a/core/services/lavplan/balance.go
+++ b/core/services/lavplan/balance.go
@@ -26,17 +26,15 @@
 	// delivered and good sum delivered answers and their expected quality.
 	delivered float64
 	good      float64
-	// rated and surplus sum ratings and how far acceptance was above its estimate.
-	rated   float64
-	surplus float64
-	solved  bool
-	updated time.Time
+	habits    habits
+	solved    bool
+	updated   time.Time
 }
 
 func (s *State) balance(account lavid.AccountID, now time.Time) *balance {
 	found, ok := s.balances[account]
 	if !ok {
-		found = &balance{mix: make(map[shape]float64), updated: now}
+		found = &balance{mix: make(map[shape]float64), habits: newHabits(), updated: now}
 		s.balances[account] = found
 	}
 	return found
@@ -68,13 +66,7 @@
 	}
 	b.delivered *= factor
 	b.good *= factor
-	b.rated *= factor
-	b.surplus *= factor
-}
-
-// offset is how far the account's acceptance is above what all accounts see.
-func (b *balance) offset(settings Settings) float64 {
-	return b.surplus / (b.rated + settings.OffsetRated)
+	b.habits.scale(factor)
 }
 
 // measured is the quality of what was delivered, or the target before anything was.
@@ -89,7 +81,7 @@
 func (s *State) aim(target float64, found *balance) float64 {
 	limit := float64(s.settings.MaxCorrection)
 	missed := s.settings.Gain * (target - found.measured(target))
-	return target + clamp(missed, -limit, limit) - found.offset(s.settings)
+	return target + clamp(missed, -limit, limit)
 }
 
 // solve finds the lowest multiplier at which the mix of requests is expected to come to the aim.
--- a/core/services/lavplan/dump.go
+++ b/core/services/lavplan/dump.go
@@ -17,11 +17,8 @@
 	Reachable bool
 	// Measured is the quality of what was delivered lately.
 	Measured lavid.Quality
-	// Delivered and Rated are recent answers and ratings, older ones weighing less.
+	// Delivered counts recent answers, older ones weighing less.
 	Delivered float64
-	Rated     float64
-	// Offset is how far the account's acceptance is above what all accounts see.
-	Offset float64
 }
 
 // Dump is the part of the state dump about planning.
@@ -41,12 +38,12 @@
 	slices.Sort(ids)
 	dump := Dump{Exposure: s.exposure}
 	for _, id := range ids {
-		dump.Accounts = append(dump.Accounts, s.balances[id].dump(id, s.settings))
+		dump.Accounts = append(dump.Accounts, s.balances[id].dump(id))
 	}
 	return dump
 }
 
-func (b *balance) dump(id lavid.AccountID, settings Settings) AccountDump {
+func (b *balance) dump(id lavid.AccountID) AccountDump {
 	return AccountDump{
 		Account:    id,
 		Multiplier: b.multiplier,
@@ -54,7 +51,5 @@
 		Reachable:  b.multiplier != highestMultiplier,
 		Measured:   lavid.Quality(b.measured(0)),
 		Delivered:  b.delivered,
-		Rated:      b.rated,
-		Offset:     b.offset(settings),
 	}
 }
--- a/core/services/lavplan/frontier.go
+++ b/core/services/lavplan/frontier.go
@@ -89,7 +89,7 @@
 			key.After = versions[i-1]
 		}
 		known := s.Evidence.Estimate(document, key, now)
-		accepted := float64(known.Accepted)
+		accepted := s.accepted(query.Account, key, float64(known.Accepted))
 		quality := s.settings.Rater.quality(accepted)
 		if i == len(versions)-1 {
 			result.quality = quality
--- a/core/services/lavplan/observe.go
+++ b/core/services/lavplan/observe.go
@@ -28,24 +28,19 @@
 
 // ObserveDelivery counts a delivered answer into the measured quality of its account.
 func (s *State) ObserveDelivery(document *lavconfig.Document, delivery Delivery, now time.Time) {
-	accepted := float64(s.Evidence.Estimate(document, delivery.Key, now).Accepted)
+	pooled := float64(s.Evidence.Estimate(document, delivery.Key, now).Accepted)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	found := s.balance(delivery.Account, now)
-	shifted := clamp(accepted+found.offset(s.settings), 0, 1)
+	accepted := found.habits.accepted(delivery.Key, pooled, s.settings.PooledRated)
 	found.delivered++
-	found.good += s.settings.Rater.good(shifted, delivery.Rating)
+	found.good += s.settings.Rater.good(accepted, delivery.Rating)
 }
 
 // ObserveRating counts a rating, however late, of any answer of an account, delivered or rejected before.
 func (s *State) ObserveRating(document *lavconfig.Document, account lavid.AccountID, key lavevidence.Key, accepted bool, now time.Time) {
-	expected := float64(s.Evidence.Estimate(document, key, now).Accepted)
+	pooled := float64(s.Evidence.Estimate(document, key, now).Accepted)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	found := s.balance(account, now)
-	found.rated++
-	found.surplus -= expected
-	if accepted {
-		found.surplus++
-	}
+	s.balance(account, now).habits.add(key, accepted, pooled)
 }
--- a/core/services/lavplan/state.go
+++ b/core/services/lavplan/state.go
@@ -24,8 +24,8 @@
 	Gain float64
 	// MaxCorrection bounds what the aim differs from the target.
 	MaxCorrection lavid.Quality
-	// OffsetRated is the weight, in rated answers, of the assumption that an account's requests are of usual difficulty.
-	OffsetRated float64
+	// PooledRated is the weight, in rated answers, of what all accounts see in what one account is expected to see.
+	PooledRated float64
 }
 
 // DefaultSettings returns the settings for production.
@@ -34,9 +34,9 @@
 		ExploreShare:    0.02,
 		EnoughDeviation: 0.025,
 		HalfLife:        10 * time.Minute,
-		Gain:            1,
-		MaxCorrection:   0.02,
-		OffsetRated:     200,
+		Gain:            5,
+		MaxCorrection:   0.03,
+		PooledRated:     100,
 	}
 }
 
