--- a/entry/cmd/host.go
+++ b/entry/cmd/host.go
@@ -14,10 +14,15 @@
 	"lavenderswitch/core/modules/lavlife"
 	"lavenderswitch/core/modules/lavmetric"
 	"lavenderswitch/core/modules/lavplatform"
+<<<<<<< HEAD
 	"lavenderswitch/core/modules/lavring"
 	"lavenderswitch/core/services/lavbill"
 	"lavenderswitch/core/services/lavledger"
 	"lavenderswitch/core/services/lavsession"
+=======
+	"lavenderswitch/core/services/lavevidence"
+	"lavenderswitch/core/services/lavplan"
+>>>>>>> quality
 	"lavenderswitch/core/services/lavspread"
 	"lavenderswitch/entry/models/lavsetting"
 	"lavenderswitch/entry/routers/lavcaller"
@@ -114,6 +119,7 @@
 		Sessions: h.resolver,
 		Seals:    lavledger.New(h.platform),
 		Fleet:    h.fleet,
+<<<<<<< HEAD
 		Bills:    h.bills.Pending,
 		Planner:  lavrate.Rater{},
 		Raters:   lavrate.Rater{},
@@ -123,6 +129,12 @@
 		Log:      h.log,
 		Scheme:   scheme,
 		Holders:  func(base string) lavwire.Bills { return lavwire.NewBillsProtobufClient(base, h.peerClient) },
+=======
+		Bills:    h.billing,
+		Plans:    lavplan.NewState(lavplan.DefaultSettings(), lavevidence.NewTable(lavevidence.DefaultSettings())),
+		Log:      log,
+		Scheme:   "http://",
+>>>>>>> quality
 	}
 }
 
