--- a/core/modules/lavplatform/client.go
+++ b/core/modules/lavplatform/client.go
@@ -1,32 +1,29 @@
 package lavplatform
 
 import (
-	"bytes"
 	"context"
 	"encoding/json"
-	"io"
 	"net/http"
 	"net/url"
 	"strconv"
 	"time"
 
-	"github.com/pkg/errors"
-)
-
-const (
-	maxReplyBytes  = 64 << 20
-	requestTimeout = 2 * time.Second
+	"lavenderswitch/core/models/lavid"
 )
 
 // Client speaks the platform's HTTP protocol.
 type Client struct {
-	base string
-	http *http.Client
+	base    string
+	wire    *wire
+	breaker *breaker
+	batches *batches
 }
 
 // NewClient returns a client of the platform at the base URL.
 func NewClient(base string) *Client {
-	return &Client{base: base, http: &http.Client{Timeout: requestTimeout}}
+	client := &Client{base: base, wire: newWire(), breaker: &breaker{}}
+	client.batches = newBatches(client.insertNow)
+	return client
 }
 
 type insertRequest struct{ Inserts []Insert }
@@ -46,8 +43,13 @@
 	return written[0], nil
 }
 
-// InsertAll writes each row whose key is absent, in one transaction.
+// InsertAll writes each row whose key is absent, in one transaction that other callers' rows may share.
 func (c *Client) InsertAll(ctx context.Context, inserts []Insert) ([]Written, error) {
+	return c.batches.insert(ctx, inserts)
+}
+
+// insertNow writes rows in a call of their own.
+func (c *Client) insertNow(ctx context.Context, inserts []Insert) ([]Written, error) {
 	var reply insertReply
 	if _, err := c.call(ctx, http.MethodPost, "/tables/insert", insertRequest{inserts}, &reply); err != nil {
 		return nil, err
@@ -92,42 +94,105 @@
 	return reply.Hosts, err
 }
 
-func (c *Client) call(ctx context.Context, method, path string, body, reply any) (int, error) {
-	request, err := c.request(ctx, method, path, body)
-	if err != nil {
-		return 0, err
+// PutObject stores an object under a name.
+func (c *Client) PutObject(ctx context.Context, name string, data []byte) error {
+	_, err := c.exchange(ctx, message{method: http.MethodPut, path: objectPath(name), body: data})
+	return err
+}
+
+// Object returns an object or ErrObjectNotExist.
+func (c *Client) Object(ctx context.Context, name string) ([]byte, error) {
+	answer, err := c.exchange(ctx, message{method: http.MethodGet, path: objectPath(name)})
+	if answer.status == http.StatusNotFound {
+		return nil, ErrObjectNotExist{Name: name}
 	}
-	response, err := c.http.Do(request)
+	return answer.body, err
+}
+
+func objectPath(name string) string {
+	return "/objects/" + url.PathEscape(name)
+}
+
+// RatingRequest asks for the rating of one answer.
+type RatingRequest struct {
+	Request lavid.RequestID
+	Version lavid.VersionID
+	Class   lavid.TaskClass
+	Prompt  string
+	Answer  string
+}
+
+// Rating is what the rating service says of an answer.
+type Rating struct {
+	Acceptable bool
+	Score      float64
+}
+
+// Rate returns the rating of an answer; it takes as long as ctx allows and does not move the circuit breaker of the store.
+func (c *Client) Rate(ctx context.Context, request RatingRequest) (Rating, error) {
+	var rating Rating
+	body, err := json.Marshal(request)
 	if err != nil {
-		return 0, ErrStoreUnavailable{Reason: err.Error()}
+		return rating, err
 	}
-	defer response.Body.Close()
-	data, err := io.ReadAll(io.LimitReader(response.Body, maxReplyBytes))
+	answer, err := c.wire.once(ctx, c.wire.kept, message{method: http.MethodPost, path: c.base + "/ratings", body: body})
 	if err != nil {
-		return 0, ErrStoreUnavailable{Reason: err.Error()}
-	}
-	if response.StatusCode != http.StatusOK {
-		return response.StatusCode, ErrStoreUnavailable{Reason: response.Status}
+		return rating, err
 	}
-	if err := json.Unmarshal(data, reply); err != nil {
-		return 0, ErrStoreUnavailable{Reason: "the reply is not JSON: " + err.Error()}
+	return rating, decode(answer, &rating)
+}
+
+// StartLoad asks the weight store whether a load of a version may start; a positive wait says when to ask again.
+func (c *Client) StartLoad(ctx context.Context, version lavid.VersionID) (time.Duration, error) {
+	answer, err := c.exchange(ctx, message{method: http.MethodGet, path: "/weights/" + url.PathEscape(string(version))})
+	if answer.status == http.StatusTooManyRequests {
+		return answer.retryAfter, nil
 	}
-	return response.StatusCode, nil
+	return 0, err
 }
 
-func (c *Client) request(ctx context.Context, method, path string, body any) (*http.Request, error) {
-	var reader io.Reader
+// call sends body as JSON, decodes the reply and returns the status.
+func (c *Client) call(ctx context.Context, method, path string, body, reply any) (int, error) {
+	sent := message{method: method, path: path}
 	if body != nil {
 		data, err := json.Marshal(body)
 		if err != nil {
-			return nil, errors.Wrap(err, "encode platform request")
+			return 0, err
 		}
-		reader = bytes.NewReader(data)
+		sent.body = data
 	}
-	request, err := http.NewRequestWithContext(ctx, method, c.base+path, reader)
+	answer, err := c.exchange(ctx, sent)
 	if err != nil {
-		return nil, errors.Wrap(err, "build platform request; check PlatformAddress in the settings")
+		return answer.status, err
+	}
+	return answer.status, decode(answer, reply)
+}
+
+func decode(answer answer, reply any) error {
+	if err := json.Unmarshal(answer.body, reply); err != nil {
+		return ErrStoreUnavailable{Reason: "the reply is not JSON: " + err.Error()}
+	}
+	return nil
+}
+
+// exchange sends a message under the circuit breaker.
+func (c *Client) exchange(ctx context.Context, sent message) (answer, error) {
+	if !c.breaker.allow(time.Now()) {
+		return answer{}, ErrStoreUnavailable{Reason: "the last calls failed", NotSent: true}
+	}
+	sent.path = c.base + sent.path
+	answer, err := c.wire.send(ctx, sent)
+	c.breaker.record(outcomeOf(ctx, answer, err), time.Now())
+	return answer, err
+}
+
+func outcomeOf(ctx context.Context, answer answer, err error) outcome {
+	switch {
+	case err == nil || answer.status == http.StatusNotFound || answer.status == http.StatusTooManyRequests:
+		return succeeded
+	case answer.status == 0 && ctx.Err() != nil:
+		return abandoned
+	default:
+		return failed
 	}
-	request.Header.Set("Content-Type", "application/json")
-	return request, nil
 }
--- /dev/null
+++ b/core/modules/lavplatform/client_test.go
@@ -0,0 +1,191 @@
+package lavplatform
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/sourcegraph/conc"
+)
+
+// fakeTable answers inserts and counts calls.
+type fakeTable struct {
+	calls  atomic.Int32
+	status atomic.Int32
+	mu     sync.Mutex
+	rows   map[string]Row
+}
+
+func (f *fakeTable) ServeHTTP(w http.ResponseWriter, request *http.Request) {
+	f.calls.Add(1)
+	if status := f.status.Load(); status != 0 {
+		w.WriteHeader(int(status))
+		return
+	}
+	var body insertRequest
+	if json.NewDecoder(request.Body).Decode(&body) != nil {
+		return
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	reply := insertReply{}
+	for _, insert := range body.Inserts {
+		row, ok := f.rows[insert.Key]
+		if !ok {
+			row = Row{Key: insert.Key, Writer: insert.Writer, Value: insert.Value, Revision: 1}
+			f.rows[insert.Key] = row
+		}
+		reply.Written = append(reply.Written, Written{Won: row.Writer == insert.Writer, Row: row})
+	}
+	_ = json.NewEncoder(w).Encode(reply)
+}
+
+func newFakeTable(t *testing.T) (*fakeTable, *httptest.Server) {
+	t.Helper()
+	table := &fakeTable{rows: make(map[string]Row)}
+	server := httptest.NewServer(table)
+	t.Cleanup(server.Close)
+	return table, server
+}
+
+func insertOf(key, writer string) Insert {
+	return Insert{Table: "T", Key: key, Writer: writer, Value: json.RawMessage(`1`)}
+}
+
+func TestConcurrentInsertsShareCalls(t *testing.T) {
+	is := is.New(t)
+	table, server := newFakeTable(t)
+	client := NewClient(server.URL)
+	var callers conc.WaitGroup
+	var won atomic.Int32
+	for i := range 50 {
+		callers.Go(func() {
+			written, err := client.Insert(t.Context(), insertOf("same", string(rune('A'+i))))
+			if err == nil && written.Won {
+				won.Add(1)
+			}
+		})
+	}
+	callers.Wait()
+	is.Equal(won.Load(), int32(1))      // one writer wins the key
+	is.True(table.calls.Load() <= 50/2) // callers share calls
+}
+
+func TestBreakerOpensAndProbes(t *testing.T) {
+	is := is.New(t)
+	table, server := newFakeTable(t)
+	table.status.Store(http.StatusServiceUnavailable)
+	client := NewClient(server.URL)
+	for range breakerFailures {
+		_, err := client.Insert(t.Context(), insertOf("k", "w"))
+		is.True(IsErrStoreUnavailable(err))
+	}
+	before := table.calls.Load()
+	_, err := client.Insert(t.Context(), insertOf("k", "w"))
+	is.True(IsErrStoreUnavailable(err))
+	is.Equal(table.calls.Load(), before) // an open breaker sends nothing
+	table.status.Store(0)
+	time.Sleep(breakerPause + 50*time.Millisecond)
+	written, err := client.Insert(t.Context(), insertOf("k", "w"))
+	is.NoErr(err) // the probe closes the breaker
+	is.True(written.Won)
+}
+
+func TestBreakerIgnoresAbandonedCalls(t *testing.T) {
+	is := is.New(t)
+	tested := &breaker{}
+	now := time.Now()
+	for range 2 * breakerFailures {
+		tested.record(abandoned, now)
+	}
+	is.True(tested.allow(now))
+}
+
+// TestSilentConnectionIsReplaced lets a kept connection fall silent and expects the next call to succeed over a new one.
+func TestSilentConnectionIsReplaced(t *testing.T) {
+	is := is.New(t)
+	_, server := newFakeTable(t)
+	silencer := newSilencer(t, server.Listener.Addr().String())
+	client := NewClient("http://" + silencer.listener.Addr().String())
+	_, err := client.Insert(t.Context(), insertOf("a", "w"))
+	is.NoErr(err)
+	silencer.silence()
+	began := time.Now()
+	written, err := client.Insert(t.Context(), insertOf("b", "w"))
+	is.NoErr(err)
+	is.True(written.Won)
+	is.True(time.Since(began) < 2*time.Second) // found in about a second
+	began = time.Now()
+	_, err = client.Insert(t.Context(), insertOf("c", "w"))
+	is.NoErr(err)
+	is.True(time.Since(began) < silenceTimeout) // the silent connection is not used again
+}
+
+func TestCallerThatGivesUpIsTold(t *testing.T) {
+	is := is.New(t)
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	_, server := newFakeTable(t)
+	_, err := NewClient(server.URL).Insert(ctx, insertOf("a", "w"))
+	is.True(IsErrStoreUnavailable(err))
+}
+
+// silencer carries connections and can make those of the moment silent for good.
+type silencer struct {
+	listener net.Listener
+	silent   atomic.Int32
+	count    atomic.Int32
+}
+
+func newSilencer(t *testing.T, target string) *silencer {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := &silencer{listener: listener}
+	var work conc.WaitGroup
+	t.Cleanup(func() { listener.Close(); work.Wait() })
+	work.Go(func() {
+		for {
+			near, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			far, err := net.Dial("tcp", target)
+			if err != nil {
+				near.Close()
+				return
+			}
+			number := s.count.Add(1)
+			t.Cleanup(func() { near.Close(); far.Close() })
+			work.Go(func() { s.copy(number, near, far) })
+			work.Go(func() { s.copy(number, far, near) })
+		}
+	})
+	return s
+}
+
+func (s *silencer) silence() {
+	s.silent.Store(s.count.Load())
+}
+
+func (s *silencer) copy(number int32, from, to net.Conn) {
+	data := make([]byte, 4096)
+	for {
+		n, err := from.Read(data)
+		if err != nil {
+			return
+		}
+		if number > s.silent.Load() {
+			_, _ = to.Write(data[:n])
+		}
+	}
+}
--- a/core/modules/lavplatform/error.go
+++ b/core/modules/lavplatform/error.go
@@ -17,7 +17,11 @@
 }
 
 // ErrStoreUnavailable says that the platform gave no reply; a write may still take effect.
-type ErrStoreUnavailable struct{ Reason string }
+type ErrStoreUnavailable struct {
+	Reason string
+	// NotSent says that the call was refused before it was sent, so that it cannot take effect.
+	NotSent bool
+}
 
 // Error names the reason and the remedy.
 func (e ErrStoreUnavailable) Error() string {
@@ -29,3 +33,17 @@
 	var typed ErrStoreUnavailable
 	return errors.As(err, &typed)
 }
+
+// ErrObjectNotExist says that the object store has no object of the name.
+type ErrObjectNotExist struct{ Name string }
+
+// Error names the object.
+func (e ErrObjectNotExist) Error() string {
+	return "object " + e.Name + " does not exist; check the name or put the object first"
+}
+
+// IsErrObjectNotExist tells whether err is an ErrObjectNotExist.
+func IsErrObjectNotExist(err error) bool {
+	var typed ErrObjectNotExist
+	return errors.As(err, &typed)
+}
--- a/fake/cmd/engine.go
+++ b/fake/cmd/engine.go
@@ -2,42 +2,133 @@
 
 import (
 	"context"
+	"strconv"
+	"strings"
 	"time"
 
+	"github.com/pkg/errors"
+	"github.com/sourcegraph/conc"
 	"github.com/urfave/cli/v3"
 
 	"lavenderswitch/core/models/lavid"
+	"lavenderswitch/core/modules/lavlife"
 	"lavenderswitch/fake/services/lavengine"
+	"lavenderswitch/fake/services/lavfault"
 )
 
 const (
-	flagVersion      = "version"
-	flagFirstToken   = "first-token"
-	flagBetweenToken = "between-tokens"
-	flagTokens       = "tokens"
+	flagVersion        = "version"
+	flagFirstToken     = "first-token"
+	flagBetweenToken   = "between-tokens"
+	flagTokens         = "tokens"
+	flagBatchSlope     = "batch-slope"
+	flagCapacity       = "capacity"
+	flagColdCapacity   = "cold-capacity"
+	flagWarmUp         = "warm-up"
+	flagQuality        = "quality"
+	flagHardQuality    = "hard-quality"
+	flagLoadTime       = "load-time"
+	flagStateLag       = "state-lag"
+	flagEventLag       = "event-lag"
+	flagEventGaps      = "event-gaps"
+	flagPrefixes       = "prefixes"
+	flagMemoryVersions = "memory-versions"
+	flagFenced         = "fenced"
+
+	stateTick = 50 * time.Millisecond
 )
 
 func engineCommand() *cli.Command {
 	return &cli.Command{
-		Name:  "engine",
-		Usage: "run a model engine",
-		Flags: []cli.Flag{
-			addressFlag(),
-			&cli.StringSliceFlag{Name: flagVersion, Usage: "version loaded at start; may be repeated"},
-			&cli.DurationFlag{Name: flagFirstToken, Usage: "time to the first token", Value: 20 * time.Millisecond},
-			&cli.DurationFlag{Name: flagBetweenToken, Usage: "time between tokens", Value: 5 * time.Millisecond},
-			&cli.IntFlag{Name: flagTokens, Usage: "tokens of an answer", Value: 20},
+		Name:   "engine",
+		Usage:  "run a model engine",
+		Flags:  engineFlags(),
+		Action: runEngine,
+	}
+}
+
+func engineFlags() []cli.Flag {
+	return []cli.Flag{
+		addressFlag(),
+		&cli.StringSliceFlag{Name: flagVersion, Usage: "version loaded at start; may be repeated"},
+		&cli.DurationFlag{Name: flagFirstToken, Usage: "time to the first token", Value: 20 * time.Millisecond},
+		&cli.DurationFlag{Name: flagBetweenToken, Usage: "time between tokens", Value: 5 * time.Millisecond},
+		&cli.IntFlag{Name: flagTokens, Usage: "tokens of an answer", Value: 20},
+		&cli.Float64Flag{Name: flagBatchSlope, Usage: "part by which each further running answer slows all"},
+		&cli.IntFlag{Name: flagCapacity, Usage: "running answers that a warm engine bears", Value: 64},
+		&cli.IntFlag{Name: flagColdCapacity, Usage: "running answers that a cold engine bears", Value: 2},
+		&cli.DurationFlag{Name: flagWarmUp, Usage: "time from cold to warm; zero starts warm"},
+		&cli.StringSliceFlag{Name: flagQuality, Usage: "VERSION=PROBABILITY that an answer is acceptable; may be repeated"},
+		&cli.StringSliceFlag{Name: flagHardQuality, Usage: "the same for prompts with the word hard"},
+		&cli.DurationFlag{Name: flagLoadTime, Usage: "time to load a version", Value: time.Second},
+		&cli.DurationFlag{Name: flagStateLag, Usage: "age of the state that is reported"},
+		&cli.DurationFlag{Name: flagEventLag, Usage: "time until a cache event shows"},
+		&cli.Float64Flag{Name: flagEventGaps, Usage: "part of the cache events that never show"},
+		&cli.IntFlag{Name: flagPrefixes, Usage: "prompt prefixes that the cache holds", Value: 100},
+		&cli.IntFlag{Name: flagMemoryVersions, Usage: "versions that fit at once; zero sets no limit"},
+		&cli.BoolFlag{Name: flagFenced, Usage: "refuse orders with an old epoch"},
+		&cli.Uint64Flag{Name: flagSeed, Usage: "seed of the answers' quality", Value: 1},
+	}
+}
+
+func runEngine(ctx context.Context, command *cli.Command) error {
+	easy, err := chances(command.StringSlice(flagQuality))
+	if err != nil {
+		return err
+	}
+	hard, err := chances(command.StringSlice(flagHardQuality))
+	if err != nil {
+		return err
+	}
+	settings := engineSettings(command)
+	settings.Quality = lavengine.Quality{Easy: easy, Hard: hard}
+	engine := lavengine.New(settings, lavfault.New(), time.Now())
+	for _, version := range command.StringSlice(flagVersion) {
+		engine.Load(lavid.VersionID(version))
+	}
+	background, stop := context.WithCancel(ctx)
+	var parts conc.WaitGroup
+	parts.Go(func() { lavlife.Tick(background, stateTick, engine.Step) })
+	err = serve(ctx, command.String(flagAddress), engine.Routes())
+	stop()
+	parts.Wait()
+	return err
+}
+
+func engineSettings(command *cli.Command) lavengine.Settings {
+	return lavengine.Settings{
+		Speed: lavengine.Speed{
+			FirstToken:    command.Duration(flagFirstToken),
+			BetweenTokens: command.Duration(flagBetweenToken),
+			Tokens:        command.Int(flagTokens),
+			BatchSlope:    command.Float64(flagBatchSlope),
 		},
-		Action: func(ctx context.Context, command *cli.Command) error {
-			engine := lavengine.New(lavengine.Speed{
-				FirstToken:    command.Duration(flagFirstToken),
-				BetweenTokens: command.Duration(flagBetweenToken),
-				Tokens:        command.Int(flagTokens),
-			})
-			for _, version := range command.StringSlice(flagVersion) {
-				engine.Load(lavid.VersionID(version))
-			}
-			return serve(ctx, command.String(flagAddress), engine.Routes())
+		Warmth: lavengine.Warmth{
+			Capacity:     command.Int(flagCapacity),
+			ColdCapacity: command.Int(flagColdCapacity),
+			WarmUp:       command.Duration(flagWarmUp),
 		},
+		LoadTime:       command.Duration(flagLoadTime),
+		StateLag:       command.Duration(flagStateLag),
+		EventLag:       command.Duration(flagEventLag),
+		EventGaps:      command.Float64(flagEventGaps),
+		Prefixes:       command.Int(flagPrefixes),
+		MemoryVersions: command.Int(flagMemoryVersions),
+		Fenced:         command.Bool(flagFenced),
+		Seed:           command.Uint64(flagSeed),
+	}
+}
+
+// chances reads VERSION=PROBABILITY pairs.
+func chances(pairs []string) (map[lavid.VersionID]float64, error) {
+	read := make(map[lavid.VersionID]float64, len(pairs))
+	for _, pair := range pairs {
+		name, value, _ := strings.Cut(pair, "=")
+		chance, err := strconv.ParseFloat(value, 64)
+		if err != nil || chance < 0 || chance > 1 {
+			return nil, errors.Errorf("quality %q is not VERSION=PROBABILITY; give a number from 0 to 1", pair)
+		}
+		read[lavid.VersionID(name)] = chance
 	}
+	return read, nil
 }
--- a/fake/cmd/root.go
+++ b/fake/cmd/root.go
@@ -4,10 +4,14 @@
 	"context"
 	"fmt"
 	"net/http"
+	"net/netip"
 	"os"
 	"os/signal"
 	"syscall"
+	"time"
 
+	"github.com/pkg/errors"
+	"github.com/sourcegraph/conc"
 	"github.com/urfave/cli/v3"
 
 	"lavenderswitch/core/modules/lavhttp"
@@ -21,7 +25,7 @@
 		Name:     "lavenderfake",
 		Usage:    "stands in for the platform and the backend servers in tests and the demo",
 		Version:  version,
-		Commands: []*cli.Command{platformCommand(), engineCommand(), serviceCommand()},
+		Commands: []*cli.Command{platformCommand(), engineCommand(), serviceCommand(), relayCommand(), loadCommand()},
 	}
 	if err := root.Run(ctx, args); err != nil {
 		fmt.Fprintln(os.Stderr, err)
@@ -36,15 +40,35 @@
 
 // serve answers with handler until the process is told to end.
 func serve(ctx context.Context, address string, handler http.Handler) error {
+	if err := checkLoopback(address); err != nil {
+		return err
+	}
 	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 	server, err := lavhttp.Listen(ctx, address, handler, nil, lavhttp.DefaultLimits())
 	if err != nil {
 		return err
 	}
-	go func() {
+	var parts conc.WaitGroup
+	parts.Go(func() {
 		<-ctx.Done()
-		_ = server.Shutdown(context.Background())
-	}()
-	return server.Serve()
+		ending, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
+		defer cancel()
+		_ = server.Shutdown(ending)
+	})
+	err = server.Serve()
+	stop()
+	parts.Wait()
+	return err
+}
+
+const shutdownTimeout = 2 * time.Second
+
+// checkLoopback refuses any address but one of this machine's loopback, for stand-ins belong in tests.
+func checkLoopback(address string) error {
+	parsed, err := netip.ParseAddrPort(address)
+	if err != nil || !parsed.Addr().IsLoopback() {
+		return errors.Errorf("address %q is not IP:port of the loopback; use 127.0.0.1", address)
+	}
+	return nil
 }
--- a/fake/cmd/service.go
+++ b/fake/cmd/service.go
@@ -2,19 +2,29 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/urfave/cli/v3"
 
+	"lavenderswitch/fake/services/lavfault"
 	"lavenderswitch/fake/services/lavplain"
 )
 
+const flagLatency = "latency"
+
 func serviceCommand() *cli.Command {
 	return &cli.Command{
 		Name:  "service",
 		Usage: "run a plain service that counts how often each request ran",
-		Flags: []cli.Flag{addressFlag()},
+		Flags: []cli.Flag{
+			addressFlag(),
+			&cli.DurationFlag{Name: flagLatency, Usage: "time that a call takes"},
+			&cli.IntFlag{Name: flagCapacity, Usage: "calls that may run at once; zero sets no limit"},
+		},
 		Action: func(ctx context.Context, command *cli.Command) error {
-			return serve(ctx, command.String(flagAddress), lavplain.New().Routes())
+			settings := lavplain.Settings{Latency: command.Duration(flagLatency), Capacity: command.Int(flagCapacity)}
+			service := lavplain.New(settings, lavfault.New(), time.Now())
+			return serve(ctx, command.String(flagAddress), service.Routes())
 		},
 	}
 }
--- /dev/null
+++ b/fake/models/lavtruth/answer.go
@@ -0,0 +1,88 @@
+package lavtruth
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/pkg/errors"
+)
+
+// The last words of an answer, from which the rating service knows its quality.
+const (
+	Acceptable = "acceptable"
+	Flawed     = "flawed"
+)
+
+// Message is one message of a chat completions request.
+type Message struct {
+	Role    string          `json:"role"`
+	Content json.RawMessage `json:"content"`
+}
+
+// PromptDigest returns the digest of the last message, which every word of its answer carries.
+func PromptDigest(messages []Message) string {
+	if len(messages) == 0 {
+		return "empty"
+	}
+	var compact bytes.Buffer
+	if json.Compact(&compact, messages[len(messages)-1].Content) != nil {
+		return "unreadable"
+	}
+	return Digest(compact.Bytes())
+}
+
+// TextDigest returns the digest of a message whose content is text.
+func TextDigest(text string) string {
+	content, err := json.Marshal(text)
+	if err != nil {
+		return "unreadable"
+	}
+	return Digest(content)
+}
+
+// Digest returns the xxhash64 of data in hexadecimal.
+func Digest(data []byte) string {
+	return fmt.Sprintf("%016x", xxhash.Sum64(data))
+}
+
+// Words returns the words of an answer.
+func Words(digest string, tokens int, acceptable bool) []string {
+	words := make([]string, 0, tokens+1)
+	for i := range tokens {
+		words = append(words, fmt.Sprintf("%d/%d:%s ", i, tokens, digest))
+	}
+	if acceptable {
+		return append(words, Acceptable)
+	}
+	return append(words, Flawed)
+}
+
+// CheckAnswer fails unless content is the whole answer to the prompt of the digest.
+func CheckAnswer(content, digest string) error {
+	words := strings.Fields(content)
+	if len(words) == 0 {
+		return errors.New("answer is empty")
+	}
+	last := words[len(words)-1]
+	if last != Acceptable && last != Flawed {
+		return errors.Errorf("answer is cut after %q", last)
+	}
+	for i, word := range words[:len(words)-1] {
+		if want := fmt.Sprintf("%d/%d:%s", i, len(words)-1, digest); word != want {
+			return errors.Errorf("word %d of the answer is %q instead of %q", i, word, want)
+		}
+	}
+	return nil
+}
+
+// ServiceReply is the answer of a plain service.
+type ServiceReply struct {
+	Request string
+	Attempt string
+	Runs    int
+	Bytes   int
+	Digest  string
+}
--- /dev/null
+++ b/fake/services/lavengine/chat.go
@@ -0,0 +1,154 @@
+package lavengine
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"lavenderswitch/core/models/lavid"
+	"lavenderswitch/core/modules/laverror"
+	"lavenderswitch/core/modules/lavhttp"
+	"lavenderswitch/fake/models/lavtruth"
+	"lavenderswitch/fake/services/lavfault"
+)
+
+const (
+	maxPromptBytes = 8 << 20
+	maxTokens      = 10000
+	prefixBytes    = 256
+	bytesPerToken  = 4
+)
+
+type chatRequest struct {
+	Model     lavid.VersionID `json:"model"`
+	Stream    bool            `json:"stream"`
+	MaxTokens int             `json:"max_tokens"`
+	Messages  json.RawMessage `json:"messages"`
+}
+
+// job is one admitted chat request.
+type job struct {
+	run      *lavtruth.Run
+	body     chatRequest
+	answers  lavid.VersionID
+	digest   string
+	tokens   int
+	input    int
+	cached   bool
+	accepted bool
+	stream   *stream
+}
+
+func (e *Engine) chat(w http.ResponseWriter, request *http.Request) {
+	var body chatRequest
+	var messages []lavtruth.Message
+	err := json.NewDecoder(http.MaxBytesReader(w, request.Body, maxPromptBytes)).Decode(&body)
+	if err == nil {
+		err = json.Unmarshal(body.Messages, &messages)
+	}
+	if err != nil {
+		lavhttp.WriteError(w, laverror.New(laverror.KindBadRequest, "body is not a chat request: "+err.Error(), "send JSON with messages"))
+		return
+	}
+	call := lavfault.Call{Held: held(lavtruth.StepArrive, request)}
+	if !e.faults.Pass(request.Context(), call) {
+		lavfault.Refuse(w)
+		return
+	}
+	one, refusal := e.admit(request, body, lavtruth.PromptDigest(messages), time.Now())
+	if refusal != nil {
+		lavhttp.WriteError(w, refusal)
+		return
+	}
+	e.jobs.Go(func() { e.generate(one) })
+	one.stream.copyTo(w, request, 0)
+}
+
+func held(step lavtruth.Step, request *http.Request) lavtruth.Held {
+	return lavtruth.Held{
+		Step:    step,
+		Attempt: lavid.AttemptID(request.Header.Get(headerAttempt)),
+		Request: lavid.RequestID(request.Header.Get(headerRequest)),
+	}
+}
+
+// admit records the run and starts its stream, or refuses it when the version is not loaded or the engine is overrun.
+func (e *Engine) admit(request *http.Request, body chatRequest, digest string, now time.Time) (*job, error) {
+	answers := body.Model
+	if wrong, ok := e.faults.Active(lavfault.WrongVersion); ok {
+		answers = lavid.VersionID(wrong.Version)
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if !slices.Contains(e.loaded, body.Model) {
+		return nil, laverror.New(laverror.KindNotFound, "version is not loaded", "order the engine to load it first")
+	}
+	e.forget(now)
+	e.running++
+	run := e.record(request, body.Model, now)
+	if fails(run.Running, run.Capacity) {
+		e.running--
+		run.Ended = now
+		return nil, laverror.New(laverror.KindOverloaded, "engine is overrun", "send less work at once")
+	}
+	return e.newJob(run, body, answers, digest), nil
+}
+
+func (e *Engine) record(request *http.Request, version lavid.VersionID, now time.Time) *lavtruth.Run {
+	capacity := e.settings.Warmth.capacity(e.coldSince, now)
+	if e.running > capacity {
+		e.truth.Overloads++
+	}
+	e.truth.MaxRunning = max(e.truth.MaxRunning, e.running)
+	run := &lavtruth.Run{
+		Request:  lavid.RequestID(request.Header.Get(headerRequest)),
+		Attempt:  lavid.AttemptID(request.Header.Get(headerAttempt)),
+		Priority: request.Header.Get(headerPriority),
+		Version:  version,
+		Arrived:  now,
+		Running:  e.running,
+		Capacity: capacity,
+	}
+	e.runs = append(e.runs, run)
+	return run
+}
+
+func (e *Engine) newJob(run *lavtruth.Run, body chatRequest, answers lavid.VersionID, digest string) *job {
+	tokens := e.settings.Speed.Tokens
+	if body.MaxTokens > 0 {
+		tokens = min(body.MaxTokens, maxTokens)
+	}
+	contentType := "application/json"
+	if body.Stream {
+		contentType = "text/event-stream"
+	}
+	one := &job{
+		run:      run,
+		body:     body,
+		answers:  answers,
+		digest:   digest,
+		tokens:   tokens,
+		input:    max(1, len(body.Messages)/bytesPerToken),
+		accepted: e.settings.Quality.acceptable(e.settings.Seed, answers, digest, string(body.Messages)),
+		cached:   e.cache.hit(answers, prefix(body.Messages)),
+	}
+	if bad, ok := e.faults.Active(lavfault.Bad); ok && (bad.Version == "" || bad.Version == string(answers)) {
+		one.accepted = false
+	}
+	e.remember(answers, prefix(body.Messages), run.Arrived)
+	ctx, cancel := context.WithCancel(context.Background())
+	one.stream = newStream(answers, contentType, cancel)
+	one.stream.context = ctx
+	if run.Attempt != "" {
+		e.streams[run.Attempt] = one.stream
+	}
+	return one
+}
+
+func prefix(messages []byte) uint64 {
+	return xxhash.Sum64(messages[:min(prefixBytes, len(messages))])
+}
--- a/fake/services/lavengine/doc.go
+++ b/fake/services/lavengine/doc.go
@@ -1,2 +1,2 @@
-// Package lavengine stands in for a model engine.
+// Package lavengine stands in for a model engine: it batches, warms up, falls over, resumes and cancels.
 package lavengine
--- /dev/null
+++ b/fake/services/lavengine/events.go
@@ -0,0 +1,108 @@
+package lavengine
+
+import (
+	"fmt"
+	"net/http"
+	"slices"
+	"strconv"
+	"time"
+
+	"lavenderswitch/core/models/lavid"
+	"lavenderswitch/core/modules/lavhttp"
+)
+
+// The kinds of cache events.
+const (
+	eventStored  = "Stored"
+	eventRemoved = "Removed"
+
+	// maxEvents bounds the events that can still be read.
+	maxEvents = 1000
+)
+
+// Event is one change of the prefix cache.
+type Event struct {
+	Number  uint64
+	Kind    string
+	Version lavid.VersionID
+	Prefix  string
+	at      time.Time
+}
+
+type eventsReply struct {
+	First  uint64
+	Events []Event
+}
+
+type cacheEntry struct {
+	version lavid.VersionID
+	prefix  uint64
+}
+
+// prefixCache holds the prefixes used last and the events of its changes.
+type prefixCache struct {
+	entries []cacheEntry
+	events  []Event
+	last    uint64
+}
+
+func (c *prefixCache) hit(version lavid.VersionID, prefix uint64) bool {
+	return slices.Contains(c.entries, cacheEntry{version: version, prefix: prefix})
+}
+
+func (c *prefixCache) note(kind string, entry cacheEntry, gap bool, now time.Time) {
+	c.last++
+	if gap {
+		return
+	}
+	event := Event{Number: c.last, Kind: kind, Version: entry.version, Prefix: fmt.Sprintf("%016x", entry.prefix), at: now}
+	c.events = append(c.events, event)
+	if len(c.events) > maxEvents {
+		c.events = slices.Clone(c.events[len(c.events)-maxEvents:])
+	}
+}
+
+// remember makes a prefix the one used last and drops the one used longest ago when the cache is full.
+func (e *Engine) remember(version lavid.VersionID, prefix uint64, now time.Time) {
+	if e.settings.Prefixes <= 0 {
+		return
+	}
+	entry := cacheEntry{version: version, prefix: prefix}
+	known := e.cache.hit(version, prefix)
+	e.cache.entries = slices.DeleteFunc(e.cache.entries, func(one cacheEntry) bool { return one == entry })
+	e.cache.entries = append(e.cache.entries, entry)
+	if !known {
+		e.cache.note(eventStored, entry, e.gap(), now)
+	}
+	if len(e.cache.entries) > e.settings.Prefixes {
+		e.cache.note(eventRemoved, e.cache.entries[0], e.gap(), now)
+		e.cache.entries = e.cache.entries[1:]
+	}
+}
+
+func (e *Engine) gap() bool {
+	return e.random.Float64() < e.settings.EventGaps
+}
+
+func (e *Engine) events(w http.ResponseWriter, request *http.Request) {
+	after, err := strconv.ParseUint(request.URL.Query().Get("after"), 10, 64)
+	if err != nil {
+		after = 0
+	}
+	lavhttp.WriteJSON(w, http.StatusOK, e.eventsAfter(after, time.Now()))
+}
+
+func (e *Engine) eventsAfter(after uint64, now time.Time) eventsReply {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	reply := eventsReply{First: after + 1}
+	for _, event := range e.cache.events {
+		if event.Number > after && now.Sub(event.at) >= e.settings.EventLag {
+			reply.Events = append(reply.Events, event)
+		}
+	}
+	if len(reply.Events) > 0 {
+		reply.First = reply.Events[0].Number
+	}
+	return reply
+}
--- /dev/null
+++ b/fake/services/lavengine/state.go
@@ -0,0 +1,178 @@
+package lavengine
+
+import (
+	"encoding/json"
+	"net/http"
+	"slices"
+	"time"
+
+	"lavenderswitch/core/models/lavid"
+	"lavenderswitch/core/modules/laverror"
+	"lavenderswitch/core/modules/lavhttp"
+	"lavenderswitch/fake/models/lavtruth"
+	"lavenderswitch/fake/services/lavfault"
+)
+
+// State is what the engine reports on GET /state.
+type State struct {
+	LoadedVersions      []lavid.VersionID
+	LoadingVersions     []lavid.VersionID
+	Running             int
+	Waiting             int
+	FirstTokenMicros    int64
+	BetweenTokensMicros int64
+	Role                string
+	Epoch               lavid.Epoch
+	Streams             []lavid.AttemptID
+	AgeMillis           int64
+}
+
+type snapshot struct {
+	at    time.Time
+	state State
+}
+
+// maxSnapshots bounds the history from which a lagging state is taken.
+const maxSnapshots = 1000
+
+// Step keeps a snapshot of the state for later reports.
+func (e *Engine) Step(now time.Time) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.snapshots = append(e.snapshots, snapshot{at: now, state: e.present()})
+	if len(e.snapshots) > maxSnapshots {
+		e.snapshots = slices.Clone(e.snapshots[len(e.snapshots)-maxSnapshots:])
+	}
+}
+
+func (e *Engine) present() State {
+	state := State{
+		LoadedVersions:      slices.Clone(e.loaded),
+		LoadingVersions:     slices.Clone(e.loading),
+		Running:             e.running,
+		FirstTokenMicros:    e.firstMean.Microseconds(),
+		BetweenTokensMicros: e.nextMean.Microseconds(),
+		Role:                e.role,
+		Epoch:               e.epoch,
+	}
+	for attempt := range e.streams {
+		state.Streams = append(state.Streams, attempt)
+	}
+	slices.Sort(state.Streams)
+	return state
+}
+
+// reported returns the newest snapshot that is at least as old as the lag, or the present state.
+func (e *Engine) reported(now time.Time) State {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.settings.StateLag > 0 {
+		for i := len(e.snapshots) - 1; i >= 0; i-- {
+			if age := now.Sub(e.snapshots[i].at); age >= e.settings.StateLag {
+				state := e.snapshots[i].state
+				state.AgeMillis = age.Milliseconds()
+				return state
+			}
+		}
+	}
+	return e.present()
+}
+
+func (e *Engine) state(w http.ResponseWriter, request *http.Request) {
+	if !e.faults.Pass(request.Context(), lavfault.Call{Held: held(lavtruth.StepState, request)}) {
+		lavfault.Refuse(w)
+		return
+	}
+	lavhttp.WriteJSON(w, http.StatusOK, e.reported(time.Now()))
+}
+
+func (e *Engine) showTruth(w http.ResponseWriter, _ *http.Request) {
+	e.mu.Lock()
+	truth := e.truth
+	truth.Orders = slices.Clone(e.truth.Orders)
+	for _, run := range e.runs {
+		truth.Runs = append(truth.Runs, *run)
+	}
+	e.mu.Unlock()
+	truth.Holding = e.faults.Holding()
+	lavhttp.WriteJSON(w, http.StatusOK, truth)
+}
+
+type orderRequest struct {
+	Epoch   lavid.Epoch
+	Order   string
+	Version lavid.VersionID
+	Role    string
+}
+
+// The orders that an engine takes.
+const (
+	orderLoad    = "Load"
+	orderUnload  = "Unload"
+	orderSetRole = "SetRole"
+)
+
+func (e *Engine) order(w http.ResponseWriter, request *http.Request) {
+	var body orderRequest
+	if err := json.NewDecoder(request.Body).Decode(&body); err != nil {
+		lavhttp.WriteError(w, laverror.New(laverror.KindBadRequest, "order is not JSON", "see docs/BACKENDS.md"))
+		return
+	}
+	if !e.faults.Pass(request.Context(), lavfault.Call{Held: held(lavtruth.StepOrder, request)}) {
+		lavfault.Refuse(w)
+		return
+	}
+	if err := e.obey(body, time.Now()); err != nil {
+		lavhttp.WriteError(w, err)
+		return
+	}
+	w.WriteHeader(http.StatusOK)
+}
+
+func (e *Engine) obey(body orderRequest, now time.Time) error {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	accepted := !e.settings.Fenced || body.Epoch >= e.epoch
+	e.truth.Orders = append(e.truth.Orders, lavtruth.OrderRecord{
+		Epoch: body.Epoch, Order: body.Order, Version: body.Version, Accepted: accepted, Received: now,
+	})
+	if !accepted {
+		return laverror.New(laverror.KindConflict, "a higher epoch has been seen", "read the epoch again")
+	}
+	if e.settings.Fenced {
+		e.epoch = body.Epoch
+	}
+	switch body.Order {
+	case orderLoad:
+		return e.startLoad(body.Version)
+	case orderUnload:
+		e.loaded = without(e.loaded, body.Version)
+	case orderSetRole:
+		e.role = body.Role
+	default:
+		return laverror.New(laverror.KindBadRequest, "order is not known", "use Load, Unload or SetRole")
+	}
+	return nil
+}
+
+func (e *Engine) startLoad(version lavid.VersionID) error {
+	if slices.Contains(e.loaded, version) || slices.Contains(e.loading, version) {
+		return nil
+	}
+	limit := e.settings.MemoryVersions
+	if limit > 0 && len(e.loaded)+len(e.loading) >= limit {
+		return laverror.New(laverror.KindOverloaded, "memory is full", "unload a version first")
+	}
+	e.loading = append(e.loading, version)
+	time.AfterFunc(e.settings.LoadTime, func() {
+		e.mu.Lock()
+		e.loading = without(e.loading, version)
+		e.mu.Unlock()
+		e.Load(version)
+	})
+	return nil
+}
+
+func without(versions []lavid.VersionID, version lavid.VersionID) []lavid.VersionID {
+	return slices.DeleteFunc(slices.Clone(versions), func(one lavid.VersionID) bool { return one == version })
+}
--- /dev/null
+++ b/fake/services/lavhostlist/list.go
@@ -0,0 +1,159 @@
+package lavhostlist
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/julienschmidt/httprouter"
+
+	"lavenderswitch/core/models/lavid"
+	"lavenderswitch/core/modules/laverror"
+	"lavenderswitch/core/modules/lavhttp"
+	"lavenderswitch/core/modules/lavplatform"
+	"lavenderswitch/core/modules/lavsettings"
+	"lavenderswitch/fake/models/lavtruth"
+	"lavenderswitch/fake/services/lavfault"
+)
+
+const (
+	probeTimeout = 300 * time.Millisecond
+	maxHosts     = 10000
+)
+
+// List holds the hosts as they were put and what callers may see of them.
+type List struct {
+	faults *lavfault.Injector
+	probe  bool
+	mu     sync.Mutex
+	lag    time.Duration
+	put    []lavplatform.Host
+	shown  []lavplatform.Host
+	coming []version
+}
+
+type version struct {
+	at    time.Time
+	hosts []lavplatform.Host
+}
+
+type hostsBody struct{ Hosts []lavplatform.Host }
+
+type lagBody struct{ Lag lavsettings.Duration }
+
+// New returns an empty list whose changes show after lag; with probe set, hosts that take no connection are not shown.
+func New(faults *lavfault.Injector, lag time.Duration, probe bool) *List {
+	return &List{faults: faults, lag: lag, probe: probe}
+}
+
+// Register adds the paths of the host list to a router.
+func (l *List) Register(router *httprouter.Router) {
+	router.HandlerFunc(http.MethodGet, "/hosts", l.list)
+	router.HandlerFunc(http.MethodPut, "/hosts", l.replace)
+	router.PUT("/hosts/:host/leaving", l.leave)
+	router.HandlerFunc(http.MethodPut, "/hosts-lag", l.setLag)
+}
+
+// Put replaces the hosts; callers see it after the lag.
+func (l *List) Put(hosts []lavplatform.Host, now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.put = hosts
+	if !l.probe {
+		l.plan(hosts, now)
+	}
+}
+
+// Step probes the hosts and plans what callers see after the lag.
+func (l *List) Step(ctx context.Context, now time.Time) {
+	if !l.probe {
+		return
+	}
+	l.mu.Lock()
+	hosts := slices.Clone(l.put)
+	l.mu.Unlock()
+	live := slices.DeleteFunc(hosts, func(host lavplatform.Host) bool { return !reachable(ctx, host.Address) })
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.plan(live, now)
+}
+
+func reachable(ctx context.Context, address string) bool {
+	dialer := net.Dialer{Timeout: probeTimeout}
+	connection, err := dialer.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return false
+	}
+	connection.Close()
+	return true
+}
+
+func (l *List) plan(hosts []lavplatform.Host, now time.Time) {
+	l.show(now)
+	l.coming = append(l.coming, version{at: now.Add(l.lag), hosts: slices.Clone(hosts)})
+}
+
+func (l *List) show(now time.Time) {
+	for len(l.coming) > 0 && !l.coming[0].at.After(now) {
+		l.shown = l.coming[0].hosts
+		l.coming = l.coming[1:]
+	}
+}
+
+// Shown returns the hosts that callers see.
+func (l *List) Shown(now time.Time) []lavplatform.Host {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.show(now)
+	return slices.Clone(l.shown)
+}
+
+func (l *List) list(w http.ResponseWriter, request *http.Request) {
+	call := lavfault.Call{Held: lavtruth.Held{Step: lavtruth.StepHosts}}
+	var reply hostsBody
+	if !l.faults.Do(request.Context(), call, func() { reply.Hosts = l.Shown(time.Now()) }) {
+		lavfault.Refuse(w)
+		return
+	}
+	lavhttp.WriteJSON(w, http.StatusOK, reply)
+}
+
+func (l *List) replace(w http.ResponseWriter, request *http.Request) {
+	var body hostsBody
+	if err := json.NewDecoder(request.Body).Decode(&body); err != nil || len(body.Hosts) > maxHosts {
+		lavhttp.WriteError(w, laverror.New(laverror.KindBadRequest, "hosts are not readable or too many", "send {Hosts: [...]}"))
+		return
+	}
+	l.Put(body.Hosts, time.Now())
+	lavhttp.WriteJSON(w, http.StatusOK, body)
+}
+
+func (l *List) leave(w http.ResponseWriter, _ *http.Request, params httprouter.Params) {
+	l.mu.Lock()
+	hosts := slices.Clone(l.put)
+	l.mu.Unlock()
+	index := slices.IndexFunc(hosts, func(host lavplatform.Host) bool { return host.ID == lavid.HostID(params.ByName("host")) })
+	if index < 0 {
+		lavhttp.WriteError(w, laverror.New(laverror.KindNotFound, "no such host", "put the host first"))
+		return
+	}
+	hosts[index].Leaving = true
+	l.Put(hosts, time.Now())
+	lavhttp.WriteJSON(w, http.StatusOK, hosts[index])
+}
+
+func (l *List) setLag(w http.ResponseWriter, request *http.Request) {
+	var body lagBody
+	if err := json.NewDecoder(request.Body).Decode(&body); err != nil {
+		lavhttp.WriteError(w, laverror.New(laverror.KindBadRequest, "lag is not readable", `send {"Lag": "2s"}`))
+		return
+	}
+	l.mu.Lock()
+	l.lag = body.Lag.Duration
+	l.mu.Unlock()
+	lavhttp.WriteJSON(w, http.StatusOK, body)
+}
--- /dev/null
+++ b/fake/services/lavload/load.go
@@ -0,0 +1,140 @@
+package lavload
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/netip"
+	"net/url"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/sourcegraph/conc"
+)
+
+const (
+	maxCallers  = 500
+	maxRequests = 1_000_000
+	maxDuration = 30 * time.Minute
+)
+
+// Settings describe one load.
+type Settings struct {
+	// Targets are base URLs of entry hosts on the loopback; callers take them in turn.
+	Targets []string
+	// Keys are the API keys of client accounts; callers take them in turn.
+	Keys     []string
+	Callers  int
+	Requests int
+	Duration time.Duration
+	Seed     uint64
+	// StreamPart and ServicePart are the parts of streamed chats and of service calls.
+	StreamPart  float64
+	ServicePart float64
+	// Service is the path of the service call, such as claims/submit.
+	Service string
+	// Pause separates the requests of one caller.
+	Pause time.Duration
+}
+
+// Report is what became of the requests.
+type Report struct {
+	Sent    int
+	Whole   int
+	Refused int
+	// Broken counts answers that were cut, altered or meant for another request.
+	Broken        int
+	FirstBroken   string
+	MeanMillis    float64
+	SlowestMillis float64
+}
+
+// Check fails when the settings are not bounded or leave the loopback.
+func (s Settings) Check() error {
+	for _, target := range s.Targets {
+		parsed, err := url.Parse(target)
+		if err != nil {
+			return errors.Wrapf(err, "target %q; give a URL such as http://127.0.0.1:7301", target)
+		}
+		address, err := netip.ParseAddrPort(parsed.Host)
+		if err != nil || !address.Addr().IsLoopback() {
+			return errors.Errorf("target %q is not on the loopback; give a URL such as http://127.0.0.1:7301", target)
+		}
+	}
+	if len(s.Targets) == 0 || len(s.Keys) == 0 {
+		return errors.New("no target or key; give at least one of each")
+	}
+	if s.Callers < 1 || s.Callers > maxCallers || s.Requests < 1 || s.Requests > maxRequests {
+		return errors.Errorf("%d callers and %d requests; give up to %d and %d", s.Callers, s.Requests, maxCallers, maxRequests)
+	}
+	if s.Duration <= 0 || s.Duration > maxDuration {
+		return errors.Errorf("duration %s; give up to %s", s.Duration, maxDuration)
+	}
+	return nil
+}
+
+// Run sends the load and returns its report.
+func Run(ctx context.Context, settings Settings) (Report, error) {
+	if err := settings.Check(); err != nil {
+		return Report{}, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, settings.Duration)
+	defer cancel()
+	tally := &tally{left: settings.Requests}
+	var callers conc.WaitGroup
+	for number := range settings.Callers {
+		callers.Go(func() { newCaller(settings, number).run(ctx, tally) })
+	}
+	callers.Wait()
+	return tally.report(), nil
+}
+
+// tally counts outcomes over all callers.
+type tally struct {
+	mu      sync.Mutex
+	left    int
+	result  Report
+	elapsed time.Duration
+}
+
+func (t *tally) take() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.left == 0 {
+		return false
+	}
+	t.left--
+	t.result.Sent++
+	return true
+}
+
+func (t *tally) add(outcome outcome, elapsed time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.elapsed += elapsed
+	t.result.SlowestMillis = max(t.result.SlowestMillis, float64(elapsed.Microseconds())/1000)
+	switch {
+	case outcome.broken != nil:
+		t.result.Broken++
+		if t.result.FirstBroken == "" {
+			t.result.FirstBroken = outcome.broken.Error()
+		}
+	case outcome.refused:
+		t.result.Refused++
+	default:
+		t.result.Whole++
+	}
+}
+
+func (t *tally) report() Report {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.result.Sent > 0 {
+		t.result.MeanMillis = float64(t.elapsed.Microseconds()) / 1000 / float64(t.result.Sent)
+	}
+	return t.result
+}
+
+func newRandom(seed uint64, number int) *rand.Rand {
+	return rand.New(rand.NewPCG(seed, uint64(number)))
+}
--- /dev/null
+++ b/fake/services/lavobject/doc.go
@@ -0,0 +1,2 @@
+// Package lavobject is an in-memory object store.
+package lavobject
--- a/fake/services/lavplain/service.go
+++ b/fake/services/lavplain/service.go
@@ -1,54 +1,183 @@
 package lavplain
 
 import (
+	"context"
+	"encoding/json"
 	"io"
 	"net/http"
+	"slices"
 	"sync"
+	"time"
 
+	"lavenderswitch/core/models/lavid"
+	"lavenderswitch/core/modules/laverror"
 	"lavenderswitch/core/modules/lavhttp"
+	"lavenderswitch/fake/models/lavtruth"
+	"lavenderswitch/fake/services/lavfault"
 )
 
+const (
+	headerAttempt = "Lavender-Attempt"
+	headerRequest = "Lavender-Request"
+
+	maxBodyBytes = 8 << 20
+)
+
+// Settings describe one plain service.
+type Settings struct {
+	// Latency is how long a call takes.
+	Latency time.Duration
+	// Capacity is how many calls may run at once; zero sets no limit.
+	Capacity int
+}
+
 // Service answers every call with the number of times that its request ran.
 type Service struct {
-	mu   sync.Mutex
-	runs map[string]int
+	settings Settings
+	faults   *lavfault.Injector
+	mu       sync.Mutex
+	running  int
+	counts   map[string]int
+	runs     []*lavtruth.Run
+	truth    lavtruth.Backend
 }
 
 // New returns a service that has run nothing.
-func New() *Service {
-	return &Service{runs: make(map[string]int)}
+func New(settings Settings, faults *lavfault.Injector, now time.Time) *Service {
+	service := &Service{settings: settings, faults: faults, counts: make(map[string]int)}
+	service.truth.Started = now
+	return service
 }
 
-type reply struct {
-	Request string
-	Runs    int
-	Bytes   int
+type stateReply struct {
+	Running int
+	Waiting int
 }
 
 // Routes returns the handler of every path; GET /runs lists how often each request ran.
 func (s *Service) Routes() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /runs", s.list)
-	mux.HandleFunc("GET /state", func(w http.ResponseWriter, _ *http.Request) { lavhttp.WriteJSON(w, http.StatusOK, struct{}{}) })
+	mux.HandleFunc("GET /truth", s.showTruth)
+	mux.HandleFunc("POST /control", s.faults.Control)
+	mux.HandleFunc("GET /state", s.state)
 	mux.HandleFunc("/", s.call)
 	return mux
 }
 
 func (s *Service) call(w http.ResponseWriter, request *http.Request) {
-	body, err := io.ReadAll(request.Body)
+	body, err := io.ReadAll(http.MaxBytesReader(w, request.Body, maxBodyBytes))
 	if err != nil {
+		lavhttp.WriteError(w, laverror.New(laverror.KindTooLarge, "body is too large or was cut", "send a whole body"))
 		return
 	}
-	id := request.Header.Get("Lavender-Request")
+	ctx := context.WithoutCancel(request.Context())
+	if !s.faults.Pass(ctx, call(lavtruth.StepArrive, request)) {
+		lavfault.Refuse(w)
+		return
+	}
+	run, runs, ok := s.start(request, time.Now())
+	if !ok {
+		lavhttp.WriteError(w, laverror.New(laverror.KindOverloaded, "service is full", "send fewer calls at once"))
+		return
+	}
+	time.Sleep(s.settings.Latency)
+	s.end(run, time.Now())
+	if !s.faults.Pass(ctx, call(lavtruth.StepRan, request)) {
+		panic(http.ErrAbortHandler)
+	}
+	s.answer(ctx, w, request, lavtruth.ServiceReply{
+		Request: string(run.Request),
+		Attempt: string(run.Attempt),
+		Runs:    runs,
+		Bytes:   len(body),
+		Digest:  lavtruth.Digest(body),
+	})
+}
+
+func call(step lavtruth.Step, request *http.Request) lavfault.Call {
+	return lavfault.Call{Held: lavtruth.Held{
+		Step:    step,
+		Attempt: lavid.AttemptID(request.Header.Get(headerAttempt)),
+		Request: lavid.RequestID(request.Header.Get(headerRequest)),
+	}}
+}
+
+func (s *Service) start(request *http.Request, now time.Time) (*lavtruth.Run, int, bool) {
 	s.mu.Lock()
-	s.runs[id]++
-	runs := s.runs[id]
-	s.mu.Unlock()
-	lavhttp.WriteJSON(w, http.StatusOK, reply{Request: id, Runs: runs, Bytes: len(body)})
+	defer s.mu.Unlock()
+	capacity := s.settings.Capacity
+	if capacity > 0 && s.running >= capacity {
+		s.truth.Overloads++
+		return nil, 0, false
+	}
+	s.running++
+	s.truth.MaxRunning = max(s.truth.MaxRunning, s.running)
+	id := request.Header.Get(headerRequest)
+	s.counts[id]++
+	run := &lavtruth.Run{
+		Request:  lavid.RequestID(id),
+		Attempt:  lavid.AttemptID(request.Header.Get(headerAttempt)),
+		Path:     request.URL.Path,
+		Arrived:  now,
+		Running:  s.running,
+		Capacity: capacity,
+	}
+	s.runs = append(s.runs, run)
+	return run, s.counts[id], true
+}
+
+func (s *Service) end(run *lavtruth.Run, now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.running--
+	run.Ended = now
+	run.Whole = true
+}
+
+// answer writes the reply in two halves, between which a fault may cut it.
+func (s *Service) answer(ctx context.Context, w http.ResponseWriter, request *http.Request, reply lavtruth.ServiceReply) {
+	data, err := json.Marshal(reply)
+	if err != nil {
+		panic(err)
+	}
+	w.Header().Set("Content-Type", "application/json")
+	half := len(data) / 2
+	_, _ = w.Write(data[:half])
+	_ = http.NewResponseController(w).Flush()
+	if !s.faults.Pass(ctx, call(lavtruth.StepHalf, request)) {
+		panic(http.ErrAbortHandler)
+	}
+	_, _ = w.Write(data[half:])
+	if !s.faults.Pass(ctx, call(lavtruth.StepEnd, request)) {
+		panic(http.ErrAbortHandler)
+	}
+}
+
+func (s *Service) state(w http.ResponseWriter, request *http.Request) {
+	if !s.faults.Pass(request.Context(), call(lavtruth.StepState, request)) {
+		lavfault.Refuse(w)
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	lavhttp.WriteJSON(w, http.StatusOK, stateReply{Running: s.running})
 }
 
 func (s *Service) list(w http.ResponseWriter, _ *http.Request) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	lavhttp.WriteJSON(w, http.StatusOK, s.runs)
+	lavhttp.WriteJSON(w, http.StatusOK, s.counts)
+}
+
+func (s *Service) showTruth(w http.ResponseWriter, _ *http.Request) {
+	s.mu.Lock()
+	truth := s.truth
+	truth.Runs = make([]lavtruth.Run, 0, len(s.runs))
+	for _, run := range s.runs {
+		truth.Runs = append(truth.Runs, *run)
+	}
+	s.mu.Unlock()
+	truth.Holding = slices.Clone(s.faults.Holding())
+	lavhttp.WriteJSON(w, http.StatusOK, truth)
 }
--- /dev/null
+++ b/fake/services/lavrating/doc.go
@@ -0,0 +1,2 @@
+// Package lavrating rates answers of the stand-in engine with noise, delay and gaps.
+package lavrating
--- /dev/null
+++ b/fake/services/lavrating/service.go
@@ -0,0 +1,113 @@
+package lavrating
+
+import (
+	"context"
+	"encoding/json"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/julienschmidt/httprouter"
+
+	"lavenderswitch/core/models/lavid"
+	"lavenderswitch/core/modules/laverror"
+	"lavenderswitch/core/modules/lavhttp"
+	"lavenderswitch/fake/models/lavtruth"
+	"lavenderswitch/fake/services/lavfault"
+)
+
+// Behaviour is how far ratings can be trusted.
+type Behaviour struct {
+	Seed uint64
+	// Noise is the probability that a rating is wrong.
+	Noise float64
+	// Missing is the probability that a rating is refused.
+	Missing float64
+	// Delay is the mean of the exponentially distributed time that a rating takes.
+	Delay time.Duration
+}
+
+const maxDelay = time.Minute
+
+// Service rates answers.
+type Service struct {
+	behaviour Behaviour
+	faults    *lavfault.Injector
+	mu        sync.Mutex
+	random    *rand.Rand
+}
+
+type ratingRequest struct {
+	Request lavid.RequestID
+	Version lavid.VersionID
+	Class   lavid.TaskClass
+	Prompt  string
+	Answer  string
+}
+
+type ratingReply struct {
+	Acceptable bool
+	Score      float64
+}
+
+type draw struct {
+	missing bool
+	wrong   bool
+	delay   time.Duration
+	spread  float64
+}
+
+// New returns a rating service whose deviations follow from the seed.
+func New(faults *lavfault.Injector, behaviour Behaviour) *Service {
+	return &Service{faults: faults, behaviour: behaviour, random: rand.New(rand.NewPCG(behaviour.Seed, behaviour.Seed+1))}
+}
+
+// Register adds the path of the rating service to a router.
+func (s *Service) Register(router *httprouter.Router) {
+	router.HandlerFunc(http.MethodPost, "/ratings", s.rate)
+}
+
+func (s *Service) draw() draw {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return draw{
+		missing: s.random.Float64() < s.behaviour.Missing,
+		wrong:   s.random.Float64() < s.behaviour.Noise,
+		delay:   min(time.Duration(s.random.ExpFloat64()*float64(s.behaviour.Delay)), maxDelay),
+		spread:  s.random.Float64(),
+	}
+}
+
+func (s *Service) rate(w http.ResponseWriter, request *http.Request) {
+	var body ratingRequest
+	if err := json.NewDecoder(request.Body).Decode(&body); err != nil {
+		lavhttp.WriteError(w, laverror.New(laverror.KindBadRequest, "rating request is not JSON", "see docs/PLATFORM.md"))
+		return
+	}
+	drawn := s.draw()
+	call := lavfault.Call{Held: lavtruth.Held{Step: lavtruth.StepRating, Request: body.Request}}
+	if !s.faults.Do(request.Context(), call, func() { wait(request.Context(), drawn.delay) }) || drawn.missing {
+		lavfault.Refuse(w)
+		return
+	}
+	lavhttp.WriteJSON(w, http.StatusOK, reply(body.Answer, drawn))
+}
+
+// reply scores acceptable answers from 0.5 to 1 and others below.
+func reply(answer string, drawn draw) ratingReply {
+	acceptable := !strings.Contains(answer, lavtruth.Flawed) != drawn.wrong
+	score := drawn.spread / 2
+	if acceptable {
+		score += 0.5
+	}
+	return ratingReply{Acceptable: acceptable, Score: score}
+}
+
+func wait(ctx context.Context, length time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(length):
+	}
+}
--- /dev/null
+++ b/fake/services/lavrelay/relay.go
@@ -0,0 +1,118 @@
+package lavrelay
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"net/http"
+	"net/netip"
+	"strings"
+
+	"github.com/julienschmidt/httprouter"
+	"github.com/pkg/errors"
+	"github.com/sourcegraph/conc"
+
+	"lavenderswitch/core/modules/laverror"
+	"lavenderswitch/core/modules/lavhttp"
+	"lavenderswitch/fake/models/lavtruth"
+)
+
+const maxRoutes = 64
+
+// Relay holds the routes of one process.
+type Relay struct {
+	routes []*Route
+	work   conc.WaitGroup
+}
+
+// Command is the body of POST /control: the mode of the route that listens on an address.
+type Command struct {
+	Listen string
+	Mode   Mode
+}
+
+// New returns a relay for routes written as LISTEN=TARGET, both IP:port of the loopback.
+func New(routes []string) (*Relay, error) {
+	if len(routes) == 0 || len(routes) > maxRoutes {
+		return nil, errors.Errorf("%d routes; give between 1 and %d", len(routes), maxRoutes)
+	}
+	relay := &Relay{}
+	for _, route := range routes {
+		listen, target, _ := strings.Cut(route, "=")
+		if !isLoopback(listen) || !isLoopback(target) {
+			return nil, errors.Errorf("route %q is not LISTEN=TARGET; give two addresses such as 127.0.0.1:7001", route)
+		}
+		relay.routes = append(relay.routes, newRoute(listen, target))
+	}
+	return relay, nil
+}
+
+func isLoopback(address string) bool {
+	parsed, err := netip.ParseAddrPort(address)
+	return err == nil && parsed.Addr().IsLoopback()
+}
+
+// Start opens the listeners and carries connections until ctx ends.
+func (r *Relay) Start(ctx context.Context) error {
+	for _, route := range r.routes {
+		var setup net.ListenConfig
+		listener, err := setup.Listen(ctx, "tcp", route.listen)
+		if err != nil {
+			return errors.Wrapf(err, "listen on %s; choose a free address", route.listen)
+		}
+		r.work.Go(func() { route.serve(ctx, listener) })
+	}
+	return nil
+}
+
+// Wait returns when all routes have ended.
+func (r *Relay) Wait() {
+	r.work.Wait()
+}
+
+// Routes returns the handler of the control paths.
+func (r *Relay) Routes() http.Handler {
+	router := httprouter.New()
+	router.HandlerFunc(http.MethodPost, "/control", r.control)
+	router.HandlerFunc(http.MethodGet, "/truth", r.truth)
+	return router
+}
+
+func (r *Relay) control(w http.ResponseWriter, request *http.Request) {
+	decoder := json.NewDecoder(http.MaxBytesReader(w, request.Body, 1<<20))
+	decoder.DisallowUnknownFields()
+	var command Command
+	if err := decoder.Decode(&command); err != nil || !command.Mode.valid() {
+		lavhttp.WriteError(w, laverror.New(laverror.KindBadRequest, "control body is not valid", "send Listen and a Mode of docs/FAULTS.md"))
+		return
+	}
+	found := false
+	for _, route := range r.routes {
+		if command.Listen == "" || command.Listen == route.listen {
+			route.Set(command.Mode)
+			found = true
+		}
+	}
+	if !found {
+		lavhttp.WriteError(w, laverror.New(laverror.KindNotFound, "no such route", "give the address that the route listens on"))
+		return
+	}
+	lavhttp.WriteJSON(w, http.StatusOK, command)
+}
+
+func (m Mode) valid() bool {
+	switch m {
+	case Pass, CutOnce, Cut, SilentExisting, SilentAll, Hold, HoldBack:
+		return true
+	default:
+		return false
+	}
+}
+
+func (r *Relay) truth(w http.ResponseWriter, _ *http.Request) {
+	var truth lavtruth.Relay
+	for _, route := range r.routes {
+		truth.Routes = append(truth.Routes, route.Truth())
+	}
+	lavhttp.WriteJSON(w, http.StatusOK, truth)
+}
--- /dev/null
+++ b/fake/services/lavrelay/relay_test.go
@@ -0,0 +1,106 @@
+package lavrelay
+
+import (
+	"bufio"
+	"context"
+	"net"
+	"os"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/pkg/errors"
+	"github.com/sourcegraph/conc"
+)
+
+// echo answers each line with itself.
+func echo(t *testing.T) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { listener.Close() })
+	go func() {
+		for {
+			connection, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				lines := bufio.NewScanner(connection)
+				for lines.Scan() {
+					_, _ = connection.Write([]byte(lines.Text() + "\n"))
+				}
+			}()
+		}
+	}()
+	return listener.Addr().String()
+}
+
+func startRoute(t *testing.T) (*Route, string) {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	route := newRoute(listener.Addr().String(), echo(t))
+	ctx, cancel := context.WithCancel(context.Background())
+	var work conc.WaitGroup
+	work.Go(func() { route.serve(ctx, listener) })
+	t.Cleanup(func() { cancel(); work.Wait() })
+	return route, listener.Addr().String()
+}
+
+func ask(connection net.Conn, wait time.Duration) (string, error) {
+	_ = connection.SetDeadline(time.Now().Add(wait))
+	if _, err := connection.Write([]byte("ping\n")); err != nil {
+		return "", err
+	}
+	return bufio.NewReader(connection).ReadString('\n')
+}
+
+func TestSilentExistingLeavesNewConnectionsAlone(t *testing.T) {
+	is := is.New(t)
+	route, address := startRoute(t)
+	old, err := net.Dial("tcp", address)
+	is.NoErr(err)
+	defer old.Close()
+	answer, err := ask(old, time.Second)
+	is.NoErr(err)
+	is.Equal(answer, "ping\n")
+	route.Set(SilentExisting)
+	_, err = ask(old, 100*time.Millisecond)
+	is.True(err != nil)
+	is.True(errors.Is(err, os.ErrDeadlineExceeded)) // silent, not closed
+	fresh, err := net.Dial("tcp", address)
+	is.NoErr(err)
+	defer fresh.Close()
+	_, err = ask(fresh, time.Second)
+	is.NoErr(err)
+}
+
+func TestHoldLosesNothing(t *testing.T) {
+	is := is.New(t)
+	route, address := startRoute(t)
+	route.Set(Hold)
+	connection, err := net.Dial("tcp", address)
+	is.NoErr(err)
+	defer connection.Close()
+	_, err = ask(connection, 100*time.Millisecond)
+	is.True(err != nil)
+	is.Equal(route.Truth().HeldBytes, int64(len("ping\n")))
+	route.Set(Pass)
+	_ = connection.SetDeadline(time.Now().Add(time.Second))
+	answer, err := bufio.NewReader(connection).ReadString('\n')
+	is.NoErr(err)
+	is.Equal(answer, "ping\n")
+}
+
+func TestRelayRefusesOtherAddresses(t *testing.T) {
+	is := is.New(t)
+	_, err := New([]string{"127.0.0.1:1=192.0.2.1:80"})
+	is.True(err != nil)
+	_, err = New([]string{"0.0.0.0:1=127.0.0.1:80"})
+	is.True(err != nil)
+}
--- a/fake/services/lavtableservice/doc.go
+++ b/fake/services/lavtableservice/doc.go
@@ -1,2 +1,2 @@
-// Package lavtableservice is an in-memory table service and host list with the platform's protocol.
+// Package lavtableservice is an in-memory table service with the protocol of the platform.
 package lavtableservice
--- a/fake/services/lavtableservice/service.go
+++ b/fake/services/lavtableservice/service.go
@@ -5,25 +5,31 @@
 	"net/http"
 	"slices"
 	"strconv"
+	"strings"
 	"sync"
+	"time"
 
 	"github.com/julienschmidt/httprouter"
 
 	"lavenderswitch/core/modules/laverror"
 	"lavenderswitch/core/modules/lavhttp"
 	"lavenderswitch/core/modules/lavplatform"
+	"lavenderswitch/fake/models/lavtruth"
+	"lavenderswitch/fake/services/lavfault"
 )
 
 // Service holds tables in memory.
 type Service struct {
+	faults *lavfault.Injector
 	mu     sync.Mutex
 	tables map[string]map[string]lavplatform.Row
-	hosts  []lavplatform.Host
+	writes []lavtruth.Write
+	calls  int
 }
 
-// New returns a service without rows.
-func New() *Service {
-	return &Service{tables: make(map[string]map[string]lavplatform.Row)}
+// New returns a service without rows whose calls the faults may hit.
+func New(faults *lavfault.Injector) *Service {
+	return &Service{faults: faults, tables: make(map[string]map[string]lavplatform.Row)}
 }
 
 type insertRequest struct{ Inserts []lavplatform.Insert }
@@ -32,18 +38,28 @@
 
 type scanReply struct{ Rows []lavplatform.Row }
 
-type hostsReply struct{ Hosts []lavplatform.Host }
-
-// Routes returns the handler of every path.
-func (s *Service) Routes() http.Handler {
-	router := httprouter.New()
+// Register adds the paths of the table service to a router.
+func (s *Service) Register(router *httprouter.Router) {
 	router.HandlerFunc(http.MethodPost, "/tables/insert", s.insert)
 	router.HandlerFunc(http.MethodPost, "/tables/swap", s.swap)
 	router.GET("/tables/:table/rows/:key", s.get)
 	router.GET("/tables/:table/rows", s.scan)
-	router.HandlerFunc(http.MethodGet, "/hosts", s.listHosts)
-	router.HandlerFunc(http.MethodPut, "/hosts", s.setHosts)
-	return router
+}
+
+// Truth returns all rows and the history of writes.
+func (s *Service) Truth() lavtruth.Platform {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	truth := lavtruth.Platform{Writes: slices.Clone(s.writes), Calls: s.calls}
+	for _, table := range s.tables {
+		for _, row := range table {
+			truth.Rows = append(truth.Rows, row)
+		}
+	}
+	slices.SortFunc(truth.Rows, func(a, b lavplatform.Row) int {
+		return strings.Compare(a.Table+"\x00"+a.Key, b.Table+"\x00"+b.Key)
+	})
+	return truth
 }
 
 func (s *Service) insert(w http.ResponseWriter, request *http.Request) {
@@ -51,15 +67,33 @@
 	if !readJSON(w, request, &body) {
 		return
 	}
-	s.mu.Lock()
 	reply := insertReply{}
-	for _, insert := range body.Inserts {
-		reply.Written = append(reply.Written, s.insertRow(insert))
+	call := insertCall(body.Inserts)
+	done := s.faults.Do(request.Context(), call, func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.calls++
+		for _, insert := range body.Inserts {
+			reply.Written = append(reply.Written, s.insertRow(insert))
+		}
+	})
+	if !done {
+		lavfault.Refuse(w)
+		return
 	}
-	s.mu.Unlock()
 	lavhttp.WriteJSON(w, http.StatusOK, reply)
 }
 
+// insertCall names a batch by its first row; a batch over several tables has the table of the first.
+func insertCall(inserts []lavplatform.Insert) lavfault.Call {
+	call := lavfault.Call{Held: lavtruth.Held{Step: lavtruth.StepInsert}}
+	if len(inserts) > 0 {
+		call.Table = inserts[0].Table
+		call.Key = inserts[0].Key
+	}
+	return call
+}
+
 func (s *Service) insertRow(insert lavplatform.Insert) lavplatform.Written {
 	table := s.table(insert.Table)
 	if row, ok := table[insert.Key]; ok {
@@ -67,6 +101,7 @@
 	}
 	row := lavplatform.Row{Table: insert.Table, Key: insert.Key, Revision: 1, Writer: insert.Writer, Value: insert.Value}
 	table[insert.Key] = row
+	s.record(row)
 	return lavplatform.Written{Won: true, Row: row}
 }
 
@@ -75,9 +110,18 @@
 	if !readJSON(w, request, &body) {
 		return
 	}
-	s.mu.Lock()
-	written := s.swapRow(body)
-	s.mu.Unlock()
+	var written lavplatform.Written
+	call := lavfault.Call{Held: lavtruth.Held{Step: lavtruth.StepSwap, Table: body.Table, Key: body.Key}}
+	done := s.faults.Do(request.Context(), call, func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.calls++
+		written = s.swapRow(body)
+	})
+	if !done {
+		lavfault.Refuse(w)
+		return
+	}
 	lavhttp.WriteJSON(w, http.StatusOK, written)
 }
 
@@ -94,13 +138,29 @@
 	row.Writer = swap.Writer
 	row.Value = swap.Value
 	table[swap.Key] = row
+	s.record(row)
 	return lavplatform.Written{Won: true, Row: row}
 }
 
-func (s *Service) get(w http.ResponseWriter, _ *http.Request, params httprouter.Params) {
-	s.mu.Lock()
-	row, ok := s.table(params.ByName("table"))[params.ByName("key")]
-	s.mu.Unlock()
+func (s *Service) record(row lavplatform.Row) {
+	s.writes = append(s.writes, lavtruth.Write{Table: row.Table, Key: row.Key, Writer: row.Writer, Revision: row.Revision, At: time.Now()})
+}
+
+func (s *Service) get(w http.ResponseWriter, request *http.Request, params httprouter.Params) {
+	name, key := params.ByName("table"), params.ByName("key")
+	var row lavplatform.Row
+	var ok bool
+	call := lavfault.Call{Held: lavtruth.Held{Step: lavtruth.StepGet, Table: name, Key: key}}
+	done := s.faults.Do(request.Context(), call, func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.calls++
+		row, ok = s.table(name)[key]
+	})
+	if !done {
+		lavfault.Refuse(w)
+		return
+	}
 	if !ok {
 		lavhttp.WriteError(w, laverror.New(laverror.KindNotFound, "no such row", "check the key"))
 		return
@@ -115,12 +175,20 @@
 		lavhttp.WriteError(w, laverror.New(laverror.KindBadRequest, "limit is not a number", "send a limit"))
 		return
 	}
-	lavhttp.WriteJSON(w, http.StatusOK, scanReply{Rows: s.rowsAfter(params.ByName("table"), query.Get("after"), limit)})
+	reply := scanReply{}
+	name, after := params.ByName("table"), query.Get("after")
+	call := lavfault.Call{Held: lavtruth.Held{Step: lavtruth.StepScan, Table: name, Key: after}}
+	if !s.faults.Do(request.Context(), call, func() { reply.Rows = s.rowsAfter(name, after, limit) }) {
+		lavfault.Refuse(w)
+		return
+	}
+	lavhttp.WriteJSON(w, http.StatusOK, reply)
 }
 
 func (s *Service) rowsAfter(name, after string, limit int) []lavplatform.Row {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.calls++
 	table := s.table(name)
 	var keys []string
 	for key := range table {
@@ -136,24 +204,6 @@
 	return rows
 }
 
-func (s *Service) listHosts(w http.ResponseWriter, _ *http.Request) {
-	s.mu.Lock()
-	hosts := slices.Clone(s.hosts)
-	s.mu.Unlock()
-	lavhttp.WriteJSON(w, http.StatusOK, hostsReply{Hosts: hosts})
-}
-
-func (s *Service) setHosts(w http.ResponseWriter, request *http.Request) {
-	var body hostsReply
-	if !readJSON(w, request, &body) {
-		return
-	}
-	s.mu.Lock()
-	s.hosts = body.Hosts
-	s.mu.Unlock()
-	lavhttp.WriteJSON(w, http.StatusOK, body)
-}
-
 func (s *Service) table(name string) map[string]lavplatform.Row {
 	table, ok := s.tables[name]
 	if !ok {
