Mend the merge of planning into the entry

Change: the entry plans with lavplan.State behind its Planner interface.

Measured: go vet and go test pass in all modules; scripts/thin.sh answers.

--- a/entry/cmd/host.go
+++ b/entry/cmd/host.go
@@ -14,15 +14,12 @@
 	"lavenderswitch/core/modules/lavlife"
 	"lavenderswitch/core/modules/lavmetric"
 	"lavenderswitch/core/modules/lavplatform"
-<<<<<<< HEAD
 	"lavenderswitch/core/modules/lavring"
 	"lavenderswitch/core/services/lavbill"
-	"lavenderswitch/core/services/lavledger"
-	"lavenderswitch/core/services/lavsession"
-=======
 	"lavenderswitch/core/services/lavevidence"
+	"lavenderswitch/core/services/lavledger"
 	"lavenderswitch/core/services/lavplan"
->>>>>>> quality
+	"lavenderswitch/core/services/lavsession"
 	"lavenderswitch/core/services/lavspread"
 	"lavenderswitch/entry/models/lavsetting"
 	"lavenderswitch/entry/routers/lavcaller"
@@ -112,6 +109,8 @@
 	attempts.SilenceTimeout = h.settings.SilenceTimeout.Duration
 	attempts.AttachTimeout = attachTimeout
 	attempts.Loads = h.fleet
+	plans := lavplan.NewState(lavplan.DefaultSettings(), lavevidence.NewTable(lavevidence.DefaultSettings()))
+	rater := &lavrate.Rater{Plans: plans}
 	h.service = &lavserve.Service{
 		Host:     h.settings.HostID,
 		Configs:  h.current,
@@ -119,22 +118,15 @@
 		Sessions: h.resolver,
 		Seals:    lavledger.New(h.platform),
 		Fleet:    h.fleet,
-<<<<<<< HEAD
 		Bills:    h.bills.Pending,
-		Planner:  lavrate.Rater{},
-		Raters:   lavrate.Rater{},
+		Planner:  rater,
+		Raters:   rater,
 		Gate:     lavgate.New(h.current),
 		Traces:   h.traces,
 		Metrics:  h.metrics,
 		Log:      h.log,
 		Scheme:   scheme,
 		Holders:  func(base string) lavwire.Bills { return lavwire.NewBillsProtobufClient(base, h.peerClient) },
-=======
-		Bills:    h.billing,
-		Plans:    lavplan.NewState(lavplan.DefaultSettings(), lavevidence.NewTable(lavevidence.DefaultSettings())),
-		Log:      log,
-		Scheme:   "http://",
->>>>>>> quality
 	}
 }
 
--- a/entry/services/lavrate/rater.go
+++ b/entry/services/lavrate/rater.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"time"
 
 	"lavenderswitch/core/models/lavconfig"
@@ -11,21 +12,24 @@
 	"lavenderswitch/entry/services/lavserve"
 )
 
-// Rater plans without evidence and rates nothing.
-type Rater struct{}
+// Rater plans on what this host knows of the versions.
+type Rater struct {
+	Plans *lavplan.State
+}
 
 // Choose returns the plan of a query.
-func (Rater) Choose(document *lavconfig.Document, query lavplan.Query, now time.Time) (lavplan.Plan, bool) {
-	return lavplan.Choose(document, query, now)
+func (r *Rater) Choose(document *lavconfig.Document, query lavplan.Query, now time.Time) (lavplan.Plan, bool) {
+	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	return lavplan.Choose(document, r.Plans, query, random, now)
 }
 
 // Rate has no rating service to ask.
-func (Rater) Rate(context.Context, *lavrequest.Request, lavid.VersionID, []byte) lavserve.Verdict {
+func (r *Rater) Rate(context.Context, *lavrequest.Request, lavid.VersionID, []byte) lavserve.Verdict {
 	return lavserve.Unrated
 }
 
 // Observe keeps nothing.
-func (Rater) Observe(*lavrequest.Request, lavid.VersionID, []byte, lavid.NanoUnits) {}
+func (r *Rater) Observe(*lavrequest.Request, lavid.VersionID, []byte, lavid.NanoUnits) {}
 
 // Failed keeps nothing.
-func (Rater) Failed(*lavrequest.Request, lavid.VersionID) {}
+func (r *Rater) Failed(*lavrequest.Request, lavid.VersionID) {}
--- a/entry/services/lavserve/serve.go
+++ b/entry/services/lavserve/serve.go
@@ -71,15 +71,11 @@
 	Seals    Seals
 	Fleet    *lavfleet.Fleet
 	Bills    Bills
-<<<<<<< HEAD
 	Planner  Planner
 	Raters   Raters
 	Gate     Gate
 	Traces   *lavtrace.Ring
 	Metrics  *lavmetric.Set
-=======
-	Plans    *lavplan.State
->>>>>>> quality
 	Log      *logrus.Logger
 	// Scheme precedes the address of a side process, such as "http://".
 	Scheme string
@@ -102,7 +98,6 @@
 	if s.Bills.Full() {
 		return laverror.New(laverror.KindStoreUnavailable, "too many bills wait for the store", "retry later").WithRetryAfter(retryAfterShort)
 	}
-<<<<<<< HEAD
 	work := &work{Service: s, document: document, request: request, sink: sink}
 	work.trace = s.Traces.Begin(request.ID, request.Account, document.Number, request.Arrived)
 	err := work.serve(ctx)
@@ -112,13 +107,6 @@
 		s.Metrics.Count(metricFailed, 1)
 		work.note(lavtrace.Step{Kind: lavtrace.StepFailed, Reason: err.Error()})
 		return err
-=======
-	query := lavplan.Query{Account: request.Account, Model: request.Model, Version: request.Version, Class: request.Class}
-	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
-	plan, ok := lavplan.Choose(document, s.Plans, query, random, time.Now())
-	if !ok {
-		return laverror.New(laverror.KindNotAllowed, "no allowed version serves this model", "choose one that GET /v1/models lists")
->>>>>>> quality
 	}
 	s.Metrics.Count(metricAnswered, 1)
 	work.note(lavtrace.Step{Kind: lavtrace.StepAnswered})
