Entry: fair queues, retry budgets, hedging, plans without empty pools

Cause: the entry sent work as soon as it came, refused it when the first eight servers refused, and had no bound on retries.

Change: each pool has a fair queue that a request passes while its servers have room; refusals for want of room send it back to the queue, others cost the account's retry budget. Idempotent service calls are hedged. New sessions are not planned on a version that no server holds, and take another plan when the pool has no room. A refusal is never called not run once an earlier attempt or stage may have run.

Ruled out: moving a pinned session for want of room; it would break the session's version, so it waits or is refused.

--- a/core/services/lavplan/plan.go
+++ b/core/services/lavplan/plan.go
@@ -48,6 +48,8 @@
 	Class   lavid.TaskClass
 	// Pinned is the version that the request's session is on; empty for a new session.
 	Pinned lavid.VersionID
+	// Excluded versions have no server with room for the request.
+	Excluded []lavid.VersionID
 	// CanCheck says that an answer can be rated before it is delivered.
 	CanCheck bool
 }
--- a/core/services/lavplan/usable.go
+++ b/core/services/lavplan/usable.go
@@ -29,6 +29,9 @@
 		if query.Version != "" && id != query.Version {
 			continue
 		}
+		if slices.Contains(query.Excluded, id) {
+			continue
+		}
 		usable = append(usable, id)
 	}
 	slices.SortStableFunc(usable, func(a, b lavid.VersionID) int {
--- a/entry/cmd/host.go
+++ b/entry/cmd/host.go
@@ -19,6 +19,7 @@
 	"lavenderswitch/core/services/lavevidence"
 	"lavenderswitch/core/services/lavledger"
 	"lavenderswitch/core/services/lavplan"
+	"lavenderswitch/core/services/lavretry"
 	"lavenderswitch/core/services/lavsession"
 	"lavenderswitch/core/services/lavspread"
 	"lavenderswitch/entry/models/lavsetting"
@@ -49,6 +50,8 @@
 	platform   *lavplatform.Client
 	current    *lavspread.Current
 	fleet      *lavfleet.Fleet
+	gate       *lavgate.Gate
+	retries    *lavretry.Budget
 	bills      *lavbill.Writer
 	pins       *lavpin.Owner
 	resolver   *lavpin.Resolver
@@ -72,11 +75,13 @@
 		log:      log,
 		platform: lavplatform.NewClient(settings.PlatformAddress),
 		current:  lavspread.NewCurrent(),
-		fleet:    lavfleet.New(),
+		fleet:    lavfleet.New(settings.HostID, settings.DataCentre),
+		retries:  lavretry.New(),
 		traces:   lavtrace.NewRing(recentTraces),
 		metrics:  lavmetric.NewSet(),
 		dump:     lavdump.NewRegistry(),
 	}
+	h.gate = lavgate.New(h.current, h.fleet)
 	h.peerClient = &http.Client{Transport: lavattempt.NewTransport()}
 	h.bills = &lavbill.Writer{Pending: lavbill.NewPending(lavbill.MaxPending), Rows: h.platform, Log: log}
 	if err := h.addSessions(); err != nil {
@@ -87,6 +92,7 @@
 	h.metrics.Publish("Entry")
 	h.dump.Register("Config", func() any { return h.current.Number() })
 	h.dump.Register("Requests", func() any { return h.traces.Dump() })
+	h.dump.Register("Queues", func() any { return h.gate.Dump() })
 	h.dump.Register("Fleet", func() any { return h.fleet.Dump() })
 	h.dump.Register("PendingBills", func() any { return h.bills.Pending.Len() })
 	h.dump.Register("SessionPins", func() any { return h.pins.Pins.Len() })
@@ -121,7 +127,9 @@
 		Bills:    h.bills.Pending,
 		Planner:  rater,
 		Raters:   rater,
-		Gate:     lavgate.New(h.current),
+		Gate:     h.gate,
+		Retries:  h.retries,
+		Hedgers:  lavserve.NewHedgers(),
 		Traces:   h.traces,
 		Metrics:  h.metrics,
 		Log:      h.log,
@@ -153,6 +161,7 @@
 	h.serve(h.peers)
 	h.parts.Go(func() { h.bills.Run(h.background) })
 	h.parts.Go(func() { h.pins.Run(h.background) })
+	h.parts.Go(func() { h.gate.Run(h.background) })
 	h.tick(configTick, h.readConfig)
 	h.tick(loadTick, h.readLoads)
 }
@@ -181,6 +190,8 @@
 	if document == nil {
 		return
 	}
+	h.fleet.Follow(document, now)
+	h.retries.Tick(now)
 	for _, id := range h.fleet.Stale(document, now) {
 		h.readLoad(document.BackendServers[id].SideAddress)
 	}
--- a/entry/services/lavfleet/choose.go
+++ b/entry/services/lavfleet/choose.go
@@ -1,31 +1,132 @@
 package lavfleet
 
 import (
+	"cmp"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"lavenderswitch/core/models/lavconfig"
 	"lavenderswitch/core/models/lavid"
 	"lavenderswitch/core/services/lavbalance"
-	"lavenderswitch/entry/models/lavrequest"
+	"lavenderswitch/core/services/lavprefix"
 )
 
+// Need is what an attempt asks of a backend server.
+type Need struct {
+	Version  lavid.VersionID
+	Service  lavid.ServiceID
+	Excluded []lavid.BackendServerID
+	// Prefix is the hash of the prompt's first bytes; zero when there is none.
+	Prefix lavprefix.Hash
+}
+
+func (n Need) prefix() lavprefix.Key {
+	return lavprefix.Key{Version: n.Version, Prefix: n.Prefix}
+}
+
 // Choose returns the backend server of the next attempt, or false when none is left.
-func (f *Fleet) Choose(document *lavconfig.Document, need Need, _ *lavrequest.Request, now time.Time) (lavid.BackendServerID, bool) {
+func (f *Fleet) Choose(document *lavconfig.Document, need Need, now time.Time) (lavid.BackendServerID, bool) {
 	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
-	chosen, ok := lavbalance.Choose(f.Candidates(document, need, now), random, now)
+	subset := lavbalance.Subset(f.Candidates(document, need, now), f.host, lavbalance.SubsetSize)
+	chosen, ok := lavbalance.Choose(subset, random, now)
+	if ok && need.Prefix != 0 {
+		f.prefixes.Route(chosen.ID, need.prefix(), now)
+	}
 	return chosen.ID, ok
 }
 
-// Begin counts an attempt at a server until the returned function is called.
-func (f *Fleet) Begin(id lavid.BackendServerID) func() {
-	f.addInFlight(id, 1)
-	return func() { f.addInFlight(id, -1) }
+// Candidates returns the servers in service that may meet the need, in order of ids.
+func (f *Fleet) Candidates(document *lavconfig.Document, need Need, now time.Time) []lavbalance.Candidate {
+	var candidates []lavbalance.Candidate
+	for id, row := range document.BackendServers {
+		if !inService(document, row) || row.Service != need.Service || slices.Contains(need.Excluded, id) {
+			continue
+		}
+		server, _ := f.servers.Get(id)
+		if !server.Health.Usable(now) || !holds(server, row, need.Version) {
+			continue
+		}
+		candidates = append(candidates, f.candidate(document, id, server, need, now))
+	}
+	slices.SortFunc(candidates, func(a, b lavbalance.Candidate) int { return cmp.Compare(a.ID, b.ID) })
+	return candidates
+}
+
+func (f *Fleet) candidate(document *lavconfig.Document, id lavid.BackendServerID, server Server, need Need, now time.Time) lavbalance.Candidate {
+	row := document.BackendServers[id]
+	limit := int(server.Load.GetLimit())
+	if server.Load == nil {
+		limit = row.MaxRunning
+	}
+	candidate := lavbalance.Candidate{
+		ID:         id,
+		DataCentre: row.DataCentre,
+		Running:    int(server.Load.GetRunning()),
+		Waiting:    int(server.Load.GetWaiting()),
+		Limit:      max(limit, 1),
+		Reported:   server.Reported,
+		Own:        server.Own,
+		OwnSince:   server.OwnSince,
+		FirstToken: time.Duration(server.Load.GetFirstTokenMicros()) * time.Microsecond,
+		Distance:   f.distance(document, row.DataCentre),
+		Cold:       server.Load.GetCold(),
+		Admitted:   lavbalance.Ramp(later(server.Returned, server.Health.Returned), now),
+	}
+	if need.Prefix != 0 {
+		candidate.CachedPrefix = f.prefixes.Belief(id, need.prefix(), now)
+	}
+	return candidate
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+func (f *Fleet) distance(document *lavconfig.Document, other lavid.DataCentreID) lavbalance.Distance {
+	switch {
+	case other == f.dataCentre:
+		return lavbalance.SameDataCentre
+	case document.DataCentres[other].Region == document.DataCentres[f.dataCentre].Region:
+		return lavbalance.SameRegion
+	default:
+		return lavbalance.OtherRegion
+	}
+}
+
+func holds(server Server, row lavconfig.BackendServer, version lavid.VersionID) bool {
+	if server.Load.GetLeaving() {
+		return false
+	}
+	if version == "" {
+		return true
+	}
+	if server.Load != nil {
+		return slices.Contains(server.Load.GetLoadedVersions(), string(version))
+	}
+	return slices.Contains(row.Versions, version)
+}
+
+// Pool sums what the servers of a need have left.
+type Pool struct {
+	Servers int
+	// Room counts the requests that the limits leave open.
+	Room int
+	// Limit sums the limits.
+	Limit int
 }
 
-func (f *Fleet) addInFlight(id lavid.BackendServerID, delta int) {
-	f.servers.Update(id, func(row Server, _ bool) Server {
-		row.InFlight += delta
-		return row
-	})
+// Pool returns the state of the servers that may meet a need.
+func (f *Fleet) Pool(document *lavconfig.Document, need Need, now time.Time) Pool {
+	var pool Pool
+	for _, candidate := range f.Candidates(document, need, now) {
+		limit := max(1, int(float64(candidate.Limit)*float64(candidate.Admitted)))
+		pool.Servers++
+		pool.Limit += limit
+		pool.Room += max(0, limit-candidate.Running-candidate.Waiting-candidate.OwnSince)
+	}
+	return pool
 }
--- a/entry/services/lavfleet/fleet.go
+++ b/entry/services/lavfleet/fleet.go
@@ -1,54 +1,64 @@
 package lavfleet
 
 import (
-	"slices"
 	"time"
 
 	"lavenderswitch/core/models/lavconfig"
 	"lavenderswitch/core/models/lavid"
 	"lavenderswitch/core/modules/lavtable"
 	"lavenderswitch/core/services/lavbalance"
+	"lavenderswitch/core/services/lavprefix"
 	"lavenderswitch/wire/lavwire"
 )
 
-// Server is what was last heard of one backend server.
+// maxPrefixes bounds the prompt prefixes whose servers are remembered.
+const maxPrefixes = 20_000
+
+// Server is what this host knows of one backend server.
 type Server struct {
 	Load     *lavwire.Load
 	Reported time.Time
-	// FailedUntil keeps a server that did not answer out of the choice.
-	FailedUntil time.Time
-	// InFlight counts this host's own attempts at the server.
-	InFlight int
+	Health   lavbalance.Health
+	// Own counts this host's attempts at the server, OwnSince those begun since the last report.
+	Own      int
+	OwnSince int
+	// Out says that the configuration takes the server, or its data centre, out of service.
+	Out bool
+	// Returned is when it came back into service.
+	Returned time.Time
 }
 
 // Fleet is the table of backend servers.
 type Fleet struct {
-	servers *lavtable.Table[lavid.BackendServerID, Server]
-}
-
-// New returns an empty fleet.
-func New() *Fleet {
-	return &Fleet{servers: lavtable.New[lavid.BackendServerID, Server]()}
+	host       lavid.HostID
+	dataCentre lavid.DataCentreID
+	servers    *lavtable.Table[lavid.BackendServerID, Server]
+	prefixes   *lavprefix.Table
 }
 
-// Need is what an attempt asks of a backend server.
-type Need struct {
-	Version  lavid.VersionID
-	Service  lavid.ServiceID
-	Excluded []lavid.BackendServerID
+// New returns an empty fleet as seen from a host in a data centre.
+func New(host lavid.HostID, dataCentre lavid.DataCentreID) *Fleet {
+	return &Fleet{
+		host:       host,
+		dataCentre: dataCentre,
+		servers:    lavtable.New[lavid.BackendServerID, Server](),
+		prefixes:   lavprefix.New(maxPrefixes),
+	}
 }
 
-// failurePause keeps a server that did not answer out of the choice for a while.
-const failurePause = time.Second
-
 // Record stores a reported load.
 func (f *Fleet) Record(load *lavwire.Load, now time.Time) {
-	if load.GetBackendServerId() == "" {
+	id := lavid.BackendServerID(load.GetBackendServerId())
+	if id == "" {
 		return
 	}
-	f.servers.Update(lavid.BackendServerID(load.GetBackendServerId()), func(row Server, _ bool) Server {
+	if load.GetCold() {
+		f.prefixes.Forget(id)
+	}
+	f.servers.Update(id, func(row Server, _ bool) Server {
 		row.Load = load
-		row.Reported = now
+		row.Reported = now.Add(-time.Duration(load.GetAgeMillis()) * time.Millisecond)
+		row.OwnSince = 0
 		return row
 	})
 }
@@ -56,49 +66,54 @@
 // RecordFailure notes that a server did not answer.
 func (f *Fleet) RecordFailure(id lavid.BackendServerID, now time.Time) {
 	f.servers.Update(id, func(row Server, _ bool) Server {
-		row.FailedUntil = now.Add(failurePause)
+		row.Health = row.Health.Fail(now)
+		return row
+	})
+}
+
+// RecordAnswer notes that a server answered whole.
+func (f *Fleet) RecordAnswer(id lavid.BackendServerID, now time.Time) {
+	f.servers.Update(id, func(row Server, _ bool) Server {
+		row.Health = row.Health.Succeed(now)
 		return row
 	})
 }
 
-// Candidates returns the servers in service that may meet the need.
-func (f *Fleet) Candidates(document *lavconfig.Document, need Need, now time.Time) []lavbalance.Candidate {
-	var candidates []lavbalance.Candidate
-	for id, row := range document.BackendServers {
-		if !inService(document, row) || row.Service != need.Service || slices.Contains(need.Excluded, id) {
-			continue
-		}
-		server, _ := f.servers.Get(id)
-		if now.Before(server.FailedUntil) || !holds(server, row, need.Version) {
-			continue
-		}
-		candidates = append(candidates, lavbalance.Candidate{
-			ID:         id,
-			DataCentre: row.DataCentre,
-			Running:    int(server.Load.GetRunning()),
-			Limit:      max(int(server.Load.GetLimit()), 1),
-			Reported:   server.Reported,
+// Begin counts an attempt at a server until the returned function is called.
+func (f *Fleet) Begin(id lavid.BackendServerID) func() {
+	f.servers.Update(id, func(row Server, _ bool) Server {
+		row.Own++
+		row.OwnSince++
+		return row
+	})
+	return func() {
+		f.servers.Update(id, func(row Server, _ bool) Server {
+			row.Own--
+			row.OwnSince = max(0, row.OwnSince-1)
+			return row
 		})
 	}
-	slices.SortFunc(candidates, func(a, b lavbalance.Candidate) int {
-		if a.ID < b.ID {
-			return -1
-		}
-		return 1
+}
+
+// Follow notes which servers went out of service and came back, and forgets those that the configuration dropped.
+func (f *Fleet) Follow(document *lavconfig.Document, now time.Time) {
+	for id, configured := range document.BackendServers {
+		out := !inService(document, configured)
+		f.servers.Update(id, func(row Server, exists bool) Server {
+			if exists && row.Out && !out {
+				row.Returned = now
+			}
+			row.Out = out
+			return row
+		})
+	}
+	f.servers.DeleteIf(func(id lavid.BackendServerID, row Server) bool {
+		_, ok := document.BackendServers[id]
+		return !ok && row.Own == 0
 	})
-	return candidates
+	f.prefixes.Tick(now)
 }
 
 func inService(document *lavconfig.Document, row lavconfig.BackendServer) bool {
 	return row.State == lavconfig.InService && document.DataCentres[row.DataCentre].State == lavconfig.InService
 }
-
-func holds(server Server, row lavconfig.BackendServer, version lavid.VersionID) bool {
-	if version == "" {
-		return true
-	}
-	if server.Load != nil {
-		return !server.Load.GetLeaving() && slices.Contains(server.Load.GetLoadedVersions(), string(version))
-	}
-	return slices.Contains(row.Versions, version)
-}
--- a/entry/services/lavfleet/probe.go
+++ b/entry/services/lavfleet/probe.go
@@ -25,7 +25,7 @@
 	var old []aged
 	for id, row := range document.BackendServers {
 		server, _ := f.servers.Get(id)
-		if inService(document, row) && now.Sub(server.Reported) > staleAfter && !now.Before(server.FailedUntil) {
+		if inService(document, row) && now.Sub(server.Reported) > staleAfter && server.Health.Usable(now) {
 			old = append(old, aged{id, server.Reported})
 		}
 	}
@@ -61,12 +61,12 @@
 			ID:          id,
 			Running:     int(server.Load.GetRunning()),
 			Limit:       int(server.Load.GetLimit()),
-			InFlight:    server.InFlight,
+			InFlight:    server.Own,
 			Cold:        server.Load.GetCold(),
 			Leaving:     server.Load.GetLeaving(),
 			Versions:    server.Load.GetLoadedVersions(),
 			Reported:    server.Reported,
-			FailedUntil: server.FailedUntil,
+			FailedUntil: server.Health.FailedUntil,
 		})
 	}
 	return rows
--- a/entry/services/lavrate/rater.go
+++ b/entry/services/lavrate/rater.go
@@ -28,6 +28,11 @@
 	return lavserve.Unrated
 }
 
+// CanCheck says that no rating comes in time.
+func (r *Rater) CanCheck(time.Time) bool {
+	return false
+}
+
 // Observe keeps nothing.
 func (r *Rater) Observe(*lavrequest.Request, lavid.VersionID, []byte, lavid.NanoUnits) {}
 
--- a/entry/services/lavserve/plan.go
+++ b/entry/services/lavserve/plan.go
@@ -10,6 +10,7 @@
 	"lavenderswitch/core/modules/laverror"
 	"lavenderswitch/core/services/lavplan"
 	"lavenderswitch/core/services/lavsession"
+	"lavenderswitch/entry/services/lavfleet"
 	"lavenderswitch/entry/services/lavpin"
 	"lavenderswitch/entry/services/lavtrace"
 )
@@ -22,19 +23,22 @@
 // plan returns the stages of a request; a session that has a version keeps it while that may serve.
 func (w *work) plan(ctx context.Context) (lavplan.Plan, error) {
 	query := lavplan.Query{
-		Account: w.request.Account,
-		Model:   w.request.Model,
-		Version: w.request.Version,
-		Class:   w.request.Class,
+		Account:  w.request.Account,
+		Model:    w.request.Model,
+		Version:  w.request.Version,
+		Class:    w.request.Class,
+		CanCheck: w.Raters.CanCheck(time.Now()),
 	}
 	if w.request.Session == "" || w.request.Version != "" {
+		query.Excluded = append(w.withoutServers(query), w.excluded...)
 		return w.choose(query)
 	}
 	pinned, _ := w.resolve(ctx, lavpin.Ask{})
 	if pinned != "" && w.mayServe(pinned, query) {
 		w.note(lavtrace.Step{Kind: lavtrace.StepPinned, Version: pinned})
-		return lavplan.Plan{Stages: []lavplan.Stage{{Version: pinned}}}, nil
+		return lavplan.Plan{Stages: []lavplan.Stage{{Version: pinned}}, Reason: lavplan.ReasonPinned}, nil
 	}
+	query.Excluded = append(w.withoutServers(query), w.excluded...)
 	plan, err := w.choose(query)
 	if err != nil || (len(plan.Stages) > 1 && pinned == "") {
 		return plan, err
@@ -54,7 +58,7 @@
 		version = proposed
 	}
 	w.note(lavtrace.Step{Kind: lavtrace.StepPinned, Version: version})
-	return lavplan.Plan{Stages: []lavplan.Stage{{Version: version}}}, nil
+	return lavplan.Plan{Stages: []lavplan.Stage{{Version: version}}, Reason: plan.Reason}, nil
 }
 
 func (w *work) choose(query lavplan.Query) (lavplan.Plan, error) {
@@ -63,11 +67,26 @@
 		return plan, laverror.New(laverror.KindNotAllowed, "no allowed version serves this model", "choose one that GET /v1/models lists")
 	}
 	for _, stage := range plan.Stages {
-		w.note(lavtrace.Step{Kind: lavtrace.StepPlanned, Version: stage.Version})
+		w.note(lavtrace.Step{Kind: lavtrace.StepPlanned, Version: stage.Version, Reason: string(plan.Reason)})
 	}
 	return plan, nil
 }
 
+// withoutServers returns usable versions that no server in service holds, unless that is all of them.
+func (w *work) withoutServers(query lavplan.Query) []lavid.VersionID {
+	usable := lavplan.Usable(w.document, query)
+	var lacking []lavid.VersionID
+	for _, id := range usable {
+		if w.Fleet.Pool(w.document, lavfleet.Need{Version: id}, time.Now()).Servers == 0 {
+			lacking = append(lacking, id)
+		}
+	}
+	if len(lacking) == len(usable) {
+		return nil
+	}
+	return lacking
+}
+
 func (w *work) mayServe(version lavid.VersionID, query lavplan.Query) bool {
 	return slices.Contains(lavplan.Usable(w.document, query), version)
 }
--- a/entry/services/lavserve/serve.go
+++ b/entry/services/lavserve/serve.go
@@ -12,6 +12,8 @@
 	"lavenderswitch/core/modules/lavmetric"
 	"lavenderswitch/core/services/lavbill"
 	"lavenderswitch/core/services/lavledger"
+	"lavenderswitch/core/services/lavplan"
+	"lavenderswitch/core/services/lavretry"
 	"lavenderswitch/entry/models/lavrequest"
 	"lavenderswitch/entry/services/lavattempt"
 	"lavenderswitch/entry/services/lavfleet"
@@ -32,6 +34,8 @@
 	metricMoved      = "SessionsMoved"
 	metricElapsed    = "Elapsed"
 	metricPinElapsed = "PinElapsed"
+	metricQueued     = "Queued"
+	metricHedges     = "Hedges"
 )
 
 // Configs gives the configuration in force here.
@@ -74,6 +78,8 @@
 	Planner  Planner
 	Raters   Raters
 	Gate     Gate
+	Retries  *lavretry.Budget
+	Hedgers  *Hedgers
 	Traces   *lavtrace.Ring
 	Metrics  *lavmetric.Set
 	Log      *logrus.Logger
@@ -98,9 +104,14 @@
 	if s.Bills.Full() {
 		return laverror.New(laverror.KindStoreUnavailable, "too many bills wait for the store", "retry later").WithRetryAfter(retryAfterShort)
 	}
+	end, err := s.Gate.Begin(request)
+	if err != nil {
+		return err
+	}
+	defer end()
 	work := &work{Service: s, document: document, request: request, sink: sink}
 	work.trace = s.Traces.Begin(request.ID, request.Account, document.Number, request.Arrived)
-	err := work.serve(ctx)
+	err = work.serve(ctx)
 	err = work.stateRun(err)
 	s.Metrics.Observe(metricElapsed, time.Since(request.Arrived))
 	if err != nil {
@@ -124,6 +135,8 @@
 	earlier earlierStages
 	// checkedBill bills the last checked stage when it turns out to end the request.
 	checkedBill func()
+	// excluded versions had no server with room.
+	excluded []lavid.VersionID
 	// run is what earlier attempts and stages may have done.
 	run laverror.RunState
 }
@@ -154,9 +167,37 @@
 	if w.request.Service != "" {
 		return w.serveStage(ctx, stage{})
 	}
-	plan, err := w.plan(ctx)
-	if err != nil {
-		return err
+	return w.servePlans(ctx)
+}
+
+// servePlans takes another plan while the pools of the one before have no server with room.
+func (w *work) servePlans(ctx context.Context) error {
+	var last error
+	for {
+		plan, err := w.plan(ctx)
+		if err != nil {
+			return firstOf(last, err)
+		}
+		err = w.serveStages(ctx, plan)
+		if err == nil || !w.mayReplan(err, plan) {
+			return err
+		}
+		last = err
+		w.excluded = append(w.excluded, plan.Stages[len(plan.Stages)-1].Version)
+	}
+}
+
+// mayReplan tells whether another version may serve instead: nothing ran, and neither caller nor session asks for this one.
+func (w *work) mayReplan(err error, plan lavplan.Plan) bool {
+	typed := laverror.As(err)
+	lacking := typed.Kind == laverror.KindNoServer || typed.Kind == laverror.KindOverloaded
+	keeps := w.request.Session != "" && !w.request.FirstTurn
+	return lacking && !keeps && typed.Run == laverror.NotRun && w.run == "" && w.request.Version == "" && plan.Reason != lavplan.ReasonPinned
+}
+
+func firstOf(first, second error) error {
+	if first != nil {
+		return first
 	}
-	return w.serveStages(ctx, plan)
+	return second
 }
--- /dev/null
+++ b/entry/services/lavserve/serve_test.go
@@ -0,0 +1,272 @@
+package lavserve
+
+import (
+	"context"
+	"io"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/sirupsen/logrus"
+
+	"lavenderswitch/core/models/lavconfig"
+	"lavenderswitch/core/models/lavid"
+	"lavenderswitch/core/modules/laverror"
+	"lavenderswitch/core/modules/lavmetric"
+	"lavenderswitch/core/modules/lavplatform"
+	"lavenderswitch/core/services/lavbill"
+	"lavenderswitch/core/services/lavledger"
+	"lavenderswitch/core/services/lavplan"
+	"lavenderswitch/core/services/lavretry"
+	"lavenderswitch/entry/models/lavrequest"
+	"lavenderswitch/entry/services/lavattempt"
+	"lavenderswitch/entry/services/lavfleet"
+	"lavenderswitch/entry/services/lavpin"
+	"lavenderswitch/entry/services/lavtrace"
+	"lavenderswitch/wire/lavwire"
+)
+
+// fake plays every neighbour of the service; replies are taken in order, one for each attempt.
+type fake struct {
+	document *lavconfig.Document
+	replies  []reply
+	attempts []*lavwire.Attempt
+	ledger   lavledger.Entry
+	ledgerUp bool
+	pinned   lavid.VersionID
+	asks     []lavpin.Ask
+	plan     lavplan.Plan
+	verdicts []Verdict
+	bills    *lavbill.Pending
+	held     []*lavwire.Bill
+	enters   int
+}
+
+type reply struct {
+	body   string
+	result lavattempt.Result
+}
+
+func (f *fake) Document() *lavconfig.Document { return f.document }
+
+func (f *fake) Run(_ context.Context, _ string, attempt *lavwire.Attempt, sink lavrequest.Sink) (lavattempt.Result, error) {
+	f.attempts = append(f.attempts, attempt)
+	next := f.replies[0]
+	f.replies = f.replies[1:]
+	if next.body != "" {
+		_ = sink.Head(lavrequest.Head{StatusCode: 200, Version: lavid.VersionID(attempt.GetVersionId())})
+		_ = sink.Chunk([]byte(next.body))
+	}
+	return next.result, nil
+}
+
+func (f *fake) Attach(ctx context.Context, base string, attempt *lavwire.Attempt, sink lavrequest.Sink) (lavattempt.Result, error) {
+	return f.Run(ctx, base, attempt, sink)
+}
+
+func (f *fake) Cancel(context.Context, string, *lavwire.Attempt) error { return nil }
+
+func (f *fake) Resolve(_ context.Context, ask lavpin.Ask) (lavid.VersionID, bool) {
+	f.asks = append(f.asks, ask)
+	if f.pinned == "" || f.pinned == ask.Replaces {
+		moved := f.pinned != ""
+		f.pinned = ask.Proposed
+		return f.pinned, moved
+	}
+	return f.pinned, false
+}
+
+func (f *fake) Seal(context.Context, lavledger.Claim) (lavledger.Position, error) {
+	if !f.ledgerUp {
+		return lavledger.Position{}, lavplatform.ErrStoreUnavailable{Reason: "down"}
+	}
+	return lavledger.Position{Entry: f.ledger}, nil
+}
+
+func (f *fake) Choose(*lavconfig.Document, lavplan.Query, time.Time) (lavplan.Plan, bool) {
+	return f.plan, true
+}
+
+func (f *fake) Rate(context.Context, *lavrequest.Request, lavid.VersionID, []byte) Verdict {
+	next := f.verdicts[0]
+	f.verdicts = f.verdicts[1:]
+	return next
+}
+
+func (f *fake) CanCheck(time.Time) bool { return true }
+
+func (f *fake) Observe(*lavrequest.Request, lavid.VersionID, []byte, lavid.NanoUnits) {}
+
+func (f *fake) Failed(*lavrequest.Request, lavid.VersionID) {}
+
+func (f *fake) Begin(*lavrequest.Request) (func(), error) { return func() {}, nil }
+
+func (f *fake) Enter(context.Context, *lavrequest.Request, lavrequest.Pool, bool) error {
+	f.enters++
+	return nil
+}
+
+func (f *fake) Hold(_ context.Context, batch *lavwire.BillBatch) (*lavwire.BillAck, error) {
+	f.held = append(f.held, batch.GetBills()...)
+	return &lavwire.BillAck{}, nil
+}
+
+func newFake(replies ...reply) *fake {
+	server := lavconfig.BackendServer{DataCentre: "d1", State: lavconfig.InService, Versions: []lavid.VersionID{"small", "large"}, MaxRunning: 4}
+	claims := lavconfig.BackendServer{DataCentre: "d1", State: lavconfig.InService, Service: "claims", MaxRunning: 4}
+	return &fake{
+		replies:  replies,
+		ledgerUp: true,
+		bills:    lavbill.NewPending(10),
+		plan:     lavplan.Plan{Stages: []lavplan.Stage{{Version: "small"}}},
+		document: &lavconfig.Document{
+			Number:         7,
+			DataCentres:    map[lavid.DataCentreID]lavconfig.DataCentre{"d1": {State: lavconfig.InService}},
+			Versions:       map[lavid.VersionID]lavconfig.Version{"small": {OutputPrice: 1}, "large": {OutputPrice: 10}},
+			ClientAccounts: map[lavid.AccountID]lavconfig.ClientAccount{"a": {AllowedVersions: []lavid.VersionID{"small", "large"}}},
+			BackendServers: map[lavid.BackendServerID]lavconfig.BackendServer{"s1": server, "s2": server, "c1": claims, "c2": claims},
+		},
+	}
+}
+
+func (f *fake) service() *Service {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	return &Service{
+		Configs: f, Attempts: f, Sessions: f, Seals: f, Planner: f, Raters: f, Gate: f,
+		Fleet: lavfleet.New("h1", "d1"), Bills: f.bills, Retries: lavretry.New(), Hedgers: NewHedgers(),
+		Traces: lavtrace.NewRing(4), Metrics: lavmetric.NewSet(), Log: log,
+		Holders: func(string) lavwire.Bills { return f },
+	}
+}
+
+func chatRequest() *lavrequest.Request {
+	now := time.Now()
+	return &lavrequest.Request{ID: "r1", Account: "a", Idempotent: true, Body: []byte(`{"messages":[]}`), Arrived: now, Deadline: now.Add(time.Minute)}
+}
+
+func claimRequest() *lavrequest.Request {
+	request := chatRequest()
+	request.Service, request.Call, request.Idempotent = "claims", "submit", false
+	return request
+}
+
+func refused(kind lavwire.RefusalKind, run lavwire.RunState) reply {
+	return reply{result: lavattempt.Result{Refusal: &lavwire.Refusal{Kind: kind, RunState: run}}}
+}
+
+var (
+	whole       = reply{body: "answer", result: lavattempt.Result{Usage: lavrequest.Usage{OutputTokens: 2}}}
+	unreachable = reply{result: lavattempt.Result{Unreachable: true}}
+	full        = refused(lavwire.RefusalKind_REFUSAL_KIND_SERVER_FULL, lavwire.RunState_RUN_STATE_NOT_RUN)
+	broken      = refused(lavwire.RefusalKind_REFUSAL_KIND_BACKEND_FAILED, lavwire.RunState_RUN_STATE_IN_DOUBT)
+	running     = refused(lavwire.RefusalKind_REFUSAL_KIND_REQUEST_RUNNING, lavwire.RunState_RUN_STATE_IN_DOUBT)
+)
+
+func TestServeSettlesEveryOutcome(t *testing.T) {
+	sealed := lavledger.Entry{State: lavledger.StateSealed}
+	intent := lavledger.Entry{State: lavledger.StateIntent}
+	finished := lavledger.Entry{State: lavledger.StateFinished, Answer: &lavledger.Answer{StatusCode: 200, Body: []byte("stored")}}
+	tests := []struct {
+		name     string
+		request  *lavrequest.Request
+		replies  []reply
+		ledger   lavledger.Entry
+		storeOut bool
+		body     string
+		run      laverror.RunState
+		attempts int
+	}{
+		{name: "idempotent work moves on after a failure", request: chatRequest(), replies: []reply{broken, whole}, body: "answer", attempts: 2},
+		{name: "idempotent work moves on when the side is gone", request: chatRequest(), replies: []reply{unreachable, whole}, body: "answer", attempts: 2},
+		{name: "failures of idempotent work are never called not run", request: chatRequest(), replies: []reply{broken, broken}, run: laverror.InDoubt, attempts: 2},
+		{name: "refusals alone are not run", request: claimRequest(), replies: []reply{
+			refused(lavwire.RefusalKind_REFUSAL_KIND_SERVER_LEAVING, lavwire.RunState_RUN_STATE_NOT_RUN),
+			refused(lavwire.RefusalKind_REFUSAL_KIND_STORE_UNAVAILABLE, lavwire.RunState_RUN_STATE_NOT_RUN),
+		}, run: laverror.NotRun, attempts: 2},
+		{name: "a call that may have run is not sent again", request: claimRequest(), replies: []reply{broken}, run: laverror.InDoubt, attempts: 1},
+		{name: "a lost call is sealed before another attempt", request: claimRequest(), replies: []reply{unreachable, whole}, ledger: sealed, body: "answer", attempts: 2},
+		{name: "a lost call with an intent stays in doubt", request: claimRequest(), replies: []reply{unreachable}, ledger: intent, run: laverror.InDoubt, attempts: 1},
+		{name: "a lost call that finished gives its stored answer", request: claimRequest(), replies: []reply{unreachable}, ledger: finished, body: "stored", attempts: 1},
+		{name: "a lost call stays in doubt while the store is down", request: claimRequest(), replies: []reply{unreachable}, storeOut: true, run: laverror.InDoubt, attempts: 1},
+		{name: "a running call without a holder is in doubt", request: claimRequest(), replies: []reply{running}, run: laverror.InDoubt, attempts: 1},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			f := newFake(test.replies...)
+			f.ledger, f.ledgerUp = test.ledger, !test.storeOut
+			sink := &lavrequest.Whole{}
+			err := f.service().Serve(t.Context(), test.request, sink)
+			is.Equal(len(f.attempts), test.attempts)
+			is.Equal(string(sink.Body), test.body)
+			if test.body == "" {
+				is.Equal(laverror.As(err).Run, test.run)
+				is.True(laverror.As(err).RetryAfter > 0)
+				is.Equal(f.bills.Len(), 0)
+				return
+			}
+			is.NoErr(err)
+			is.Equal(f.bills.Len(), 1)
+		})
+	}
+}
+
+func TestServeWaitsAgainWhenEveryServerWasFull(t *testing.T) {
+	is := is.New(t)
+	f := newFake(full, full, whole)
+	is.NoErr(f.service().Serve(t.Context(), chatRequest(), &lavrequest.Whole{}))
+	is.Equal(f.enters, 2)
+}
+
+func TestServeBillsTheSumOfACascadeOnce(t *testing.T) {
+	is := is.New(t)
+	f := newFake(whole, whole)
+	f.plan = lavplan.Plan{Stages: []lavplan.Stage{{Version: "small", Checked: true}, {Version: "large"}}}
+	f.verdicts = []Verdict{Unacceptable}
+	is.NoErr(f.service().Serve(t.Context(), chatRequest(), &lavrequest.Whole{}))
+	is.Equal(f.attempts[0].GetBill(), false)
+	is.Equal(f.attempts[1].GetPriorCostNanos(), int64(2))
+	is.Equal(f.bills.Batch(9)[0].Cost, lavid.NanoUnits(22))
+	is.Equal(len(f.held), 0)
+}
+
+func TestServeGivesAnAcceptedCheckedStageASecondHolder(t *testing.T) {
+	is := is.New(t)
+	f := newFake(whole)
+	f.plan = lavplan.Plan{Stages: []lavplan.Stage{{Version: "small", Checked: true}, {Version: "large"}}}
+	f.verdicts = []Verdict{Acceptable}
+	is.NoErr(f.service().Serve(t.Context(), chatRequest(), &lavrequest.Whole{}))
+	is.Equal(f.bills.Batch(9)[0].Cost, lavid.NanoUnits(2))
+	is.Equal(len(f.held), 1)
+}
+
+func TestServeKeepsASessionOnItsVersion(t *testing.T) {
+	tests := []struct {
+		name      string
+		pinned    lavid.VersionID
+		withdrawn bool
+		version   string
+		moved     bool
+	}{
+		{"new session takes the plan", "", false, "small", false},
+		{"known session keeps its version", "large", false, "large", false},
+		{"session leaves a withdrawn version and is told", "large", true, "small", true},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			f := newFake(whole)
+			f.pinned = test.pinned
+			if test.withdrawn {
+				f.document.Versions["large"] = lavconfig.Version{State: lavconfig.VersionWithdrawn}
+			}
+			request := chatRequest()
+			request.Session = "s"
+			is.NoErr(f.service().Serve(t.Context(), request, &lavrequest.Whole{}))
+			is.Equal(f.attempts[0].GetVersionId(), test.version)
+			is.Equal(string(f.pinned), test.version)
+			is.Equal(request.SessionMoved, test.moved)
+		})
+	}
+}
--- a/entry/services/lavserve/settle.go
+++ b/entry/services/lavserve/settle.go
@@ -10,6 +10,7 @@
 	"lavenderswitch/core/modules/laverror"
 	"lavenderswitch/core/modules/lavlog"
 	"lavenderswitch/core/services/lavledger"
+	"lavenderswitch/core/services/lavretry"
 	"lavenderswitch/entry/models/lavrequest"
 	"lavenderswitch/entry/services/lavtrace"
 	"lavenderswitch/wire/lavwire"
@@ -18,7 +19,7 @@
 // settle decides what follows an attempt: the answer is done, another attempt may start, or a final error.
 func (t *tries) settle(ctx context.Context, out outcome) (bool, error) {
 	if out.err != nil {
-		return false, t.abandon(ctx, out)
+		return false, t.abandon(ctx)
 	}
 	if out.result.Refusal == nil && !out.result.Unreachable {
 		return true, t.deliver(ctx, out)
@@ -37,28 +38,34 @@
 	t.exclude(out)
 	if notRun(out) || t.request.Idempotent {
 		t.Metrics.Count(metricRetries, 1)
-		return false, nil
+		return false, t.spend(reasonOf(out), time.Now())
 	}
 	return t.settleOnce(ctx, out)
 }
 
 // abandon ends a request whose caller is gone or whose time is over.
-func (t *tries) abandon(ctx context.Context, out outcome) error {
-	if t.request.Idempotent {
-		background, cancel := context.WithTimeout(context.WithoutCancel(ctx), time.Second)
-		defer cancel()
-		if err := t.Attempts.Cancel(background, out.base, out.attempt); err != nil {
-			t.entry(out).WithError(err).Debug("attempt was not cancelled; it ends with its own timeout")
-		}
-	}
+func (t *tries) abandon(ctx context.Context) error {
 	if ctx.Err() == nil {
 		return laverror.New(laverror.KindInternal, "the answer could not be written", "repeat the request").WithRun(laverror.Ran)
 	}
 	return timedOut(laverror.InDoubt)
 }
 
+// cancel frees the backend server of an idempotent attempt whose answer nobody waits for.
+func (t *tries) cancel(ctx context.Context, out outcome) {
+	if !t.request.Idempotent {
+		return
+	}
+	background, cancel := context.WithTimeout(context.WithoutCancel(ctx), time.Second)
+	defer cancel()
+	if err := t.Attempts.Cancel(background, out.base, out.attempt); err != nil {
+		t.entry(out).WithError(err).Debug("attempt was not cancelled; it ends with its own timeout")
+	}
+}
+
 // deliver bills the answer, then passes it on if it was kept.
 func (t *tries) deliver(ctx context.Context, out outcome) error {
+	t.Fleet.RecordAnswer(lavid.BackendServerID(out.attempt.GetBackendServerId()), time.Now())
 	t.bill(ctx, out.attempt, out.base, out.result.Usage, t.stage.checked)
 	whole, ok := out.sink.(*lavrequest.Whole)
 	if !ok || out.sink == t.stage.sink {
@@ -79,12 +86,30 @@
 // exclude keeps a server that refused or failed out of the next choice and remembers when it wants a retry.
 func (t *tries) exclude(out outcome) {
 	t.need.Excluded = append(t.need.Excluded, lavid.BackendServerID(out.attempt.GetBackendServerId()))
+	if reasonOf(out) == lavretry.Full {
+		t.full = true
+	}
 	after := time.Duration(out.result.Refusal.GetRetryAfterMillis()) * time.Millisecond
 	if after > 0 && (t.retryAfter == 0 || after < t.retryAfter) {
 		t.retryAfter = after
 	}
 }
 
+// reasonOf sorts a failed attempt by what a further one costs.
+func reasonOf(out outcome) lavretry.Refusal {
+	if !notRun(out) {
+		return lavretry.Unreachable
+	}
+	switch out.result.Refusal.GetKind() {
+	case lavwire.RefusalKind_REFUSAL_KIND_SERVER_FULL:
+		return lavretry.Full
+	case lavwire.RefusalKind_REFUSAL_KIND_SEALED, lavwire.RefusalKind_REFUSAL_KIND_STORE_UNAVAILABLE:
+		return lavretry.Unreachable
+	default:
+		return lavretry.Behind
+	}
+}
+
 func (t *tries) noteRefusal(out outcome) {
 	reason := "side process does not answer"
 	if out.result.Refusal != nil {
--- a/entry/services/lavserve/stage.go
+++ b/entry/services/lavserve/stage.go
@@ -2,12 +2,16 @@
 
 import (
 	"context"
+	"encoding/json"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/google/uuid"
 
 	"lavenderswitch/core/models/lavid"
 	"lavenderswitch/core/modules/laverror"
+	"lavenderswitch/core/services/lavprefix"
+	"lavenderswitch/core/services/lavretry"
 	"lavenderswitch/entry/models/lavrequest"
 	"lavenderswitch/entry/services/lavattempt"
 	"lavenderswitch/entry/services/lavfleet"
@@ -15,19 +19,17 @@
 	"lavenderswitch/wire/lavwire"
 )
 
-// maxAttempts bounds the backend servers tried for one stage of a plan.
-const maxAttempts = 8
+const (
+	// maxAttempts bounds the attempts of one stage of a plan.
+	maxAttempts = 24
+	// prefixBytes of the messages are what cache affinity goes by.
+	prefixBytes = 256
+)
 
 // Gate holds a request until the pool that it needs has room, or refuses it at once.
 type Gate interface {
-	// Enter returns a release function, or a typed error that says when to come back.
-	Enter(ctx context.Context, request *lavrequest.Request, pool Pool) (func(), error)
-}
-
-// Pool names the backend servers that a stage needs.
-type Pool struct {
-	Version lavid.VersionID
-	Service lavid.ServiceID
+	Begin(request *lavrequest.Request) (func(), error)
+	Enter(ctx context.Context, request *lavrequest.Request, pool lavrequest.Pool, full bool) error
 }
 
 // stage is one version, or a plain service, to be tried at backend servers until one answers.
@@ -42,12 +44,12 @@
 	if stage.sink == nil {
 		stage.sink = w.sink
 	}
-	release, err := w.Gate.Enter(ctx, w.request, Pool{Version: stage.version, Service: w.request.Service})
-	if err != nil {
+	tries := &tries{work: w, stage: stage}
+	tries.need = lavfleet.Need{Version: stage.version, Service: w.request.Service, Prefix: prefixOf(w.request)}
+	if err := tries.enter(ctx, false); err != nil {
 		return err
 	}
-	defer release()
-	tries := &tries{work: w, stage: stage, need: lavfleet.Need{Version: stage.version, Service: w.request.Service}}
+	w.Retries.First(w.request.Account, time.Now())
 	for range maxAttempts {
 		done, err := tries.next(ctx)
 		if done || err != nil {
@@ -63,29 +65,71 @@
 	stage      stage
 	need       lavfleet.Need
 	retryAfter time.Duration
-	attempts   int
+	// full says that a server refused the stage for want of room since it last entered the gate.
+	full bool
+}
+
+func (t *tries) enter(ctx context.Context, full bool) error {
+	began := time.Now()
+	pool := lavrequest.Pool{Version: t.stage.version, Service: t.request.Service}
+	err := t.Gate.Enter(ctx, t.request, pool, full)
+	waited := time.Since(began)
+	t.Metrics.Observe(metricQueued, waited)
+	if waited > notableWait {
+		t.note(lavtrace.Step{Kind: lavtrace.StepQueued, Version: t.stage.version, Reason: waited.String()})
+	}
+	return err
 }
 
+const notableWait = 5 * time.Millisecond
+
 // next sends one attempt; done means that the answer is whole.
 func (t *tries) next(ctx context.Context) (bool, error) {
 	if ctx.Err() != nil {
 		return false, timedOut(laverror.NotRun)
 	}
 	now := time.Now()
-	chosen, ok := t.Fleet.Choose(t.document, t.need, t.request, now)
+	server, ok := t.Fleet.Choose(t.document, t.need, now)
 	if !ok {
-		return false, t.givenUp()
+		return false, t.again(ctx)
+	}
+	out := t.send(ctx, server, now)
+	return t.settle(ctx, out)
+}
+
+// again waits for room when servers were full, and gives up otherwise.
+func (t *tries) again(ctx context.Context) error {
+	if !t.full {
+		return t.givenUp()
+	}
+	t.full = false
+	t.need.Excluded = nil
+	return t.enter(ctx, true)
+}
+
+// send makes one attempt, hedged by a second one where that pays.
+func (t *tries) send(ctx context.Context, server lavid.BackendServerID, now time.Time) outcome {
+	if !t.mayHedge() {
+		return t.attempt(ctx, server, now)
 	}
-	t.attempts++
+	return t.hedged(ctx, server, now)
+}
+
+// attempt sends one attempt to one server.
+func (t *tries) attempt(ctx context.Context, server lavid.BackendServerID, now time.Time) outcome {
 	t.Metrics.Count(metricAttempts, 1)
-	attempt := t.newAttempt(chosen, now)
-	t.note(lavtrace.Step{Kind: lavtrace.StepChosen, Server: chosen, Version: t.stage.version, Attempt: lavid.AttemptID(attempt.GetAttemptId())})
-	base := t.Scheme + t.document.BackendServers[chosen].SideAddress
-	finish := t.Fleet.Begin(chosen)
+	attempt := t.newAttempt(server, now)
+	t.note(lavtrace.Step{Kind: lavtrace.StepChosen, Server: server, Version: t.stage.version, Attempt: lavid.AttemptID(attempt.GetAttemptId())})
+	base := t.Scheme + t.document.BackendServers[server].SideAddress
+	finish := t.Fleet.Begin(server)
 	defer finish()
 	sink := t.attemptSink()
 	result, err := t.Attempts.Run(ctx, base, attempt, sink)
-	return t.settle(ctx, outcome{attempt: attempt, base: base, result: result, err: err, sink: sink})
+	out := outcome{attempt: attempt, base: base, result: result, err: err, sink: sink}
+	if err != nil {
+		t.cancel(ctx, out)
+	}
+	return out
 }
 
 // attemptSink keeps the answer of a plain request until it is whole, so that a broken one can be tried again.
@@ -109,6 +153,14 @@
 	return laverror.New(laverror.KindTimeout, "the request's time is over", "retry with more time").WithRun(run).WithRetryAfter(retryAfterShort)
 }
 
+// spend takes a further attempt from the account's budget when the refusal costs one.
+func (t *tries) spend(refusal lavretry.Refusal, now time.Time) error {
+	if !refusal.Costs() || t.Retries.Spend(t.request.Account, now) {
+		return nil
+	}
+	return laverror.New(laverror.KindOverloaded, "too many attempts of the client account fail", "retry after the stated time").WithRetryAfter(retryAfterShort)
+}
+
 func (t *tries) newAttempt(server lavid.BackendServerID, now time.Time) *lavwire.Attempt {
 	return &lavwire.Attempt{
 		AttemptId:       uuid.NewString(),
@@ -144,3 +196,21 @@
 	err     error
 	sink    lavrequest.Sink
 }
+
+func (o outcome) whole() bool {
+	return o.err == nil && o.result.Refusal == nil && !o.result.Unreachable
+}
+
+// prefixOf hashes the start of a conversation.
+func prefixOf(request *lavrequest.Request) lavprefix.Hash {
+	if request.Service != "" {
+		return 0
+	}
+	var body struct {
+		Messages json.RawMessage `json:"messages"`
+	}
+	if json.Unmarshal(request.Body, &body) != nil {
+		return 0
+	}
+	return lavprefix.Hash(xxhash.Sum64(body.Messages[:min(prefixBytes, len(body.Messages))]))
+}
--- a/entry/services/lavserve/stages.go
+++ b/entry/services/lavserve/stages.go
@@ -29,6 +29,8 @@
 	Rate(ctx context.Context, request *lavrequest.Request, version lavid.VersionID, answer []byte) Verdict
 	// Observe queues an answered request to be rated later, without waiting.
 	Observe(request *lavrequest.Request, version lavid.VersionID, answer []byte, cost lavid.NanoUnits)
+	// CanCheck tells whether an answer can be rated before it is delivered.
+	CanCheck(now time.Time) bool
 	// Failed notes that an attempt at a version gave no answer.
 	Failed(request *lavrequest.Request, version lavid.VersionID)
 }
