--- /dev/null
+++ b/core/models/lavconfig/danger.go
@@ -0,0 +1,94 @@
+package lavconfig
+
+import (
+	"lavenderswitch/core/models/lavid"
+	"lavenderswitch/core/modules/lavsettings"
+)
+
+// Dangers lists what a change takes from callers and can hardly be meant, such as the last usable version of a client account.
+func Dangers(before, after *Document) lavsettings.Faults {
+	var warnings lavsettings.Faults
+	addAccountDangers(&warnings, before, after)
+	addVersionDangers(&warnings, before, after)
+	addCapacityDangers(&warnings, before, after)
+	addRepeatDangers(&warnings, before, after)
+	return warnings
+}
+
+func addAccountDangers(warnings *lavsettings.Faults, before, after *Document) {
+	for _, id := range sortedIDs(before.ClientAccounts) {
+		path := pointer("ClientAccounts", id)
+		account, ok := after.ClientAccounts[id]
+		warnings.Add(ok, path, "removed", "callers of this client account are refused from then on")
+		if !ok {
+			continue
+		}
+		had := usableVersions(before, before.ClientAccounts[id])
+		has := usableVersions(after, account)
+		warnings.Add(had == 0 || has > 0, path+"/AllowedVersions", account.AllowedVersions, "no allowed version is left that serves; allow or roll out another one first")
+	}
+}
+
+func usableVersions(document *Document, account ClientAccount) int {
+	usable := 0
+	for _, id := range account.AllowedVersions {
+		if version, ok := document.Versions[id]; ok && version.State != VersionWithdrawn {
+			usable++
+		}
+	}
+	return usable
+}
+
+func addVersionDangers(warnings *lavsettings.Faults, before, after *Document) {
+	for _, id := range sortedIDs(before.Versions) {
+		_, ok := after.Versions[id]
+		withdrawn := before.Versions[id].State == VersionWithdrawn
+		warnings.Add(ok || withdrawn, pointer("Versions", id), "removed", "the version still serves; withdraw it first")
+	}
+}
+
+func addCapacityDangers(warnings *lavsettings.Faults, before, after *Document) {
+	had, has := 0, 0
+	for _, row := range before.DataCentres {
+		had += countIf(row.State == InService)
+	}
+	for _, row := range after.DataCentres {
+		has += countIf(row.State == InService)
+	}
+	warnings.Add(had == 0 || has > 0, "/DataCentres", "all out of service", "no data centre takes work from then on; bring another one back first")
+	for _, id := range sortedIDs(after.Services) {
+		lost := serversOf(before, id) > 0 && serversOf(after, id) == 0
+		warnings.Add(!lost, pointer("Services", id), "no backend server in service", "calls of the service are refused from then on; bring a backend server back first")
+	}
+	lost := serversOf(before, "") > 0 && serversOf(after, "") == 0
+	warnings.Add(!lost, "/BackendServers", "no model engine in service", "requests to models are refused from then on; bring a backend server back first")
+}
+
+// serversOf counts the backend servers in service of a plain service, or the model engines.
+func serversOf(document *Document, service lavid.ServiceID) int {
+	count := 0
+	for _, row := range document.BackendServers {
+		inService := row.State == InService && document.DataCentres[row.DataCentre].State == InService
+		count += countIf(inService && row.Service == service)
+	}
+	return count
+}
+
+func addRepeatDangers(warnings *lavsettings.Faults, before, after *Document) {
+	for _, id := range sortedIDs(after.Services) {
+		calls := after.Services[id].Calls
+		for _, callID := range sortedIDs(calls) {
+			old, ok := before.Services[id].Calls[callID]
+			loosened := ok && !old.Idempotent && calls[callID].Idempotent
+			path := pointer("Services", id) + pointer("Calls", callID) + "/Idempotent"
+			warnings.Add(!loosened, path, true, "the call may be run more than once from then on")
+		}
+	}
+}
+
+func countIf(condition bool) int {
+	if condition {
+		return 1
+	}
+	return 0
+}
--- a/core/models/lavconfig/decode.go
+++ b/core/models/lavconfig/decode.go
@@ -1,11 +1,12 @@
 package lavconfig
 
 import (
-	"bytes"
 	"encoding/json"
 
+	"github.com/pkg/errors"
+
 	"lavenderswitch/core/models/lavid"
-	"lavenderswitch/core/modules/laverror"
+	"lavenderswitch/core/modules/lavsettings"
 )
 
 // WithTables returns the document with an empty table in place of each missing one, so that patches can add rows; nil gives configuration zero.
@@ -32,13 +33,14 @@
 	return &filled
 }
 
-// Decode reads a patched document and refuses unknown keys and values of a wrong type.
+// Decode reads a patched document and lists every unknown key and value of a wrong type.
 func Decode(data []byte) (*Document, error) {
-	decoder := json.NewDecoder(bytes.NewReader(data))
-	decoder.DisallowUnknownFields()
 	document := &Document{}
-	if err := decoder.Decode(document); err != nil {
-		return nil, laverror.New(laverror.KindInvalidConfig, "patched configuration is not valid: "+err.Error(), "correct the key or value; docs/CONFIGURATION.md lists them")
+	if faults := lavsettings.Inspect(data, document, "/"); len(faults) > 0 {
+		return nil, ErrInvalid{Faults: faults}
+	}
+	if err := json.Unmarshal(data, document); err != nil {
+		return nil, errors.Wrap(err, "decode configuration")
 	}
 	return document.WithTables(), nil
 }
--- a/core/modules/lavhttp/reply.go
+++ b/core/modules/lavhttp/reply.go
@@ -49,13 +49,18 @@
 
 // WriteError writes err as a typed JSON reply with its status and Retry-After.
 func WriteError(w http.ResponseWriter, err error) {
+	WriteErrorBody(w, err, Detail(err))
+}
+
+// WriteErrorBody writes a body that states more about err, with the status and Retry-After of err.
+func WriteErrorBody(w http.ResponseWriter, err error, body any) {
 	typed := laverror.As(err)
 	if typed.RetryAfter > 0 {
 		seconds := int(math.Ceil(typed.RetryAfter.Seconds()))
 		w.Header().Set("Retry-After", strconv.Itoa(seconds))
 	}
 	w.Header().Set(HeaderRunState, string(typed.Run))
-	WriteJSON(w, Status(typed), Detail(err))
+	WriteJSON(w, Status(typed), body)
 }
 
 // Status returns the HTTP status of a typed error.
--- a/core/modules/lavsettings/settings.go
+++ b/core/modules/lavsettings/settings.go
@@ -1,7 +1,6 @@
 package lavsettings
 
 import (
-	"bytes"
 	"encoding/json"
 	"fmt"
 	"os"
@@ -79,10 +78,8 @@
 
 // Decode decodes JSON settings and lists every unknown key and mistyped value as Faults.
 func Decode(data []byte, settings any) error {
-	decoder := json.NewDecoder(bytes.NewReader(data))
-	decoder.DisallowUnknownFields()
-	if err := decoder.Decode(settings); err != nil {
-		return Faults{{Path: "settings", Value: err.Error(), Remedy: "correct the key or value; see docs/SETTINGS.md"}}
+	if err := Inspect(data, settings, "").Err(); err != nil {
+		return err
 	}
-	return nil
+	return errors.Wrap(json.Unmarshal(data, settings), "decode settings; see docs/SETTINGS.md")
 }
--- a/core/services/lavspread/patch.go
+++ b/core/services/lavspread/patch.go
@@ -9,6 +9,7 @@
 
 	jsonpatch "github.com/evanphx/json-patch/v5"
 	"github.com/pkg/errors"
+	"github.com/sourcegraph/conc/panics"
 
 	"lavenderswitch/core/models/lavconfig"
 	"lavenderswitch/core/models/lavid"
@@ -23,6 +24,8 @@
 	// Base is the number that the author saw; zero submits the first configuration.
 	Base       lavid.ConfigNumber
 	Operations json.RawMessage
+	// Force accepts dangerous effects.
+	Force bool
 }
 
 // Build returns the document that a patch gives on its base.
@@ -31,19 +34,49 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "encode configuration")
 	}
-	operations, err := jsonpatch.DecodePatch(patch.Operations)
+	after, err := applyOperations(before, patch.Operations)
+	if err != nil {
+		return nil, err
+	}
+	document, err := lavconfig.Decode(after)
+	if err != nil {
+		return nil, err
+	}
+	document.Number = patch.Base + 1
+	return document, nil
+}
+
+// applyOperations applies a JSON patch; the library panics on some malformed operations.
+func applyOperations(before []byte, patch json.RawMessage) ([]byte, error) {
+	operations, err := jsonpatch.DecodePatch(patch)
 	if err != nil {
 		return nil, laverror.New(laverror.KindBadRequest, "patch is not a JSON patch: "+err.Error(), "send a JSON array of operations")
 	}
-	after, err := operations.Apply(before)
+	options := jsonpatch.NewApplyOptions()
+	options.AccumulatedCopySizeLimit = maxDocumentBytes
+	var after []byte
+	if recovered := panics.Try(func() { after, err = operations.ApplyWithOptions(before, options) }); recovered != nil {
+		return nil, laverror.New(laverror.KindBadRequest, "patch has a malformed operation", "give each operation its op, path and value")
+	}
 	if err != nil {
 		return nil, laverror.New(laverror.KindInvalidConfig, "patch does not apply: "+err.Error(), "read the configuration and correct the paths")
 	}
-	document, err := lavconfig.Decode(after)
+	return after, nil
+}
+
+// BuildChecked returns the document that a patch gives, unless it has faults or dangerous effects that were not asked for.
+func BuildChecked(base *lavconfig.Document, patch Patch) (*lavconfig.Document, error) {
+	base = base.WithTables()
+	document, err := Build(base, patch)
 	if err != nil {
 		return nil, err
 	}
-	document.Number = patch.Base + 1
+	if faults := lavconfig.Check(document); len(faults) > 0 {
+		return nil, lavconfig.ErrInvalid{Faults: faults}
+	}
+	if warnings := lavconfig.Dangers(base, document); len(warnings) > 0 && !patch.Force {
+		return nil, lavconfig.ErrDangerous{Warnings: warnings}
+	}
 	return document, nil
 }
 
@@ -64,7 +97,7 @@
 }
 
 func buildInsert(base *lavconfig.Document, patch Patch, now time.Time) (lavplatform.Insert, error) {
-	document, err := Build(base, patch)
+	document, err := BuildChecked(base, patch)
 	if err != nil {
 		return lavplatform.Insert{}, err
 	}
--- a/entry/routers/lavoperator/router.go
+++ b/entry/routers/lavoperator/router.go
@@ -2,40 +2,30 @@
 
 import (
 	"context"
-	"encoding/json"
 	"expvar"
-	"io"
 	"net/http"
-	"strconv"
-	"strings"
 
-	"github.com/google/uuid"
 	"github.com/julienschmidt/httprouter"
 
-	"lavenderswitch/core/models/lavconfig"
-	"lavenderswitch/core/models/lavid"
 	"lavenderswitch/core/modules/laverror"
 	"lavenderswitch/core/modules/lavhttp"
 	"lavenderswitch/core/modules/lavkey"
-	"lavenderswitch/core/services/lavspread"
+	"lavenderswitch/entry/services/lavoperation"
 )
 
-const maxPatchBytes = 8 << 20
-
-// HeaderPatch carries the patch id, repeated to settle a lost reply.
-const HeaderPatch = "Lavender-Patch"
-
-// Configs reads and changes the configuration.
-type Configs interface {
-	Document() *lavconfig.Document
-	Submit(ctx context.Context, patch lavspread.Patch) (*lavconfig.Document, error)
+// Key is an operator's key.
+type Key struct {
+	// Name is written as the author of patches and settlements.
+	Name string
+	// Hash is the SHA-256 hash of the key in hexadecimal.
+	Hash string
 }
 
 // Router answers operators.
 type Router struct {
-	Configs   Configs
-	KeyHashes []string
-	Dump      http.Handler
+	Service *lavoperation.Service
+	Keys    []Key
+	Dump    http.Handler
 }
 
 // Routes returns the handler of every path; each asks for an operator's key.
@@ -43,68 +33,49 @@
 	router := httprouter.New()
 	router.HandlerFunc(http.MethodGet, "/config", r.config)
 	router.HandlerFunc(http.MethodPatch, "/config", r.patch)
+	router.GET("/config/:number", r.configAt)
+	router.GET("/patches/:id", r.patchStatus)
+	router.HandlerFunc(http.MethodGet, "/fleet", r.fleet)
+	router.HandlerFunc(http.MethodGet, "/rollouts", r.rollouts)
+	router.HandlerFunc(http.MethodGet, "/calls/in-doubt", r.callsInDoubt)
+	router.HandlerFunc(http.MethodPost, "/calls/settle", r.settle)
 	router.Handler(http.MethodGet, "/dump", r.Dump)
 	router.Handler(http.MethodGet, "/debug/vars", expvar.Handler())
+	router.NotFound = http.HandlerFunc(notFound)
+	router.MethodNotAllowed = http.HandlerFunc(notFound)
 	return r.authorize(router)
 }
 
+type operatorKey struct{}
+
 func (r *Router) authorize(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, request *http.Request) {
-		if !lavkey.Matches(lavkey.Bearer(request.Header), r.KeyHashes) {
+		name, ok := r.operator(lavkey.Bearer(request.Header))
+		if !ok {
 			lavhttp.WriteError(w, laverror.New(laverror.KindUnauthorized, "the operator's key is not known", "send Authorization: Bearer with an operator's key"))
 			return
 		}
-		next.ServeHTTP(w, request)
+		next.ServeHTTP(w, request.WithContext(context.WithValue(request.Context(), operatorKey{}, name)))
 	})
 }
 
-func (r *Router) config(w http.ResponseWriter, _ *http.Request) {
-	document := r.Configs.Document()
-	if document == nil {
-		document = &lavconfig.Document{}
-	}
-	w.Header().Set("ETag", etag(document.Number))
-	lavhttp.WriteJSON(w, http.StatusOK, document)
-}
-
-func (r *Router) patch(w http.ResponseWriter, request *http.Request) {
-	patch, err := readPatch(w, request)
-	if err != nil {
-		lavhttp.WriteError(w, err)
-		return
-	}
-	document, err := r.Configs.Submit(request.Context(), patch)
-	if err != nil {
-		lavhttp.WriteError(w, err)
-		return
+// operator returns the name that belongs to a key; it compares with every hash whichever matches.
+func (r *Router) operator(key string) (string, bool) {
+	name, found := "", false
+	for _, known := range r.Keys {
+		if lavkey.Matches(key, []string{known.Hash}) {
+			name, found = known.Name, true
+		}
 	}
-	w.Header().Set("ETag", etag(document.Number))
-	w.Header().Set(HeaderPatch, string(patch.ID))
-	lavhttp.WriteJSON(w, http.StatusOK, PatchReply{Number: document.Number, Patch: patch.ID})
-}
-
-// PatchReply says which configuration a patch became.
-type PatchReply struct {
-	Number lavid.ConfigNumber
-	Patch  lavid.PatchID
+	return name, found
 }
 
-func readPatch(w http.ResponseWriter, request *http.Request) (lavspread.Patch, error) {
-	base, err := strconv.ParseUint(strings.Trim(request.Header.Get("If-Match"), `"`), 10, 64)
-	if err != nil {
-		return lavspread.Patch{}, laverror.New(laverror.KindBadRequest, "If-Match is not a configuration number", "send the number that the patch was made against")
-	}
-	body, err := io.ReadAll(http.MaxBytesReader(w, request.Body, maxPatchBytes))
-	if err != nil {
-		return lavspread.Patch{}, laverror.New(laverror.KindTooLarge, "patch is too large or was cut", "split the patch")
-	}
-	id := request.Header.Get(HeaderPatch)
-	if id == "" {
-		id = uuid.NewString()
-	}
-	return lavspread.Patch{ID: lavid.PatchID(id), Base: lavid.ConfigNumber(base), Operations: json.RawMessage(body)}, nil
+// author returns the name of the operator who sent a request.
+func author(request *http.Request) string {
+	name, _ := request.Context().Value(operatorKey{}).(string)
+	return name
 }
 
-func etag(number lavid.ConfigNumber) string {
-	return strconv.Quote(strconv.FormatUint(uint64(number), 10))
+func notFound(w http.ResponseWriter, request *http.Request) {
+	lavhttp.WriteError(w, laverror.New(laverror.KindNotFound, "there is no "+request.Method+" "+request.URL.Path, "see docs/operators/README.md for the paths"))
 }
--- /dev/null
+++ b/entry/services/lavoperation/diff.go
@@ -0,0 +1,88 @@
+package lavoperation
+
+import (
+	"cmp"
+	"context"
+	"encoding/json"
+	"maps"
+	"reflect"
+	"slices"
+	"strings"
+
+	"github.com/pkg/errors"
+
+	"lavenderswitch/core/models/lavconfig"
+	"lavenderswitch/core/models/lavid"
+)
+
+// Change is one value that differs between two configurations; an absent side was added or removed.
+type Change struct {
+	Path   string
+	Before any `json:",omitempty"`
+	After  any `json:",omitempty"`
+}
+
+// Diff lists the values that differ between two documents.
+func Diff(before, after *lavconfig.Document) ([]Change, error) {
+	old, err := plain(before)
+	if err != nil {
+		return nil, err
+	}
+	changed, err := plain(after)
+	if err != nil {
+		return nil, err
+	}
+	changes := []Change{}
+	compare(&changes, "", old, changed)
+	return changes, nil
+}
+
+// DiffNumbers lists the values that differ between two numbers.
+func (s *Service) DiffNumbers(ctx context.Context, from, to lavid.ConfigNumber) ([]Change, error) {
+	before, err := s.ConfigAt(ctx, from)
+	if err != nil {
+		return nil, err
+	}
+	after, err := s.ConfigAt(ctx, to)
+	if err != nil {
+		return nil, err
+	}
+	return Diff(before, after)
+}
+
+// plain returns the JSON form of a document as maps and values.
+func plain(document *lavconfig.Document) (any, error) {
+	data, err := json.Marshal(document.WithTables())
+	if err != nil {
+		return nil, errors.Wrap(err, "encode configuration")
+	}
+	var value any
+	return value, errors.Wrap(json.Unmarshal(data, &value), "decode configuration")
+}
+
+func compare(changes *[]Change, path string, before, after any) {
+	old, oldIsObject := before.(map[string]any)
+	changed, changedIsObject := after.(map[string]any)
+	if !oldIsObject || !changedIsObject {
+		if !reflect.DeepEqual(before, after) {
+			*changes = append(*changes, Change{Path: path, Before: before, After: after})
+		}
+		return
+	}
+	keys := make(map[string]bool)
+	for key := range old {
+		keys[key] = true
+	}
+	for key := range changed {
+		keys[key] = true
+	}
+	for _, key := range slices.Sorted(maps.Keys(keys)) {
+		compare(changes, path+"/"+escape.Replace(key), old[key], changed[key])
+	}
+}
+
+var escape = strings.NewReplacer("~", "~0", "/", "~1")
+
+func sortedIDs[ID cmp.Ordered, Row any](table map[ID]Row) []ID {
+	return slices.Sorted(maps.Keys(table))
+}
