--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 GOFLAGS_LINK := -ldflags "-X main.version=$(VERSION)"
 export PATH := $(TOOLS):$(PATH)
 
-.PHONY: build test unit race tools lint format generate check-generated tidy clean
+.PHONY: build test unit race tools lint format generate check-generated tidy clean demo up down
 
 build: ## build the four programs into bin/
 	@mkdir -p $(BIN)
@@ -37,7 +37,7 @@
 	cd tools && GOWORK=off go build -o $(TOOLS)/protoc-gen-twirp github.com/twitchtv/twirp/protoc-gen-twirp
 
 lint: tools ## formatter and linter, no change made
-	@for m in $(MODULES); do (cd $$m && golangci-lint run --config ../.golangci.yml ./...) || exit 1; done
+	@for m in $(MODULES); do (cd $$m && golangci-lint run --allow-parallel-runners --config ../.golangci.yml ./...) || exit 1; done
 
 format: tools ## write the formatter's changes
 	@for m in $(MODULES); do (cd $$m && golangci-lint fmt --config ../.golangci.yml ./...) || exit 1; done
@@ -53,5 +53,16 @@
 tidy:
 	@for m in $(MODULES); do (cd $$m && GOWORK=off go mod tidy) || exit 1; done
 
+demo: build ## build all, start a small fleet, show the whole path, stop
+	scripts/demo.sh
+
+up: build ## start the small fleet and leave it running
+	scripts/fleet.sh up
+
+down: ## stop the fleet that make up started
+	scripts/fleet.sh down
+
+-include faults.mk measure.mk capacity.mk
+
 clean:
 	rm -rf $(BIN) .generated
--- /dev/null
+++ b/scripts/demo.sh
@@ -0,0 +1,50 @@
+#!/usr/bin/env bash
+# Shows the whole path on a small fleet of separate processes, then stops it.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+operators=http://127.0.0.1:17401
+other_operators=http://127.0.0.1:17402
+callers=http://127.0.0.1:17301
+other_callers=http://127.0.0.1:17302
+export LAVENDERCTL_ADDRESS=$operators LAVENDERCTL_KEY=operator-key
+
+trap 'scripts/fleet.sh down' EXIT
+title() { printf '\n== %s\n' "$*"; }
+call() { curl -sS -m 20 -H 'Authorization: Bearer caller-key' "$@"; }
+number() { bin/lavenderctl --address "${1:-$operators}" config get --json | python3 -c 'import json,sys; print(json.load(sys.stdin)["Number"])'; }
+
+title "starting the fleet"
+scripts/fleet.sh up
+
+title "models that the account may use"
+call $callers/v1/models; echo
+
+title "a plain request"
+call -D - -o /tmp/lavender-demo-answer -d '{"model":"auto","messages":[{"role":"user","content":"draft a dossier"}]}' $callers/v1/chat/completions | grep -iE '^(HTTP|lavender)'
+head -c 160 /tmp/lavender-demo-answer; echo ' ...'; rm -f /tmp/lavender-demo-answer
+
+title "a streamed request, at the other entry host"
+call -N -d '{"model":"large","stream":true,"messages":[{"role":"user","content":"draft a letter"}]}' $other_callers/v1/chat/completions | sed -n '1p;$!d' 
+call -N -d '{"model":"large","stream":true,"messages":[{"role":"user","content":"draft a letter"}]}' $other_callers/v1/chat/completions | grep -c '^data: ' | sed 's/$/ events, the last is [DONE]/'
+
+title "a call that may not be repeated, sent twice with one key at two entry hosts: it runs once"
+call -H 'Idempotency-Key: claim-4711' -d 'claim' $callers/services/claims/submit; echo
+call -H 'Idempotency-Key: claim-4711' -d 'claim' $other_callers/services/claims/submit; echo
+
+title "patching the configuration under traffic: the large version is withdrawn"
+bin/lavenderfake load --target $callers --target $other_callers --key caller-key --requests 300 --callers 8 --service-part 0.2 --service claims/submit > .run/load.log 2>&1 & load=$!
+sleep 0.5
+base=$(number)
+echo '[{"op":"replace","path":"/Versions/large-1/State","value":"Withdrawn"}]' | bin/lavenderctl config patch --base "$base"
+for _ in $(seq 40); do [ "$(number $other_operators)" -gt "$base" ] && break; sleep 0.1; done
+echo "in force at both entry hosts: $(number) and $(number $other_operators)"
+call -d '{"model":"large-1","messages":[{"role":"user","content":"hello"}]}' $other_callers/v1/chat/completions; echo
+wait $load && tail -n 12 .run/load.log
+
+title "a patch against an old number is refused"
+echo '[{"op":"replace","path":"/Versions/large-1/State","value":"Serving"}]' | bin/lavenderctl config patch --base "$base" || echo "exit code $?"
+
+title "stopping the fleet"
+scripts/fleet.sh down
+trap - EXIT
+echo "done"
--- /dev/null
+++ b/scripts/fleet.sh
@@ -0,0 +1,162 @@
+#!/usr/bin/env bash
+# Starts or stops a small fleet of separate processes on loopback; state is kept in .run/.
+#
+# Usage: scripts/fleet.sh up|down
+set -euo pipefail
+cd "$(dirname "$0")/.."
+run=.run
+platform=127.0.0.1:17000
+operator_key=operator-key
+caller_key=caller-key
+
+hash_of() { printf %s "$1" | sha256sum | cut -d' ' -f1; }
+
+start() {
+  local name=$1
+  shift
+  "$@" >"$run/$name.log" 2>&1 &
+  echo "$! $name" >>"$run/pids"
+}
+
+start_side() {
+  local server=$1 port=$2 backend=$3 centre=$4
+  cat >"$run/side-$server.json" <<JSON
+{
+  "HostID": "side-$server",
+  "DataCentre": "$centre",
+  "BackendServer": "$server",
+  "Address": "127.0.0.1:$port",
+  "BackendAddress": "http://$backend",
+  "PlatformAddress": "http://$platform"
+}
+JSON
+  start "side-$server" bin/lavenderswitch-side run --settings "$run/side-$server.json"
+}
+
+start_entry() {
+  local number=$1 centre=$2
+  cat >"$run/entry-$number.json" <<JSON
+{
+  "HostID": "entry-$number",
+  "DataCentre": "$centre",
+  "CallerAddress": "127.0.0.1:1730$number",
+  "OperatorAddress": "127.0.0.1:1740$number",
+  "PeerAddress": "127.0.0.1:1750$number",
+  "PlatformAddress": "http://$platform",
+  "OperatorKeyHashes": ["$(hash_of $operator_key)"]
+}
+JSON
+  start "entry-$number" bin/lavenderswitch-entry run --settings "$run/entry-$number.json"
+}
+
+list_hosts() {
+  cat <<JSON
+{"Hosts": [
+  {"ID": "entry-1", "Role": "Entry", "Address": "127.0.0.1:17501", "DataCentre": "centre-a"},
+  {"ID": "entry-2", "Role": "Entry", "Address": "127.0.0.1:17502", "DataCentre": "centre-b"},
+  {"ID": "side-engine-1", "Role": "Side", "Address": "127.0.0.1:17201", "DataCentre": "centre-a", "BackendServer": "engine-1"},
+  {"ID": "side-engine-2", "Role": "Side", "Address": "127.0.0.1:17202", "DataCentre": "centre-b", "BackendServer": "engine-2"},
+  {"ID": "side-engine-3", "Role": "Side", "Address": "127.0.0.1:17203", "DataCentre": "centre-a", "BackendServer": "engine-3"},
+  {"ID": "side-claims-1", "Role": "Side", "Address": "127.0.0.1:17204", "DataCentre": "centre-a", "BackendServer": "claims-1"},
+  {"ID": "side-claims-2", "Role": "Side", "Address": "127.0.0.1:17205", "DataCentre": "centre-b", "BackendServer": "claims-2"}
+]}
+JSON
+}
+
+first_configuration() {
+  cat <<JSON
+[
+  {"op": "add", "path": "/DataCentres/centre-a", "value": {"Region": "north", "State": "InService"}},
+  {"op": "add", "path": "/DataCentres/centre-b", "value": {"Region": "north", "State": "InService"}},
+  {"op": "add", "path": "/Versions/small-1", "value": {"Model": "small", "State": "Serving", "InputPrice": 100, "OutputPrice": 200, "ExpectedQuality": 0.85}},
+  {"op": "add", "path": "/Versions/large-1", "value": {"Model": "large", "State": "Serving", "InputPrice": 1000, "OutputPrice": 2000, "ExpectedQuality": 0.97}},
+  {"op": "add", "path": "/Services/claims", "value": {"Calls": {
+    "submit": {"Method": "POST", "Path": "/submit", "Idempotent": false, "Price": 5000},
+    "status": {"Method": "GET", "Path": "/status", "Idempotent": true, "Price": 10}}}},
+  {"op": "add", "path": "/ClientAccounts/demo", "value": {
+    "KeyHashes": ["$(hash_of $caller_key)"],
+    "AllowedVersions": ["small-1", "large-1"],
+    "AllowedServices": ["claims"],
+    "QualityTarget": 0.9, "Weight": 1, "MaxConcurrent": 200}},
+  {"op": "add", "path": "/BackendServers/engine-1", "value": {"DataCentre": "centre-a", "SideAddress": "127.0.0.1:17201", "State": "InService", "Versions": ["small-1"], "MemoryVersions": 2, "MaxRunning": 32}},
+  {"op": "add", "path": "/BackendServers/engine-2", "value": {"DataCentre": "centre-b", "SideAddress": "127.0.0.1:17202", "State": "InService", "Versions": ["small-1", "large-1"], "MemoryVersions": 2, "MaxRunning": 32}},
+  {"op": "add", "path": "/BackendServers/engine-3", "value": {"DataCentre": "centre-a", "SideAddress": "127.0.0.1:17203", "State": "InService", "Versions": ["large-1"], "MemoryVersions": 2, "MaxRunning": 32}},
+  {"op": "add", "path": "/BackendServers/claims-1", "value": {"DataCentre": "centre-a", "SideAddress": "127.0.0.1:17204", "State": "InService", "Service": "claims", "MaxRunning": 32}},
+  {"op": "add", "path": "/BackendServers/claims-2", "value": {"DataCentre": "centre-b", "SideAddress": "127.0.0.1:17205", "State": "InService", "Service": "claims", "MaxRunning": 32}}
+]
+JSON
+}
+
+wait_until() {
+  local what=$1
+  shift
+  for _ in $(seq 100); do
+    if "$@" >/dev/null 2>&1; then return; fi
+    sleep 0.1
+  done
+  echo "$what did not come up; see the logs in $run/" >&2
+  exit 1
+}
+
+ready() { curl -fsS -m 1 "http://127.0.0.1:1730$1/ready"; }
+
+# answers succeeds once the whole path takes a request.
+answers() {
+  curl -fsS -m 2 -H "Authorization: Bearer $caller_key" -d '{"model":"auto","messages":[{"role":"user","content":"are you there"}]}' "http://127.0.0.1:1730$1/v1/chat/completions"
+}
+
+up() {
+  trap down ERR
+  if [ -s "$run/pids" ]; then
+    echo "a fleet is already running; stop it with: make down" >&2
+    exit 1
+  fi
+  mkdir -p "$run"
+  start platform bin/lavenderfake platform --address $platform --rating-delay 20ms
+  for number in 1 2 3; do
+    start "engine-$number" bin/lavenderfake engine --address "127.0.0.1:1710$number" --version small-1 --version large-1 \
+      --quality small-1=0.85 --quality large-1=0.97
+  done
+  start claims-1 bin/lavenderfake service --address 127.0.0.1:17104
+  start claims-2 bin/lavenderfake service --address 127.0.0.1:17105
+  wait_until platform curl -fsS -m 1 "http://$platform/hosts"
+  list_hosts | curl -fsS -X PUT --data @- "http://$platform/hosts" >/dev/null
+  start_side engine-1 17201 127.0.0.1:17101 centre-a
+  start_side engine-2 17202 127.0.0.1:17102 centre-b
+  start_side engine-3 17203 127.0.0.1:17103 centre-a
+  start_side claims-1 17204 127.0.0.1:17104 centre-a
+  start_side claims-2 17205 127.0.0.1:17105 centre-b
+  start_entry 1 centre-a
+  start_entry 2 centre-b
+  wait_until "operators' listener" curl -fsS -m 1 -H "Authorization: Bearer $operator_key" http://127.0.0.1:17401/config
+  first_configuration | bin/lavenderctl --address http://127.0.0.1:17401 --key $operator_key config patch --base 0
+  wait_until entry-1 ready 1
+  wait_until entry-2 ready 2
+  wait_until "whole path at entry-1" answers 1
+  wait_until "whole path at entry-2" answers 2
+  echo "fleet is up: callers http://127.0.0.1:17301 and :17302 (key $caller_key), operators http://127.0.0.1:17401 and :17402 (key $operator_key)"
+}
+
+# down ends the processes in reverse order, so that entry hosts and side processes can finish their work.
+down() {
+  [ -f "$run/pids" ] || return 0
+  local pid name
+  while read -r pid name; do
+    kill -TERM "$pid" 2>/dev/null || continue
+    for _ in $(seq 100); do
+      kill -0 "$pid" 2>/dev/null || break
+      sleep 0.1
+    done
+    if kill -0 "$pid" 2>/dev/null; then
+      echo "$name did not end in 10 s; ending it by force" >&2
+      kill -KILL "$pid"
+    fi
+  done < <(tac "$run/pids")
+  rm -f "$run/pids"
+}
+
+case "${1:-}" in
+  up) up ;;
+  down) down ;;
+  *) echo "usage: scripts/fleet.sh up|down" >&2; exit 2 ;;
+esac
