--- /dev/null
+++ b/tests/cmd/lavspread/fleet.go
@@ -0,0 +1,205 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"github.com/sourcegraph/conc"
+
+	"lavenderswitch/core/models/lavid"
+	"lavenderswitch/core/modules/lavhttp"
+	"lavenderswitch/core/modules/lavplatform"
+	"lavenderswitch/core/services/lavmembership"
+	"lavenderswitch/core/services/lavspread"
+)
+
+// dataCentres is how many data centres the hosts are spread over.
+const dataCentres = 5
+
+// host is one process's part that keeps the configuration.
+type host struct {
+	current  *lavspread.Current
+	spreader *lavspread.Spreader
+	table    *lavmembership.Table
+	server   *lavhttp.Server
+	dead     bool
+	end      context.CancelFunc
+}
+
+// fleet is a number of hosts in this process.
+type fleet struct {
+	store *store
+	hosts []*host
+	bytes atomic.Int64
+	parts conc.WaitGroup
+}
+
+// countingConn adds the bytes of a connection to a total.
+type countingConn struct {
+	net.Conn
+	total *atomic.Int64
+}
+
+// Read counts the bytes read.
+func (c countingConn) Read(data []byte) (int, error) {
+	count, err := c.Conn.Read(data)
+	c.total.Add(int64(count))
+	return count, err
+}
+
+// Write counts the bytes written.
+func (c countingConn) Write(data []byte) (int, error) {
+	count, err := c.Conn.Write(data)
+	c.total.Add(int64(count))
+	return count, err
+}
+
+// lateHandler lets a listener be opened before its handler is known.
+type lateHandler struct{ handler http.Handler }
+
+// ServeHTTP passes the request on.
+func (l *lateHandler) ServeHTTP(w http.ResponseWriter, request *http.Request) {
+	l.handler.ServeHTTP(w, request)
+}
+
+func startFleet(ctx context.Context, count int) (*fleet, error) {
+	f := &fleet{store: newStore()}
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	listed := make([]lavplatform.Host, 0, count)
+	for i := range count {
+		late := &lateHandler{}
+		server, err := lavhttp.Listen(ctx, "127.0.0.1:0", late, nil, lavhttp.DefaultLimits())
+		if err != nil {
+			return nil, err
+		}
+		row := lavplatform.Host{
+			ID:         lavid.HostID(fmt.Sprint("host-", i)),
+			Role:       role(i),
+			Address:    server.Address(),
+			DataCentre: dataCentre(i),
+		}
+		listed = append(listed, row)
+		self := lavmembership.Member{ID: row.ID, Role: row.Role, Address: row.Address, DataCentre: row.DataCentre}
+		h := &host{current: lavspread.NewCurrent(), table: lavmembership.New(self), server: server}
+		h.spreader = lavspread.New(lavspread.Options{
+			Rows: f.store, Peers: h.table, Current: h.current, Client: f.client(), Scheme: "http://", Log: log,
+		})
+		late.handler = h.spreader.Handler()
+		f.hosts = append(f.hosts, h)
+	}
+	for _, h := range f.hosts {
+		h.table.Merge(listed, time.Now())
+		running, end := context.WithCancel(ctx)
+		h.end = end
+		f.parts.Go(func() { _ = h.server.Serve() })
+		f.parts.Go(func() { h.spreader.Run(running) })
+	}
+	return f, nil
+}
+
+func role(i int) lavplatform.HostRole {
+	if i%5 < 2 {
+		return lavplatform.RoleEntry
+	}
+	return lavplatform.RoleSide
+}
+
+func dataCentre(i int) lavid.DataCentreID {
+	return lavid.DataCentreID(fmt.Sprint("dc-", i%dataCentres))
+}
+
+func (f *fleet) client() *http.Client {
+	client := lavspread.NewHTTPClient(nil)
+	dialer := &net.Dialer{}
+	client.Transport.(*http.Transport).DialContext = func(ctx context.Context, network, address string) (net.Conn, error) {
+		conn, err := dialer.DialContext(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		return countingConn{conn, &f.bytes}, nil
+	}
+	return client
+}
+
+// kill ends a host as a crash would.
+func (h *host) kill(ctx context.Context) {
+	h.dead = true
+	h.end()
+	_ = h.server.Shutdown(ctx)
+}
+
+func (f *fleet) stop(ctx context.Context) {
+	for _, h := range f.hosts {
+		h.kill(ctx)
+	}
+	f.parts.Wait()
+}
+
+// await returns the time until every live host may decide under a number, or a negative time when that takes too long.
+func (f *fleet) await(number lavid.ConfigNumber, since time.Time, limit time.Duration) time.Duration {
+	for time.Since(since) < limit {
+		if f.share(number) == 1 {
+			return time.Since(since)
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+	return -1
+}
+
+// share returns the part of the live hosts that may decide under a number now.
+func (f *fleet) share(number lavid.ConfigNumber) float64 {
+	live, have := 0, 0
+	now := time.Now()
+	for _, h := range f.hosts {
+		if h.dead {
+			continue
+		}
+		live++
+		if document := h.current.InForce(now); document != nil && document.Number >= number {
+			have++
+		}
+	}
+	return float64(have) / float64(live)
+}
+
+// firstDocument returns a patch that makes a configuration of the size to design for.
+func firstDocument(servers int) json.RawMessage {
+	type operation struct {
+		Op    string `json:"op"`
+		Path  string `json:"path"`
+		Value any    `json:"value"`
+	}
+	var operations []operation
+	add := func(path string, value any) { operations = append(operations, operation{"add", path, value}) }
+	for i := range dataCentres {
+		add("/DataCentres/"+string(dataCentre(i)), map[string]any{"Region": fmt.Sprint("region-", i%2), "State": "InService"})
+	}
+	for i := range 15 {
+		add(fmt.Sprint("/Versions/model-", i), map[string]any{"Model": fmt.Sprint("model-", i/3), "State": "Serving", "InputPrice": 1, "OutputPrice": 2, "ExpectedQuality": 0.9})
+	}
+	for i := range servers {
+		add(fmt.Sprint("/BackendServers/engine-", i), map[string]any{
+			"DataCentre": dataCentre(i), "SideAddress": fmt.Sprintf("10.%d.%d.%d:7200", i/250, i%250, i%17+1), "State": "InService",
+			"Versions": []string{fmt.Sprint("model-", i%15)}, "MemoryVersions": 2, "MaxRunning": 32,
+		})
+	}
+	for i := range 20 {
+		add(fmt.Sprint("/ClientAccounts/account-", i), map[string]any{
+			"KeyHashes":       []string{fmt.Sprintf("%064x", i+1)},
+			"AllowedVersions": []string{"model-0", "model-3", "model-6"}, "QualityTarget": 0.8, "Weight": 1, "MaxConcurrent": 100, "MaxBodyBytes": 1 << 20,
+		})
+	}
+	data, err := json.Marshal(operations)
+	if err != nil {
+		panic(err)
+	}
+	return data
+}
--- /dev/null
+++ b/tests/cmd/lavspread/main.go
@@ -0,0 +1,176 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math"
+	"os"
+	"slices"
+	"syscall"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/urfave/cli/v3"
+
+	"lavenderswitch/core/models/lavid"
+	"lavenderswitch/core/services/lavspread"
+)
+
+const (
+	steadyTime   = 8 * time.Second
+	outageTime   = 8 * time.Second
+	spreadLimit  = 20 * time.Second
+	deadPart     = 20
+	designHosts  = 1020
+	designServer = 600
+)
+
+// result is what one fleet showed.
+type result struct {
+	hosts         int
+	bytesPerHost  float64
+	readsPerSec   float64
+	cpuShare      float64
+	ageMax        time.Duration
+	spreads       []time.Duration
+	outageSpread  time.Duration
+	outageInForce float64
+}
+
+func main() {
+	command := &cli.Command{
+		Name:  "lavspread",
+		Usage: "measure the spread of a configuration over hosts on the loopback interface",
+		Flags: []cli.Flag{
+			&cli.IntSliceFlag{Name: "hosts", Usage: "sizes of the fleet", Value: []int{50, 100, 200, 400}},
+			&cli.IntFlag{Name: "changes", Usage: "changes in each fleet", Value: 5},
+		},
+		Action: func(ctx context.Context, command *cli.Command) error {
+			return measureAll(ctx, command.Root().Writer, command.IntSlice("hosts"), command.Int("changes"))
+		},
+	}
+	if err := command.Run(context.Background(), os.Args); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+}
+
+func measureAll(ctx context.Context, out io.Writer, sizes []int, changes int) error {
+	fmt.Fprintln(out, "hosts  bytes/s/host  reads/s  core/host  oldest evidence  in force after (median, worst)  outage and 1 in 20 dead  in force in outage")
+	var results []result
+	for _, size := range sizes {
+		r, err := measure(ctx, size, changes)
+		if err != nil {
+			return err
+		}
+		results = append(results, r)
+		slices.Sort(r.spreads)
+		fmt.Fprintf(out, "%5d  %12.0f  %7.1f  %8.3f%%  %15v  %13v %15v  %23v  %17.4f\n", r.hosts, r.bytesPerHost, r.readsPerSec, 100*r.cpuShare,
+			r.ageMax.Round(time.Millisecond), r.spreads[len(r.spreads)/2].Round(time.Millisecond), r.spreads[len(r.spreads)-1].Round(time.Millisecond),
+			r.outageSpread.Round(time.Millisecond), r.outageInForce)
+	}
+	if len(results) > 1 {
+		printFit(out, results)
+	}
+	return nil
+}
+
+// printFit shows the worst spread as a line over the logarithm of the number of hosts.
+func printFit(out io.Writer, results []result) {
+	var sumX, sumY, sumXX, sumXY float64
+	for _, r := range results {
+		x, y := math.Log2(float64(r.hosts)), slices.Max(r.spreads).Seconds()
+		sumX, sumY, sumXX, sumXY = sumX+x, sumY+y, sumXX+x*x, sumXY+x*y
+	}
+	n := float64(len(results))
+	slope := (n*sumXY - sumX*sumY) / (n*sumXX - sumX*sumX)
+	offset := (sumY - slope*sumX) / n
+	fmt.Fprintf(out, "worst spread = %.2f s + %.2f s for each doubling; at %d hosts %.2f s\n", offset, slope, designHosts, offset+slope*math.Log2(designHosts))
+}
+
+func measure(ctx context.Context, size, changes int) (result, error) {
+	f, err := startFleet(ctx, size)
+	if err != nil {
+		return result{}, err
+	}
+	defer f.stop(ctx)
+	r := result{hosts: size}
+	first := lavspread.Patch{ID: "first", Operations: firstDocument(designServer)}
+	if _, err := f.hosts[0].spreader.Submit(ctx, first); err != nil {
+		return r, err
+	}
+	if f.await(1, time.Now(), spreadLimit) < 0 {
+		return r, errors.Errorf("first configuration did not reach %d hosts within %v", size, spreadLimit)
+	}
+	time.Sleep(time.Second)
+	f.steady(&r)
+	for i := range changes {
+		spread, err := f.change(ctx, lavid.ConfigNumber(i+1), false)
+		if err != nil {
+			return r, err
+		}
+		r.spreads = append(r.spreads, spread)
+	}
+	for i := range size / deadPart {
+		f.hosts[1+i*deadPart].kill(ctx)
+	}
+	if r.outageSpread, err = f.change(ctx, lavid.ConfigNumber(changes+1), true); err != nil {
+		return r, err
+	}
+	r.outageInForce = f.outage(lavid.ConfigNumber(changes + 1))
+	return r, nil
+}
+
+// steady measures what a host spends while nothing changes.
+func (f *fleet) steady(r *result) {
+	bytes, reads, cpu, start := f.bytes.Load(), f.store.reads.Load(), cpuTime(), time.Now()
+	for time.Since(start) < steadyTime {
+		time.Sleep(100 * time.Millisecond)
+		now := time.Now()
+		for _, h := range f.hosts {
+			r.ageMax = max(r.ageMax, h.current.Age(now))
+		}
+	}
+	seconds := time.Since(start).Seconds()
+	hosts := float64(r.hosts)
+	// Each byte is written by one host and read by another.
+	r.bytesPerHost = 2 * float64(f.bytes.Load()-bytes) / seconds / hosts
+	r.readsPerSec = float64(f.store.reads.Load()-reads) / seconds
+	r.cpuShare = (cpuTime() - cpu).Seconds() / seconds / hosts
+}
+
+// change submits a patch and returns the time from the call until it is in force at every live host; the store may go down right after.
+func (f *fleet) change(ctx context.Context, base lavid.ConfigNumber, outage bool) (time.Duration, error) {
+	operations := fmt.Sprintf(`[{"op":"replace","path":"/BackendServers/engine-%d/State","value":"OutOfService"}]`, base)
+	patch := lavspread.Patch{ID: lavid.PatchID(fmt.Sprint("patch-", base)), Base: base, Operations: json.RawMessage(operations)}
+	start := time.Now()
+	if _, err := f.hosts[0].spreader.Submit(ctx, patch); err != nil {
+		return 0, err
+	}
+	f.store.down.Store(outage)
+	spread := f.await(base+1, start, spreadLimit)
+	if spread < 0 {
+		return 0, errors.Errorf("configuration %d is not everywhere after %v", base+1, spreadLimit)
+	}
+	return spread, nil
+}
+
+// outage returns the mean part of the live hosts that may decide while the store is down.
+func (f *fleet) outage(number lavid.ConfigNumber) float64 {
+	sum, count := 0.0, 0
+	for start := time.Now(); time.Since(start) < outageTime; time.Sleep(50 * time.Millisecond) {
+		sum += f.share(number)
+		count++
+	}
+	return sum / float64(count)
+}
+
+func cpuTime() time.Duration {
+	var usage syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &usage); err != nil {
+		return 0
+	}
+	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
+}
