Measure latency, cold start, data centre and fairness directly

Cause: the decisions on load had unit tests but no figures. Ruled out: absolute times; every row compares policies on the same seeded work against a fake engine driven with its time argument.

--- a/core/services/lavbalance/choose.go
+++ b/core/services/lavbalance/choose.go
@@ -40,6 +40,16 @@
 	return *leastCost(candidates, now), true
 }
 
+// Room tells whether any candidate is expected to take one more attempt.
+func Room(candidates []Candidate, now time.Time) bool {
+	for i := range candidates {
+		if candidates[i].load(now) <= fullLoad {
+			return true
+		}
+	}
+	return false
+}
+
 // local leaves other regions out while this one has room.
 func local(candidates []Candidate, now time.Time) []Candidate {
 	room := false
--- a/core/services/lavqueue/queue.go
+++ b/core/services/lavqueue/queue.go
@@ -101,6 +101,17 @@
 	return expired
 }
 
+// Return puts a popped ticket back in its place, as when the server chosen for it had no room.
+func (q *Queue) Return(ticket *Ticket) {
+	flow := q.flow(ticket.Account)
+	flow.waiting++
+	flow.tokens += ticket.Tokens
+	flow.weight = ticket.weight()
+	flow.last = max(flow.last, ticket.finish)
+	q.tokens += ticket.Tokens
+	q.tickets.push(ticket)
+}
+
 // Remove takes a ticket out before its turn, as when its caller has gone.
 func (q *Queue) Remove(ticket *Ticket) {
 	if q.tickets.remove(ticket) {
--- a/core/services/lavqueue/queue_test.go
+++ b/core/services/lavqueue/queue_test.go
@@ -56,6 +56,18 @@
 	is.True(first.Account == "small" || second.Account == "small")
 }
 
+func TestReturnedTicketKeepsItsPlace(t *testing.T) {
+	is := is.New(t)
+	q := newQueue(100)
+	mustPush(t, q, item("a", 1, time.Hour))
+	mustPush(t, q, item("a", 1, time.Hour))
+	first, _ := q.Pop(start)
+	q.Return(first)
+	again, _ := q.Pop(start)
+	is.Equal(again, first)
+	is.Equal(q.Len(), 1)
+}
+
 func TestRequestThatWouldWaitPastItsDeadlineIsRefusedAtOnce(t *testing.T) {
 	is := is.New(t)
 	q := newQueue(1000)
--- a/tests/cmd/lavmeasure/main.go
+++ b/tests/cmd/lavmeasure/main.go
@@ -11,6 +11,7 @@
 	"github.com/pkg/errors"
 	"github.com/urfave/cli/v3"
 
+	"lavenderswitch/tests/measures/lavload"
 	"lavenderswitch/tests/measures/lavreport"
 )
 
@@ -19,6 +20,7 @@
 // measures lists the measurements in the order in which they are printed.
 func measures() []lavreport.Measure {
 	var all []lavreport.Measure
+	all = append(all, lavload.Measures()...)
 	return all
 }
 
--- /dev/null
+++ b/tests/measures/lavload/cold.go
@@ -0,0 +1,142 @@
+package lavload
+
+import (
+	"time"
+
+	"github.com/sourcegraph/conc/iter"
+
+	"lavenderswitch/tests/measures/lavreport"
+)
+
+const (
+	joinAt       = 25 * time.Second
+	joinLoad     = 1.0
+	turnColdLoad = 0.7
+	joining      = 4
+	// fullUse is the part of a server's later output that counts as full use.
+	fullUse = 0.9
+)
+
+type coldCase struct {
+	name   string
+	load   float64
+	policy policy
+	events []event
+	joined []int
+}
+
+func limits() []policy {
+	var policies []policy
+	for _, kind := range []limitKind{limitMax, limitRamp, limitBears, limitAdaptive} {
+		p := whole()
+		p.limit = kind
+		p.name = string(kind)
+		policies = append(policies, p)
+	}
+	return policies
+}
+
+// ColdStart measures cold servers that join in a surge and warm ones that turn cold without warning.
+func ColdStart(options lavreport.Options) ([]lavreport.Row, error) {
+	f := poolOf(12)
+	rate := capacity(f, unitRate(options.Seed))
+	joined := []int{0, 1, 2, 3}
+	var cases []coldCase
+	for _, p := range limits() {
+		cases = append(cases, coldCase{"4 of 12 join cold", joinLoad, p, []event{{0, leave(joined)}, {joinAt, join(joined)}}, joined})
+	}
+	for _, p := range limits() {
+		cases = append(cases, coldCase{"4 of 12 turn cold", turnColdLoad, p, []event{{joinAt, turnCold(joined)}}, joined})
+	}
+	rows := iter.Map(cases, func(c *coldCase) lavreport.Row {
+		return measureCold(*c, f, rate, options.Seed)
+	})
+	return rows, nil
+}
+
+func measureCold(c coldCase, f fleet, rate float64, seed uint64) lavreport.Row {
+	w := workload{
+		phases:       []phase{{calmLength, calmLoad * rate}, {surgeLength + calmLength, c.load * rate}},
+		accountRates: []float64{1, 1, 1, 1}, prefixes: prefixCount, seed: seed,
+	}
+	r := newRun(c.policy, f, seed, c.events...)
+	r.result.from = epoch.Add(joinAt)
+	t := r.simulate(w).total()
+	falls := 0
+	for _, s := range r.servers {
+		falls += s.engine.falls
+	}
+	row := lavreport.Row{
+		Measure: "cold start (direct)", Case: c.name, Policy: c.policy.name, Seed: seed, Verdict: lavreport.Baseline,
+		Figures: []lavreport.Figure{
+			lavreport.Number("falls", float64(falls), 0),
+			lavreport.Number("full use s", r.timeToFullUse(c.joined), 1),
+			lavreport.Number("first p95 ms", millis(quantile(t.first, tail)), 0),
+			lavreport.Number("between p95 ms", millis(quantile(t.between, tail)), 1),
+			lavreport.Number("good %", percent(t.good, t.offered), 1),
+			lavreport.Number("failed %", percent(t.failed, t.offered), 1),
+		},
+	}
+	if c.policy.limit == limitAdaptive {
+		row.Aim = "no server above what it bears"
+		row.Verdict = lavreport.Judge(falls == 0)
+	}
+	return row
+}
+
+func leave(indexes []int) func(*run, time.Time) {
+	return func(r *run, _ time.Time) {
+		for _, i := range indexes {
+			r.servers[i].out = true
+			r.setKnown(r.servers[i], false)
+		}
+	}
+}
+
+func join(indexes []int) func(*run, time.Time) {
+	return func(r *run, now time.Time) {
+		for _, i := range indexes {
+			s := r.servers[i]
+			s.out = false
+			s.started = now
+			s.engine.turnCold(now)
+			s.limiter.Restart(now)
+			r.setKnown(s, true)
+		}
+	}
+}
+
+func turnCold(indexes []int) func(*run, time.Time) {
+	return func(r *run, now time.Time) {
+		for _, i := range indexes {
+			r.servers[i].engine.turnCold(now)
+		}
+	}
+}
+
+// setKnown tells every entry host whether a server is in the configuration.
+func (r *run) setKnown(s *server, known bool) {
+	for _, e := range r.entries {
+		e.viewOf(s).absent = !known
+	}
+}
+
+// timeToFullUse is the mean time from joining to the first second in which a server gives almost what it gives later.
+func (r *run) timeToFullUse(indexes []int) float64 {
+	begin := int(joinAt / time.Second)
+	last := int((2*calmLength + surgeLength) / time.Second)
+	sum := 0.0
+	for _, i := range indexes {
+		tokens := r.servers[i].bySecond
+		later := 0
+		for second := last - 15; second < last; second++ {
+			later += tokens[second]
+		}
+		full := begin
+		for full < last && float64(tokens[full]) < fullUse*float64(later)/15 {
+			full++
+		}
+		sum += float64(full - begin)
+	}
+	return sum / float64(len(indexes))
+}
--- /dev/null
+++ b/tests/measures/lavload/engine.go
@@ -0,0 +1,190 @@
+package lavload
+
+import (
+	"slices"
+	"time"
+)
+
+// The fake engine batches continuously: prompts are computed in order, while all answers advance together.
+const (
+	stepTime       = 5 * time.Millisecond
+	maxBatch       = 64
+	promptRate     = 20000.0
+	promptShare    = 0.5
+	promptSlack    = 0.75
+	stepBase       = 0.010
+	stepPerRequest = 0.0008
+	cachedCost     = 0.2
+	coldSpeed      = 0.25
+	coldBears      = 3
+	warmTime       = 8 * time.Second
+	restartTime    = 3 * time.Second
+	cachedPrefixes = 40
+)
+
+type request struct {
+	id         int
+	account    int
+	prompt     float64
+	output     int
+	prefix     int
+	arrived    time.Time
+	deadline   time.Time
+	promptLeft float64
+	produced   float64
+	first      time.Time
+	last       time.Time
+	entry      *entry
+	permit     permit
+	ticket     ticketRef
+	tried      int
+}
+
+// engine is a fake of one model engine with its time as an argument.
+type engine struct {
+	speed    float64
+	prompts  []*request
+	answers  []*request
+	warmth   float64
+	coldFrom time.Time
+	sinceHot int
+	downTill time.Time
+	falls    int
+	cache    []int
+}
+
+// bears is how many requests admitted since it was cold the engine can carry.
+func (e *engine) bears() int {
+	return coldBears + int(e.warmth*maxBatch)
+}
+
+func (e *engine) running() int {
+	return len(e.prompts) + len(e.answers)
+}
+
+func (e *engine) turnCold(now time.Time) {
+	e.warmth = 0
+	e.coldFrom = now
+	e.sinceHot = 0
+	e.cache = nil
+}
+
+// take accepts a request; an engine that can't bear it falls over and returns all it had.
+func (e *engine) take(r *request, now time.Time) []*request {
+	r.promptLeft = r.prompt
+	if e.cached(r.prefix) {
+		r.promptLeft = r.prompt * cachedCost
+	}
+	e.prompts = append(e.prompts, r)
+	if e.warmth >= 1 {
+		return nil
+	}
+	e.sinceHot++
+	if e.sinceHot <= e.bears() {
+		return nil
+	}
+	return e.fall(now)
+}
+
+func (e *engine) fall(now time.Time) []*request {
+	lost := slices.Concat(e.prompts, e.answers)
+	e.prompts, e.answers = nil, nil
+	e.falls++
+	e.turnCold(now)
+	e.downTill = now.Add(restartTime)
+	return lost
+}
+
+func (e *engine) down(now time.Time) bool {
+	return now.Before(e.downTill)
+}
+
+// step advances the engine and returns the requests that got tokens and those that ended.
+func (e *engine) step(now time.Time) (progressed, ended []*request) {
+	if e.down(now) {
+		return nil, nil
+	}
+	e.warm(now)
+	speed := e.speed * (coldSpeed + (1-coldSpeed)*e.warmth)
+	progressed = e.stepPrompts(speed)
+	share := 1.0
+	if len(e.prompts) > 0 {
+		share = 1 - promptShare
+	}
+	rate := speed * share / (stepBase + stepPerRequest*float64(len(e.answers)))
+	kept := e.answers[:0]
+	for _, r := range e.answers {
+		before := int(r.produced)
+		r.produced += rate * stepTime.Seconds()
+		if int(r.produced) > before {
+			progressed = append(progressed, r)
+		}
+		if int(r.produced) >= r.output {
+			ended = append(ended, r)
+			e.end(r)
+			continue
+		}
+		kept = append(kept, r)
+	}
+	e.answers = kept
+	return progressed, ended
+}
+
+func (e *engine) end(r *request) {
+	e.store(r.prefix)
+	if e.sinceHot > 0 {
+		e.sinceHot--
+	}
+}
+
+func (e *engine) warm(now time.Time) {
+	if e.warmth >= 1 {
+		return
+	}
+	e.warmth = min(1, now.Sub(e.coldFrom).Seconds()/warmTime.Seconds())
+}
+
+// stepPrompts computes prompts in order and moves those that are done to the batch.
+func (e *engine) stepPrompts(speed float64) []*request {
+	budget := promptRate * speed * stepTime.Seconds()
+	if len(e.answers) > 0 {
+		budget *= promptShare
+	}
+	var started []*request
+	for len(e.prompts) > 0 && len(e.answers) < maxBatch && budget > 0 {
+		r := e.prompts[0]
+		spent := min(budget, r.promptLeft)
+		r.promptLeft -= spent
+		budget -= spent
+		if r.promptLeft > 0 {
+			break
+		}
+		e.prompts = e.prompts[1:]
+		r.produced = 1
+		e.answers = append(e.answers, r)
+		started = append(started, r)
+	}
+	return started
+}
+
+func (e *engine) cached(prefix int) bool {
+	return slices.Contains(e.cache, prefix)
+}
+
+// store keeps the most recently used prefixes.
+func (e *engine) store(prefix int) {
+	kept := []int{prefix}
+	for _, known := range e.cache {
+		if known != prefix && len(kept) < cachedPrefixes {
+			kept = append(kept, known)
+		}
+	}
+	e.cache = kept
+}
+
+// safe is the largest number of requests that neither falls over nor passes the target between tokens.
+func (e *engine) safe() int {
+	speed := e.speed * (coldSpeed + (1-coldSpeed)*e.warmth)
+	fits := (betweenTokensTarget.Seconds()*speed*promptSlack - stepBase) / stepPerRequest
+	return max(1, min(int(fits), e.bears()-1))
+}
--- /dev/null
+++ b/tests/measures/lavload/latency.go
@@ -0,0 +1,141 @@
+package lavload
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/sourcegraph/conc/iter"
+
+	"lavenderswitch/tests/measures/lavreport"
+)
+
+const (
+	calmLength  = 15 * time.Second
+	surgeLength = 40 * time.Second
+	calmLoad    = 0.3
+	entryHosts  = 4
+	prefixCount = 200
+)
+
+// unlikeSpeeds are the relative speeds of the servers of a pool.
+func unlikeSpeeds(count int) []float64 {
+	kinds := []float64{1.3, 1.0, 0.8, 0.6}
+	speeds := make([]float64, 0, count)
+	for i := range count {
+		speeds = append(speeds, kinds[i%len(kinds)])
+	}
+	return speeds
+}
+
+func poolOf(count int) fleet {
+	return fleet{speeds: unlikeSpeeds(count), dataCentres: 3, entries: entryHosts}
+}
+
+// unitRate finds the highest rate that one server of speed one carries alone within both targets.
+func unitRate(seed uint64) float64 {
+	low, high := 1.0, 40.0
+	for range 8 {
+		rate := (low + high) / 2
+		single := newRun(baseline(chooseRandom), fleet{speeds: []float64{1}, dataCentres: 1, entries: 1}, seed)
+		t := single.simulate(evenWorkload(rate, 60*time.Second, seed)).total()
+		met := t.refused == 0 && quantile(t.first, tail) <= firstTokenTarget && quantile(t.between, tail) <= betweenTokensTarget
+		if met {
+			low = rate
+		} else {
+			high = rate
+		}
+	}
+	return low
+}
+
+func evenWorkload(rate float64, length time.Duration, seed uint64) workload {
+	return workload{phases: []phase{{length, rate}}, accountRates: []float64{1, 1, 1, 1}, prefixes: prefixCount, seed: seed}
+}
+
+func capacity(f fleet, unit float64) float64 {
+	sum := 0.0
+	for _, speed := range f.speeds {
+		sum += speed * unit
+	}
+	return sum
+}
+
+type latencyCase struct {
+	load   float64
+	policy policy
+}
+
+// Latency measures calm and surge at parts of the pool's capacity on servers of unlike speed.
+func Latency(options lavreport.Options) ([]lavreport.Row, error) {
+	f := poolOf(12)
+	rate := capacity(f, unitRate(options.Seed))
+	policies := []policy{baseline(chooseRandom), baseline(chooseRobin), baseline(chooseLeast), whole()}
+	var cases []latencyCase
+	for _, load := range []float64{0.5, 0.8, 1.0, 1.5} {
+		for _, p := range policies {
+			cases = append(cases, latencyCase{load, p})
+		}
+	}
+	tallies := iter.Map(cases, func(c *latencyCase) *tally {
+		w := workload{
+			phases:       []phase{{calmLength, calmLoad * rate}, {surgeLength, c.load * rate}},
+			accountRates: []float64{1, 1, 1, 1}, prefixes: prefixCount, seed: options.Seed,
+		}
+		r := newRun(c.policy, f, options.Seed)
+		r.result.from = epoch.Add(calmLength)
+		return r.simulate(w).total()
+	})
+	return latencyRows(cases, tallies, options.Seed), nil
+}
+
+func latencyRows(cases []latencyCase, tallies []*tally, seed uint64) []lavreport.Row {
+	goodAtOne := map[string]float64{}
+	var rows []lavreport.Row
+	for i, c := range cases {
+		t := tallies[i]
+		goodput := float64(t.good) / surgeLength.Seconds()
+		if c.load == 1.0 {
+			goodAtOne[c.policy.name] = goodput
+		}
+		row := lavreport.Row{
+			Measure: "latency (direct)", Case: fmt.Sprintf("surge to %.1fx", c.load), Policy: c.policy.name, Seed: seed,
+			Verdict: lavreport.Baseline,
+			Figures: append(latencyFigures(t), lavreport.Number("goodput/s", goodput, 1)),
+		}
+		if c.policy.name == whole().name {
+			judgeLatency(&row, c.load, t, goodput, goodAtOne[c.policy.name])
+		}
+		rows = append(rows, row)
+	}
+	return rows
+}
+
+func judgeLatency(row *lavreport.Row, load float64, t *tally, goodput, atOne float64) {
+	if load > 1 {
+		row.Aim = "goodput at least 0.95 of 1.0x"
+		row.Figures = append(row.Figures, lavreport.Number("of 1.0x", goodput/atOne, 3))
+		row.Verdict = lavreport.Judge(goodput >= 0.95*atOne)
+		return
+	}
+	row.Aim = "p95 within 1.7 s and 48 ms"
+	met := quantile(t.first, tail) <= firstTokenTarget && quantile(t.between, tail) <= betweenTokensTarget
+	row.Verdict = lavreport.Judge(met)
+}
+
+func latencyFigures(t *tally) []lavreport.Figure {
+	return []lavreport.Figure{
+		lavreport.Number("first p50 ms", millis(quantile(t.first, middle)), 0),
+		lavreport.Number("first p95 ms", millis(quantile(t.first, tail)), 0),
+		lavreport.Number("between p95 ms", millis(quantile(t.between, tail)), 1),
+		lavreport.Number("refused %", percent(t.refused, t.offered), 1),
+		lavreport.Number("failed %", percent(t.failed, t.offered), 1),
+	}
+}
+
+func millis(d time.Duration) float64 {
+	return float64(d) / float64(time.Millisecond)
+}
+
+func percent(part, whole int) float64 {
+	return 100 * float64(part) / float64(max(whole, 1))
+}
--- /dev/null
+++ b/tests/measures/lavload/measures.go
@@ -0,0 +1,13 @@
+package lavload
+
+import "lavenderswitch/tests/measures/lavreport"
+
+// Measures lists the measurements of the decisions on load.
+func Measures() []lavreport.Measure {
+	return []lavreport.Measure{
+		{Name: "latency", Run: Latency},
+		{Name: "cold start", Run: ColdStart},
+		{Name: "data centre", Run: DataCentre},
+		{Name: "fairness", Run: Fairness},
+	}
+}
--- /dev/null
+++ b/tests/measures/lavload/run.go
@@ -0,0 +1,232 @@
+package lavload
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"time"
+
+	"lavenderswitch/core/models/lavid"
+	"lavenderswitch/core/services/lavlimit"
+	"lavenderswitch/core/services/lavqueue"
+)
+
+// fleet describes the servers and entry hosts of one run.
+type fleet struct {
+	speeds      []float64
+	dataCentres int
+	entries     int
+}
+
+// event changes the fleet at a time of the run.
+type event struct {
+	at   time.Duration
+	done func(r *run, now time.Time)
+}
+
+// run is one policy under one workload.
+type run struct {
+	policy  policy
+	servers []*server
+	entries []*entry
+	events  []event
+	pending []delivery
+	result  *result
+}
+
+// delivery is a load report on its way to an entry host.
+type delivery struct {
+	entry *entry
+	view  *view
+}
+
+const (
+	drainTime      = 30 * time.Second
+	reportInterval = 100 * time.Millisecond
+)
+
+func newRun(p policy, f fleet, seed uint64, events ...event) *run {
+	r := &run{policy: p, events: events, result: newResult()}
+	for i, speed := range f.speeds {
+		r.servers = append(r.servers, newServer(i, f.dataCentres, speed, p.limit, epoch))
+	}
+	for i := range f.entries {
+		id := lavid.HostID(fmt.Sprintf("entry-%d", i))
+		r.entries = append(r.entries, newEntry(id, centre(i%f.dataCentres), p, r.servers, seed, epoch))
+	}
+	return r
+}
+
+func (r *run) simulate(w workload) *result {
+	requests := w.generate()
+	end := epoch.Add(w.length() + drainTime)
+	lastReport := epoch
+	for now := epoch; now.Before(end); now = now.Add(stepTime) {
+		r.applyEvents(now)
+		r.deliver(now)
+		for len(requests) > 0 && !requests[0].arrived.After(now) {
+			r.arrive(requests[0], now)
+			requests = requests[1:]
+		}
+		for _, s := range r.servers {
+			r.stepServer(s, now)
+		}
+		for _, e := range r.entries {
+			r.pump(e, now)
+		}
+		if now.Sub(lastReport) >= reportInterval {
+			lastReport = now
+			r.heartbeat()
+		}
+	}
+	return r.result
+}
+
+func (r *run) applyEvents(now time.Time) {
+	for len(r.events) > 0 && now.Sub(epoch) >= r.events[0].at {
+		r.events[0].done(r, now)
+		r.events = r.events[1:]
+	}
+}
+
+func (r *run) deliver(now time.Time) {
+	for _, d := range r.pending {
+		d.view.report(now)
+	}
+	r.pending = r.pending[:0]
+}
+
+// heartbeat reports the load of servers to the hosts that have work there.
+func (r *run) heartbeat() {
+	for _, e := range r.entries {
+		for _, v := range e.views {
+			if v.own > 0 {
+				r.pending = append(r.pending, delivery{e, v})
+			}
+		}
+	}
+}
+
+func (r *run) arrive(q *request, now time.Time) {
+	q.entry = r.entries[q.id%len(r.entries)]
+	r.result.offered(q, now)
+	q.entry.budget.First(accountID(q.account), now)
+	if !r.policy.queue {
+		if !r.dispatch(q, now) {
+			r.result.refused(q, now)
+		}
+		return
+	}
+	account := accountID(q.account)
+	if !r.policy.fair {
+		account = "all"
+	}
+	item := lavqueue.Item{Account: account, Tokens: lavid.Tokens(int(q.prompt) + q.output), Deadline: q.deadline, Value: q}
+	ticket, refusal := q.entry.queue.Push(item, now)
+	if refusal != nil {
+		r.result.refused(q, now)
+		return
+	}
+	q.ticket = ticket
+	r.pump(q.entry, now)
+}
+
+func accountID(account int) lavid.AccountID {
+	return lavid.AccountID(fmt.Sprintf("account-%d", account))
+}
+
+// pump dispatches waiting requests while there seems to be room.
+func (r *run) pump(e *entry, now time.Time) {
+	if !r.policy.queue {
+		return
+	}
+	for _, ticket := range e.queue.Expire(now) {
+		r.result.refused(requestOf(ticket), now)
+	}
+	for e.queue.Len() > 0 && e.room(now) {
+		ticket, ok := e.queue.Pop(now)
+		if !ok {
+			return
+		}
+		if !r.dispatch(requestOf(ticket), now) {
+			e.queue.Return(ticket)
+			return
+		}
+		e.queue.Drain(ticket.Tokens, now)
+	}
+}
+
+func requestOf(ticket *lavqueue.Ticket) *request {
+	q, _ := ticket.Value.(*request)
+	return q
+}
+
+// dispatch tries servers until one admits the request.
+func (r *run) dispatch(q *request, now time.Time) bool {
+	excluded := make(map[*server]bool)
+	for range maxTried {
+		v := q.entry.choose(q, excluded, now)
+		if v == nil {
+			return false
+		}
+		if v.server.engine.down(now) {
+			v.health = v.health.Fail(now)
+		}
+		admitted, lost := v.server.admit(q, now)
+		if admitted {
+			v.own++
+			v.ownSince++
+			q.entry.prefixes.Route(v.server.id, prefixKey(q), now)
+		}
+		r.pending = append(r.pending, delivery{q.entry, v})
+		r.lose(v.server, lost, now)
+		if admitted {
+			return true
+		}
+		excluded[v.server] = true
+	}
+	return false
+}
+
+// lose ends requests that an engine dropped; they are repeated within the retry budget.
+func (r *run) lose(s *server, lost []*request, now time.Time) {
+	for _, q := range lost {
+		q.permit.Done(lavlimit.Failed, now)
+		v := q.entry.viewOf(s)
+		v.own--
+		v.health = v.health.Fail(now)
+	}
+	for _, q := range lost {
+		q.tried++
+		q.first = time.Time{}
+		q.produced = 0
+		if q.tried >= maxTried || !q.entry.budget.Spend(accountID(q.account), now) || !r.dispatch(q, now) {
+			r.result.failed(q, now)
+		}
+	}
+}
+
+func (r *run) stepServer(s *server, now time.Time) {
+	s.tick(now)
+	progressed, ended := s.engine.step(now)
+	s.bySecond[int(now.Sub(epoch)/time.Second)] += len(progressed)
+	for _, q := range progressed {
+		if q.first.IsZero() {
+			q.first = now
+		}
+		q.last = now
+		q.permit.Token(1, now)
+	}
+	for _, q := range ended {
+		q.permit.Done(lavlimit.Succeeded, now)
+		v := q.entry.viewOf(s)
+		v.own--
+		v.health = v.health.Succeed(now)
+		r.pending = append(r.pending, delivery{q.entry, v})
+		r.result.ended(q, now)
+	}
+}
+
+func sortEvents(events []event) {
+	slices.SortStableFunc(events, func(a, b event) int { return cmp.Compare(a.at, b.at) })
+}
