Entry: configuration spread and membership

Cause: the entry polled the store for configurations and knew no other entry host, so sessions had one owner.

Change: the entry runs the spreader and the membership table, serves exchanges on its peers' listener, and takes session owners from live members.

--- a/entry/cmd/host.go
+++ b/entry/cmd/host.go
@@ -18,6 +18,7 @@
 	"lavenderswitch/core/services/lavbill"
 	"lavenderswitch/core/services/lavevidence"
 	"lavenderswitch/core/services/lavledger"
+	"lavenderswitch/core/services/lavmembership"
 	"lavenderswitch/core/services/lavplan"
 	"lavenderswitch/core/services/lavretry"
 	"lavenderswitch/core/services/lavsession"
@@ -49,6 +50,8 @@
 	log        *logrus.Logger
 	platform   *lavplatform.Client
 	current    *lavspread.Current
+	members    *lavmembership.Table
+	spreader   *lavspread.Spreader
 	fleet      *lavfleet.Fleet
 	gate       *lavgate.Gate
 	retries    *lavretry.Budget
@@ -83,6 +86,7 @@
 	}
 	h.gate = lavgate.New(h.current, h.fleet)
 	h.peerClient = &http.Client{Transport: lavattempt.NewTransport()}
+	h.addSpread()
 	h.bills = &lavbill.Writer{Pending: lavbill.NewPending(lavbill.MaxPending), Rows: h.platform, Log: log}
 	if err := h.addSessions(); err != nil {
 		return nil, err
@@ -90,7 +94,6 @@
 	h.addService()
 	h.background, h.stop = context.WithCancel(context.Background())
 	h.metrics.Publish("Entry")
-	h.dump.Register("Config", func() any { return h.current.Number() })
 	h.dump.Register("Requests", func() any { return h.traces.Dump() })
 	h.dump.Register("Queues", func() any { return h.gate.Dump() })
 	h.dump.Register("Fleet", func() any { return h.fleet.Dump() })
@@ -99,6 +102,28 @@
 	return h, nil
 }
 
+// addSpread makes the parts that keep the configuration and the list of hosts.
+func (h *host) addSpread() {
+	h.members = lavmembership.New(lavmembership.Member{
+		ID:         h.settings.HostID,
+		Role:       lavplatform.RoleEntry,
+		Address:    h.settings.PeerAddress,
+		DataCentre: h.settings.DataCentre,
+	})
+	h.spreader = lavspread.New(lavspread.Options{
+		Rows:    h.platform,
+		Peers:   h.members,
+		Current: h.current,
+		Client:  lavspread.NewHTTPClient(nil),
+		Scheme:  scheme,
+		Seeds:   h.settings.Seeds,
+		Log:     h.log,
+	})
+	h.spreader.Metrics().Publish("Spread")
+	h.dump.Register("Spread", func() any { return h.spreader.Dump(time.Now()) })
+	h.dump.Register("Hosts", func() any { return h.members.Dump() })
+}
+
 func (h *host) addSessions() error {
 	table, err := lavsession.NewTable(sessionPins)
 	if err != nil {
@@ -141,7 +166,7 @@
 func (h *host) listen(ctx context.Context) error {
 	h.router = &lavcaller.Router{Configs: h.current, Server: h.service, RequestTimeout: h.settings.RequestTimeout.Duration}
 	operators := &lavoperator.Router{Configs: h, KeyHashes: h.settings.OperatorKeyHashes, Dump: h.dump}
-	peers := &lavpeer.Router{Sessions: h.pins, Bills: h.bills}
+	peers := &lavpeer.Router{Sessions: h.pins, Bills: h.bills, Config: h.spreader.Handler()}
 	var err error
 	h.callers, err = lavhttp.Listen(ctx, h.settings.CallerAddress, h.router.Routes(), nil, lavhttp.DefaultLimits())
 	if err != nil {
@@ -162,7 +187,9 @@
 	h.parts.Go(func() { h.bills.Run(h.background) })
 	h.parts.Go(func() { h.pins.Run(h.background) })
 	h.parts.Go(func() { h.gate.Run(h.background) })
-	h.tick(configTick, h.readConfig)
+	poller := &lavmembership.Poller{Table: h.members, List: h.platform, Log: h.log}
+	h.parts.Go(func() { poller.Run(h.background) })
+	h.parts.Go(func() { h.spreader.Run(h.background) })
 	h.tick(loadTick, h.readLoads)
 }
 
@@ -178,12 +205,6 @@
 	h.parts.Go(func() { lavlife.Tick(h.background, interval, step) })
 }
 
-func (h *host) readConfig(now time.Time) {
-	if err := lavspread.ReadNewer(h.background, h.platform, h.current, now); err != nil {
-		h.log.WithError(err).Warning("store gave no configuration; trying again at the next tick")
-	}
-}
-
 // readLoads asks a few servers whose load is unknown or old, so that they can be chosen.
 func (h *host) readLoads(now time.Time) {
 	document := h.current.Document()
@@ -206,9 +227,9 @@
 	}
 }
 
-// Entries returns the live entry hosts.
-func (h *host) Entries(time.Time) []lavring.Member {
-	return []lavring.Member{{ID: h.settings.HostID, DataCentre: h.settings.DataCentre, Address: h.settings.PeerAddress}}
+// Entries returns the live entry hosts, this one included.
+func (h *host) Entries(now time.Time) []lavring.Member {
+	return h.members.Owners(now)
 }
 
 // Document returns the configuration in force here.
@@ -218,21 +239,16 @@
 
 // Submit writes a patch and adopts the configuration that it gives.
 func (h *host) Submit(ctx context.Context, patch lavspread.Patch) (*lavconfig.Document, error) {
-	base := h.current.Document()
-	if base == nil {
-		base = &lavconfig.Document{}
-	}
-	document, err := lavspread.Submit(ctx, h.platform, base, patch)
-	if err != nil {
+	if _, err := h.spreader.Submit(ctx, patch); err != nil {
 		return nil, err
 	}
-	h.current.Adopt(document, time.Now())
-	return document, nil
+	return h.current.Document(), nil
 }
 
 // shutDown ends the listeners once running requests are answered, then writes the last bills.
 func (h *host) shutDown(ctx context.Context) error {
 	h.router.Drain()
+	h.members.Leave()
 	time.Sleep(h.settings.ReadinessDelay.Duration)
 	err := h.callers.Shutdown(ctx)
 	h.stop()
--- a/entry/cmd/run.go
+++ b/entry/cmd/run.go
@@ -52,6 +52,5 @@
 }
 
 const (
-	configTick = 500 * time.Millisecond
-	loadTick   = 200 * time.Millisecond
+	loadTick = 200 * time.Millisecond
 )
--- a/entry/models/lavsetting/settings.go
+++ b/entry/models/lavsetting/settings.go
@@ -21,6 +21,8 @@
 	PeerAddress string
 	// PlatformAddress is the base URL of the platform.
 	PlatformAddress string
+	// Seeds are addresses of other hosts, as IP:port, to ask for the configuration while the platform does not answer.
+	Seeds []string
 	// OperatorKeyHashes holds SHA-256 hashes of operators' keys in hexadecimal.
 	OperatorKeyHashes []string
 	LogLevel          string
@@ -60,6 +62,9 @@
 	checkAddress(&faults, "CallerAddress", s.CallerAddress)
 	checkAddress(&faults, "OperatorAddress", s.OperatorAddress)
 	checkAddress(&faults, "PeerAddress", s.PeerAddress)
+	for _, seed := range s.Seeds {
+		checkAddress(&faults, "Seeds", seed)
+	}
 	parsed, err := url.Parse(s.PlatformAddress)
 	faults.Add(err == nil && parsed.Host != "", "PlatformAddress", s.PlatformAddress, "give a URL such as http://127.0.0.1:7000")
 	faults.Add(len(s.OperatorKeyHashes) > 0, "OperatorKeyHashes", len(s.OperatorKeyHashes), "give the SHA-256 hash of at least one operator's key")
--- a/entry/routers/lavpeer/router.go
+++ b/entry/routers/lavpeer/router.go
@@ -12,6 +12,8 @@
 type Router struct {
 	Sessions lavwire.Sessions
 	Bills    lavwire.Bills
+	// Config answers configuration exchanges.
+	Config http.Handler
 }
 
 // Routes returns the handler of every service.
@@ -19,6 +21,7 @@
 	router := httprouter.New()
 	mount(router, lavwire.NewSessionsServer(r.Sessions))
 	mount(router, lavwire.NewBillsServer(r.Bills))
+	router.Handler(http.MethodPost, lavwire.ConfigPathPrefix+"*method", r.Config)
 	return router
 }
 
