--- a/tests/cmd/lavmeasure/main.go
+++ b/tests/cmd/lavmeasure/main.go
@@ -13,15 +13,17 @@
 
 	"lavenderswitch/tests/measures/lavload"
 	"lavenderswitch/tests/measures/lavreport"
+	"lavenderswitch/tests/measures/quality/lavcost"
 )
 
 const defaultSeed = 20261203
 
 // measures lists the measurements in the order in which they are printed.
 func measures() []lavreport.Measure {
-	var all []lavreport.Measure
-	all = append(all, lavload.Measures()...)
-	return all
+	all := []lavreport.Measure{
+		lavcost.Measure,
+	}
+	return append(all, lavload.Measures()...)
 }
 
 func main() {
