Name the room when the gate takes a queued request

Cause: the queue now tells reserved room from any room. Ruled out: a default in the queue, which hides that reserved requests exist. Conclusion: the gate takes any room until the fleet reports both.

--- a/entry/services/lavgate/gate.go
+++ b/entry/services/lavgate/gate.go
@@ -193,7 +193,7 @@
 	}
 	room := g.rooms.Pool(document, needOf(key), now)
 	for row.passed < room.Room {
-		ticket, ok := row.queue.Pop(now)
+		ticket, ok := row.queue.Pop(lavqueue.AnyRoom, now)
 		if !ok {
 			return
 		}
