--- /dev/null
+++ b/core/services/lavrollout/compare.go
@@ -0,0 +1,71 @@
+package lavrollout
+
+import (
+	"maps"
+	"slices"
+)
+
+// assumedTrials is the weight of an assumed rate against a counted one.
+const assumedTrials = 20
+
+// compare tests a version under roll-out against the one that it replaces.
+func (r Row) compare(own, replaced, usual Blocks, settings Settings) Row {
+	for stratum, block := range own {
+		r.Waiting.add(stratum, block)
+		r.Rated += block.Ratings.Trials
+	}
+	for stratum, block := range replaced {
+		r.Control.add(stratum, block)
+	}
+	failures := newRound(settings.Failures, r.Failures)
+	ratings := newRound(settings.Ratings, r.Ratings)
+	for _, stratum := range sortedStrata(r.Waiting) {
+		tested, control, past := r.Waiting[stratum], r.Control[stratum], usual[stratum]
+		if failures.addTwo(stratum, tested.Failures, control.Failures, past.Failures) {
+			tested.Failures, control.Failures = Sample{}, Sample{}
+		}
+		if ratings.addTwo(stratum, tested.Ratings, control.Ratings, past.Ratings) {
+			tested.Ratings, control.Ratings = Sample{}, Sample{}
+		}
+		r.Waiting[stratum], r.Control[stratum] = tested, control
+	}
+	r.Failures = failures.result()
+	r.Ratings = ratings.result()
+	return r
+}
+
+// watch tests a version against its own past, on the strata that have one.
+func (r Row) watch(own Blocks, shared shifts, settings Settings) Row {
+	failures := newRound(settings.Failures, r.Failures)
+	ratings := newRound(settings.Ratings, r.Ratings)
+	for _, stratum := range sortedStrata(own) {
+		tested, past := own[stratum], r.Past[stratum]
+		failures.addOne(stratum, tested.Failures, past.Failures, shared.failures.highest())
+		ratings.addOne(stratum, tested.Ratings, past.Ratings, shared.ratings.highest())
+		r.Rated += tested.Ratings.Trials
+	}
+	r.Failures = failures.result()
+	r.Ratings = ratings.result()
+	return r
+}
+
+func sortedStrata(blocks Blocks) []Stratum {
+	return slices.Sorted(maps.Keys(blocks))
+}
+
+// remember adds a block to the past, whose weight is capped so that slow change is followed.
+func (b Blocks) remember(own Blocks, limit float64) {
+	for stratum, block := range own {
+		sum := b[stratum].plus(block)
+		sum.Failures = sum.Failures.capped(limit)
+		sum.Ratings = sum.Ratings.capped(limit)
+		b[stratum] = sum
+	}
+}
+
+func (s Sample) capped(limit float64) Sample {
+	if s.Trials <= limit {
+		return s
+	}
+	return Sample{Trials: limit, Bad: s.Bad * limit / s.Trials}
+}
--- /dev/null
+++ b/core/services/lavrollout/scope.go
@@ -0,0 +1,120 @@
+package lavrollout
+
+import (
+	"maps"
+	"math"
+	"slices"
+)
+
+// maxStrata bounds the strata that are tested on their own.
+const maxStrata = 16
+
+// Evidence is what one kind of bad answer says against a version.
+type Evidence struct {
+	// Pooled tests all strata together, and Strata each on its own, so that a fault in one class is not diluted.
+	Pooled Detector
+	Strata map[Stratum]Detector
+}
+
+func newEvidence() Evidence {
+	return Evidence{Strata: make(map[Stratum]Detector)}
+}
+
+// value returns the mean of the pooled test and of those per stratum, which is a test of its own.
+func (e Evidence) value() float64 {
+	if len(e.Strata) == 0 {
+		return e.Pooled.evidence()
+	}
+	sum := 0.0
+	for _, stratum := range slices.Sorted(maps.Keys(e.Strata)) {
+		sum += e.Strata[stratum].evidence()
+	}
+	return (e.Pooled.evidence() + sum/float64(len(e.Strata))) / 2
+}
+
+func (e Evidence) clone() Evidence {
+	if e.Strata == nil {
+		return Evidence{Pooled: e.Pooled, Strata: make(map[Stratum]Detector)}
+	}
+	return Evidence{Pooled: e.Pooled, Strata: maps.Clone(e.Strata)}
+}
+
+// round collects the log likelihood ratios of one tick.
+type round struct {
+	stream   Stream
+	evidence Evidence
+	pooled   []float64
+	trials   float64
+}
+
+func newRound(stream Stream, evidence Evidence) *round {
+	return &round{stream: stream, evidence: evidence, pooled: make([]float64, len(stream.Excesses))}
+}
+
+// addTwo tests a stratum once both samples have trials, and tells whether it did.
+func (r *round) addTwo(stratum Stratum, tested, control, past Sample) bool {
+	if tested.Trials == 0 || control.Trials == 0 {
+		return false
+	}
+	base := past.rate(r.stream.Assumed, assumedTrials)
+	r.add(stratum, tested.Trials, func(excess float64) float64 {
+		return twoSample(tested, control, base, excess)
+	})
+	return true
+}
+
+// addOne tests a stratum against its past, raised by what all other versions suffer now.
+func (r *round) addOne(stratum Stratum, tested, past Sample, shared float64) {
+	if tested.Trials == 0 || past.Trials < r.stream.NeededPast {
+		return
+	}
+	base := past.highest(r.stream.Assumed) + r.stream.Margin + shared
+	r.add(stratum, tested.Trials, func(excess float64) float64 {
+		return oneSample(tested, base, excess)
+	})
+}
+
+func (r *round) add(stratum Stratum, trials float64, ratio func(excess float64) float64) {
+	logs := make([]float64, len(r.stream.Excesses))
+	for i, excess := range r.stream.Excesses {
+		logs[i] = ratio(excess)
+		r.pooled[i] += logs[i]
+	}
+	r.trials += trials
+	detector, known := r.evidence.Strata[stratum]
+	if known || len(r.evidence.Strata) < maxStrata {
+		r.evidence.Strata[stratum] = detector.update(logs, trials, r.stream.Horizon)
+	}
+}
+
+func (r *round) result() Evidence {
+	if r.trials > 0 {
+		r.evidence.Pooled = r.evidence.Pooled.update(r.pooled, r.trials, r.stream.Horizon)
+	}
+	return r.evidence
+}
+
+// shift is how far versions are above their past now.
+type shift struct {
+	trials float64
+	excess float64
+	bad    float64
+}
+
+func (s shift) plus(recent, past Sample, stream Stream) shift {
+	if recent.Trials == 0 || past.Trials < stream.NeededPast {
+		return s
+	}
+	usual := past.rate(stream.Assumed, assumedTrials)
+	return shift{trials: s.trials + recent.Trials, excess: s.excess + recent.Bad - usual*recent.Trials, bad: s.bad + recent.Bad}
+}
+
+// highest returns a shift that the true one is rarely above, and zero without other versions.
+func (s shift) highest() float64 {
+	const deviations = 2
+	if s.trials == 0 {
+		return 0
+	}
+	rate := (s.bad + 1) / (s.trials + 2)
+	return max(0, s.excess/s.trials+deviations*math.Sqrt(rate*(1-rate)/s.trials))
+}
--- /dev/null
+++ b/core/services/lavrollout/state.go
@@ -0,0 +1,165 @@
+package lavrollout
+
+import (
+	"math"
+	"slices"
+	"sync"
+	"time"
+
+	"lavenderswitch/core/models/lavconfig"
+	"lavenderswitch/core/models/lavid"
+	"lavenderswitch/core/services/lavevidence"
+	"lavenderswitch/core/services/lavplan"
+)
+
+// State holds what the owner of some models knows of their versions; it may be lost at any time.
+type State struct {
+	settings Settings
+
+	mu      sync.Mutex
+	rows    map[lavid.VersionID]Row
+	pending pending
+	ticked  time.Time
+}
+
+// NewState returns a state without evidence, under which every roll-out starts at its first share.
+func NewState(settings Settings) *State {
+	return &State{settings: settings, rows: make(map[lavid.VersionID]Row), pending: make(pending)}
+}
+
+// Observe adds counts that a sender reported for the first time.
+func (s *State) Observe(count lavevidence.Count) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	blocks, ok := s.pending[count.Version]
+	if !ok {
+		blocks = make(Blocks)
+		s.pending[count.Version] = blocks
+	}
+	blocks.add(stratumOf(count.Key), blockOf(count.Counts))
+}
+
+// Tick runs the tests over what came in since the last one and returns what they permit.
+func (s *State) Tick(document *lavconfig.Document, now time.Time) lavplan.Exposure {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.follow(document, now)
+	s.refresh(now)
+	for _, id := range s.ids() {
+		s.rows[id] = s.step(document, s.rows[id], now)
+	}
+	s.remember()
+	return s.exposure()
+}
+
+// follow starts a row for each version in use and drops those of the others.
+func (s *State) follow(document *lavconfig.Document, now time.Time) {
+	for id := range s.rows {
+		version, exists := document.Versions[id]
+		if !exists || version.State == lavconfig.VersionWithdrawn {
+			delete(s.rows, id)
+		}
+	}
+	for id, version := range document.Versions {
+		if version.State == lavconfig.VersionWithdrawn {
+			continue
+		}
+		old, known := s.rows[id]
+		if known && old.State == version.State {
+			continue
+		}
+		row := newRow(id, version.State, s.settings, now)
+		if known {
+			row.Past, row.Stopped = old.Past, old.Stopped
+		}
+		s.rows[id] = row
+	}
+}
+
+func (s *State) step(document *lavconfig.Document, row Row, now time.Time) Row {
+	version := document.Versions[row.Version]
+	own := s.pending[row.Version]
+	if row.State != lavconfig.VersionRollingOut {
+		return row.watch(own, s.shared(row.Version), s.settings).judge(s.settings, now)
+	}
+	replaced, known := s.rows[version.Replaces]
+	if !known {
+		row = row.watch(own, s.shared(row.Version), s.settings)
+	} else {
+		row = row.compare(own, s.pending[version.Replaces], replaced.Past, s.settings)
+	}
+	return row.judge(s.settings, now).grow(version, s.settings)
+}
+
+// refresh adds what came in to the recent answers of each version.
+func (s *State) refresh(now time.Time) {
+	factor := 0.0
+	if !s.ticked.IsZero() {
+		factor = math.Exp2(-float64(now.Sub(s.ticked)) / float64(s.settings.RecentHalfLife))
+	}
+	s.ticked = now
+	for id, row := range s.rows {
+		row.Recent.scale(factor)
+		for stratum, block := range s.pending[id] {
+			row.Recent.add(stratum, block)
+		}
+	}
+}
+
+// shifts is how far versions are above their past now, per kind of bad answer.
+type shifts struct {
+	failures shift
+	ratings  shift
+}
+
+// shared returns how far all other versions are above their past, which no single version is to blame for.
+func (s *State) shared(except lavid.VersionID) shifts {
+	var sum shifts
+	for _, id := range s.ids() {
+		row := s.rows[id]
+		if id == except || row.Stopped != ReasonNone {
+			continue
+		}
+		for _, stratum := range sortedStrata(row.Recent) {
+			recent, past := row.Recent[stratum], row.Past[stratum]
+			sum.failures = sum.failures.plus(recent.Failures, past.Failures, s.settings.Failures)
+			sum.ratings = sum.ratings.plus(recent.Ratings, past.Ratings, s.settings.Ratings)
+		}
+	}
+	return sum
+}
+
+// remember adds what came in to the past of the versions that nothing speaks against.
+func (s *State) remember() {
+	for id, own := range s.pending {
+		row, known := s.rows[id]
+		if known && row.Stopped == ReasonNone && row.evidence() < s.settings.Suspicion {
+			row.Past.remember(own, s.settings.PastTrials)
+		}
+	}
+	clear(s.pending)
+}
+
+func (s *State) exposure() lavplan.Exposure {
+	var exposure lavplan.Exposure
+	for _, id := range s.ids() {
+		row := s.rows[id]
+		if row.Stopped != ReasonNone {
+			exposure.Stopped = append(exposure.Stopped, id)
+			continue
+		}
+		if row.State == lavconfig.VersionRollingOut {
+			exposure.Shares = append(exposure.Shares, lavplan.VersionShare{Version: id, Share: row.Share})
+		}
+	}
+	return exposure
+}
+
+func (s *State) ids() []lavid.VersionID {
+	ids := make([]lavid.VersionID, 0, len(s.rows))
+	for id := range s.rows {
+		ids = append(ids, id)
+	}
+	slices.Sort(ids)
+	return ids
+}
--- /dev/null
+++ b/core/services/lavrollout/withdraw.go
@@ -0,0 +1,85 @@
+package lavrollout
+
+import (
+	"encoding/json"
+	"slices"
+	"strings"
+
+	"github.com/pkg/errors"
+
+	"lavenderswitch/core/models/lavconfig"
+	"lavenderswitch/core/models/lavid"
+)
+
+// Withdrawal is a patch that makes stops durable, to be submitted against the configuration number.
+type Withdrawal struct {
+	Base       lavid.ConfigNumber
+	Versions   []lavid.VersionID
+	Operations json.RawMessage
+}
+
+// operation is one operation of a JSON patch, whose format sets the names of the fields.
+type operation struct {
+	Op    string                 `json:"op"`
+	Path  string                 `json:"path"`
+	Value lavconfig.VersionState `json:"value"`
+}
+
+// Withdraw returns the patch that withdraws the stopped versions, and false when there is none to withdraw.
+func Withdraw(document *lavconfig.Document, stopped []lavid.VersionID) (Withdrawal, bool, error) {
+	withdrawal := Withdrawal{Base: document.Number}
+	var operations []operation
+	for _, id := range stopped {
+		if !withdrawable(document, id, withdrawal.Versions) {
+			continue
+		}
+		path := "/Versions/" + escape(string(id)) + "/State"
+		operations = append(operations,
+			operation{Op: "test", Path: path, Value: document.Versions[id].State},
+			operation{Op: "replace", Path: path, Value: lavconfig.VersionWithdrawn},
+		)
+		withdrawal.Versions = append(withdrawal.Versions, id)
+	}
+	if len(operations) == 0 {
+		return Withdrawal{}, false, nil
+	}
+	text, err := json.Marshal(operations)
+	if err != nil {
+		return Withdrawal{}, false, errors.Wrap(err, "encode patch")
+	}
+	withdrawal.Operations = text
+	return withdrawal, true, nil
+}
+
+// withdrawable says whether every account keeps a serving version of the model, unless it had none but the version under roll-out.
+func withdrawable(document *lavconfig.Document, id lavid.VersionID, gone []lavid.VersionID) bool {
+	version, exists := document.Versions[id]
+	if !exists || version.State == lavconfig.VersionWithdrawn {
+		return false
+	}
+	if version.State == lavconfig.VersionRollingOut {
+		return true
+	}
+	for _, account := range document.ClientAccounts {
+		if slices.Contains(account.AllowedVersions, id) && !hasOther(document, account, id, gone) {
+			return false
+		}
+	}
+	return true
+}
+
+func hasOther(document *lavconfig.Document, account lavconfig.ClientAccount, id lavid.VersionID, gone []lavid.VersionID) bool {
+	for _, other := range account.AllowedVersions {
+		version := document.Versions[other]
+		serving := version.State == lavconfig.VersionServing && !slices.Contains(gone, other)
+		if other != id && serving && version.Model == document.Versions[id].Model {
+			return true
+		}
+	}
+	return false
+}
+
+// escape writes a name as a token of a JSON pointer.
+func escape(name string) string {
+	return strings.NewReplacer("~", "~0", "/", "~1").Replace(name)
+}
--- a/tests/cmd/lavmeasure/main.go
+++ b/tests/cmd/lavmeasure/main.go
@@ -13,6 +13,7 @@
 
 	"lavenderswitch/tests/measures/lavreport"
 	"lavenderswitch/tests/measures/quality/lavcost"
+	"lavenderswitch/tests/measures/quality/lavexposure"
 )
 
 const defaultSeed = 20261203
@@ -21,6 +22,7 @@
 func measures() []lavreport.Measure {
 	return []lavreport.Measure{
 		lavcost.Measure,
+		lavexposure.Measure,
 	}
 }
 
--- /dev/null
+++ b/tests/measures/quality/lavexposure/measure.go
@@ -0,0 +1,211 @@
+package lavexposure
+
+import (
+	"fmt"
+	"math"
+	"slices"
+	"time"
+
+	"github.com/sourcegraph/conc/iter"
+
+	"lavenderswitch/core/models/lavid"
+	"lavenderswitch/core/services/lavrollout"
+	"lavenderswitch/tests/measures/lavreport"
+)
+
+// Measure measures exposure to bad versions.
+var Measure = lavreport.Measure{Name: "exposure", Run: run}
+
+const (
+	goodRuns    = 1000
+	badRuns     = 100
+	servingRuns = 300
+	// workers bounds the processors used, since the machine may be shared.
+	workers = 4
+	// falseStopLimit is the part of good roll-outs that may be stopped.
+	falseStopLimit = 0.01
+)
+
+func scenarios() []scenario {
+	gross := fault{failures: 0.6}
+	wrong := fault{rejection: 0.5}
+	slight := fault{rejection: 0.08}
+	return []scenario{
+		{name: "good roll-outs", good: true},
+		{name: "good versions in service", good: true, serving: true},
+		{name: "roll-out, bad from start, gross failures", fault: gross, fromStart: true},
+		{name: "roll-out, turns bad, gross failures", fault: gross},
+		{name: "roll-out, turns bad, gross quality -50", fault: wrong},
+		{name: "roll-out, turns bad, slight quality -8", fault: slight},
+		{name: "roll-out, hardest class only, quality -20", fault: fault{rejection: 0.2, classes: 2}},
+		{name: "in service, turns bad, gross failures", fault: gross, serving: true},
+		{name: "in service, turns bad, slight quality -8", fault: slight, serving: true},
+	}
+}
+
+// contender is a policy by name.
+type contender struct {
+	name string
+	make func(conditions scenario) policy
+}
+
+func contenders() []contender {
+	return []contender{
+		{"lavrollout", func(conditions scenario) policy {
+			return &tested{
+				state:    lavrollout.NewState(lavrollout.DefaultSettings()),
+				document: document(conditions.serving),
+				serving:  conditions.serving,
+			}
+		}},
+		{"operators' share", func(conditions scenario) policy { return operatorShare{start: startShare(conditions)} }},
+		{"alarm at +10 points", alarmAt(0.10)},
+		{"alarm at +20 points", alarmAt(0.20)},
+	}
+}
+
+func alarmAt(rejected float64) func(scenario) policy {
+	return func(conditions scenario) policy {
+		return &alarm{start: startShare(conditions), rejected: rejected}
+	}
+}
+
+func startShare(conditions scenario) lavid.Share {
+	if conditions.serving {
+		return servingShare
+	}
+	return maxShare
+}
+
+func run(options lavreport.Options) ([]lavreport.Row, error) {
+	var rows []lavreport.Row
+	var curves []curve
+	trusted := make(map[string]bool)
+	for _, conditions := range scenarios() {
+		var found [][]exposure
+		for _, contender := range contenders() {
+			runs := runAll(conditions, contender, options.Seed)
+			if conditions.good {
+				trusted[trustKey(conditions, contender)] = stops(runs) < falseStopLimit
+			}
+			found = append(found, runs)
+			rows = append(rows, row(conditions, contender.name, runs, options.Seed))
+			curves = append(curves, curve{scenario: conditions, policy: contender.name, runs: runs})
+		}
+		first := &rows[len(rows)-len(found)]
+		first.Aim, first.Verdict = judge(conditions, found, trusted)
+	}
+	return rows, draw(curves, options.PlotDirectory)
+}
+
+func trustKey(conditions scenario, contender contender) string {
+	return fmt.Sprint(conditions.serving, contender.name)
+}
+
+func runAll(conditions scenario, contender contender, seed uint64) []exposure {
+	runs := badRuns
+	if conditions.good {
+		runs = goodRuns
+	}
+	if conditions.good && conditions.serving {
+		runs = servingRuns
+	}
+	seeds := make([]uint64, runs)
+	for i := range seeds {
+		seeds[i] = seed + uint64(i)
+	}
+	mapper := iter.Mapper[uint64, exposure]{MaxGoroutines: workers}
+	return mapper.Map(seeds, func(seed *uint64) exposure {
+		return runOne(newCourse(conditions, *seed), contender.make(conditions))
+	})
+}
+
+// judge compares the first contender with those others whose false stops are under the limit.
+func judge(conditions scenario, found [][]exposure, trusted map[string]bool) (string, lavreport.Verdict) {
+	own := found[0]
+	if conditions.good {
+		return "false stops under 1 in 100", lavreport.Judge(stops(own) < falseStopLimit)
+	}
+	least := math.Inf(1)
+	for i, other := range contenders() {
+		if i > 0 && trusted[trustKey(conditions, other)] {
+			least = min(least, mean(found[i], badOf))
+		}
+	}
+	aim := "fewest bad answers of all with false stops under 1 in 100"
+	return aim, lavreport.Judge(mean(own, badOf) < least)
+}
+
+func row(conditions scenario, policy string, found []exposure, seed uint64) lavreport.Row {
+	result := lavreport.Row{Measure: "exposure", Case: conditions.name, Policy: policy, Seed: seed, Aim: "-", Verdict: lavreport.Baseline}
+	if conditions.good {
+		result.Figures = []lavreport.Figure{
+			lavreport.Number("runs", float64(len(found)), 0),
+			lavreport.Number("stopped", stops(found)*float64(len(found)), 0),
+			lavreport.Number("answers of the new version", mean(found, func(e exposure) float64 { return e.answers }), 0),
+		}
+		return result
+	}
+	result.Figures = []lavreport.Figure{
+		lavreport.Number("bad answers mean", mean(found, badOf), 1),
+		lavreport.Number("p95", percentile(found, badOf), 0),
+		lavreport.Number("above usual", mean(found, func(e exposure) float64 { return e.excess }), 1),
+		lavreport.Number("stopped %", stops(found)*100, 1),
+		lavreport.Number("before onset %", mean(found, earlyOf)*100, 1),
+		lavreport.Number("seconds to stop p50", medianDelay(conditions, found, seed), 1),
+	}
+	return result
+}
+
+func earlyOf(found exposure) float64 {
+	if found.early {
+		return 1
+	}
+	return 0
+}
+
+func badOf(found exposure) float64 { return found.bad }
+
+func stops(found []exposure) float64 {
+	return mean(found, func(e exposure) float64 {
+		if e.stopped == notStopped {
+			return 0
+		}
+		return 1
+	})
+}
+
+func mean(found []exposure, value func(exposure) float64) float64 {
+	sum := 0.0
+	for _, one := range found {
+		sum += value(one)
+	}
+	return sum / float64(len(found))
+}
+
+func percentile(found []exposure, value func(exposure) float64) float64 {
+	const part = 0.95
+	values := make([]float64, 0, len(found))
+	for _, one := range found {
+		values = append(values, value(one))
+	}
+	slices.Sort(values)
+	return values[int(part*float64(len(values)-1))]
+}
+
+// medianDelay returns the median time from onset to stop over the runs that stopped, in seconds.
+func medianDelay(conditions scenario, found []exposure, seed uint64) float64 {
+	var delays []time.Duration
+	for i, one := range found {
+		if one.stopped == notStopped || one.early {
+			continue
+		}
+		onset := newCourse(conditions, seed+uint64(i)).onset
+		delays = append(delays, time.Duration(one.stopped-onset)*step)
+	}
+	if len(delays) == 0 {
+		return 0
+	}
+	slices.Sort(delays)
+	return delays[len(delays)/2].Seconds()
+}
