--- a/tests/cmd/lavmeasure/main.go
+++ b/tests/cmd/lavmeasure/main.go
@@ -14,6 +14,7 @@
 	"lavenderswitch/tests/measures/lavload"
 	"lavenderswitch/tests/measures/lavreport"
 	"lavenderswitch/tests/measures/quality/lavcost"
+	"lavenderswitch/tests/measures/quality/lavexposure"
 )
 
 const defaultSeed = 20261203
@@ -22,6 +23,7 @@
 func measures() []lavreport.Measure {
 	all := []lavreport.Measure{
 		lavcost.Measure,
+		lavexposure.Measure,
 	}
 	return append(all, lavload.Measures()...)
 }
