Fault matrix on fleets of separate processes

Cause: the guarantees were stated without a proof under faults.

tests/modules/lavcluster starts two entry hosts, two engines, two plain services with their side processes and the stand-ins, with a relay in every hop. tests/modules/lavmatrix holds 18 steps, 26 faults and one checker for all guarantees; every cell runs on a fleet of its own and under background traffic. The stand-ins and relays hold a request at its step, so the product needs no hooks. Reusing one fleet for several cells was ruled out: a verdict would depend on the cells before it.

Inserts now share calls by table, so that a slow table holds up no other.

--- a/core/modules/lavplatform/batch.go
+++ b/core/modules/lavplatform/batch.go
@@ -17,12 +17,12 @@
 
 type insertFunc func(ctx context.Context, inserts []Insert) ([]Written, error)
 
-// batches gathers the inserts of concurrent callers into shared calls.
+// batches gathers the inserts of concurrent callers into shared calls, one table to a call.
 type batches struct {
 	send insertFunc
 	work conc.WaitGroup
 	mu   sync.Mutex
-	open *batch
+	open map[string]*batch
 }
 
 // batch is one shared call.
@@ -35,7 +35,7 @@
 }
 
 func newBatches(send insertFunc) *batches {
-	return &batches{send: send}
+	return &batches{send: send, open: make(map[string]*batch)}
 }
 
 // insert returns the results of the rows once the call that they share has ended.
@@ -58,26 +58,28 @@
 	return shared.written[first : first+len(inserts)], nil
 }
 
-// join adds rows to the open batch, or opens one, and returns the position of the first row in it.
+// join adds rows to the open batch of their table, or opens one, and returns the position of the first row in it.
 func (b *batches) join(inserts []Insert) (*batch, int) {
+	table := inserts[0].Table
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if b.open != nil && len(b.open.inserts)+len(inserts) > batchRows {
-		close(b.open.full)
-		b.open = nil
+	shared := b.open[table]
+	if shared != nil && len(shared.inserts)+len(inserts) > batchRows {
+		close(shared.full)
+		shared = nil
 	}
-	if b.open == nil {
-		b.open = &batch{full: make(chan struct{}), done: make(chan struct{})}
-		opened := b.open
-		b.work.Go(func() { b.flush(opened) })
+	if shared == nil {
+		shared = &batch{full: make(chan struct{}), done: make(chan struct{})}
+		b.open[table] = shared
+		b.work.Go(func() { b.flush(table, shared) })
 	}
-	first := len(b.open.inserts)
-	b.open.inserts = append(b.open.inserts, inserts...)
-	return b.open, first
+	first := len(shared.inserts)
+	shared.inserts = append(shared.inserts, inserts...)
+	return shared, first
 }
 
 // flush sends a batch when its window has passed or it is full.
-func (b *batches) flush(shared *batch) {
+func (b *batches) flush(table string, shared *batch) {
 	timer := time.NewTimer(batchWindow)
 	defer timer.Stop()
 	select {
@@ -85,8 +87,8 @@
 	case <-shared.full:
 	}
 	b.mu.Lock()
-	if b.open == shared {
-		b.open = nil
+	if b.open[table] == shared {
+		delete(b.open, table)
 	}
 	b.mu.Unlock()
 	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
--- a/fake/cmd/engine.go
+++ b/fake/cmd/engine.go
@@ -14,6 +14,7 @@
 	"lavenderswitch/core/modules/lavlife"
 	"lavenderswitch/fake/services/lavengine"
 	"lavenderswitch/fake/services/lavfault"
+	"lavenderswitch/fake/services/lavjournal"
 )
 
 const (
@@ -34,6 +35,7 @@
 	flagPrefixes       = "prefixes"
 	flagMemoryVersions = "memory-versions"
 	flagFenced         = "fenced"
+	flagJournal        = "journal"
 
 	stateTick = 50 * time.Millisecond
 )
@@ -67,10 +69,15 @@
 		&cli.IntFlag{Name: flagPrefixes, Usage: "prompt prefixes that the cache holds", Value: 100},
 		&cli.IntFlag{Name: flagMemoryVersions, Usage: "versions that fit at once; zero sets no limit"},
 		&cli.BoolFlag{Name: flagFenced, Usage: "refuse orders with an old epoch"},
+		journalFlag(),
 		&cli.Uint64Flag{Name: flagSeed, Usage: "seed of the answers' quality", Value: 1},
 	}
 }
 
+func journalFlag() cli.Flag {
+	return &cli.StringFlag{Name: flagJournal, Usage: "file that keeps the ground truth over a restart"}
+}
+
 func runEngine(ctx context.Context, command *cli.Command) error {
 	easy, err := chances(command.StringSlice(flagQuality))
 	if err != nil {
@@ -82,7 +89,13 @@
 	}
 	settings := engineSettings(command)
 	settings.Quality = lavengine.Quality{Easy: easy, Hard: hard}
+	journal, runs, err := lavjournal.Open(command.String(flagJournal))
+	if err != nil {
+		return err
+	}
+	settings.Journal = journal
 	engine := lavengine.New(settings, lavfault.New(), time.Now())
+	engine.Restore(runs)
 	for _, version := range command.StringSlice(flagVersion) {
 		engine.Load(lavid.VersionID(version))
 	}
--- a/fake/cmd/service.go
+++ b/fake/cmd/service.go
@@ -7,6 +7,7 @@
 	"github.com/urfave/cli/v3"
 
 	"lavenderswitch/fake/services/lavfault"
+	"lavenderswitch/fake/services/lavjournal"
 	"lavenderswitch/fake/services/lavplain"
 )
 
@@ -18,12 +19,19 @@
 		Usage: "run a plain service that counts how often each request ran",
 		Flags: []cli.Flag{
 			addressFlag(),
+			journalFlag(),
 			&cli.DurationFlag{Name: flagLatency, Usage: "time that a call takes"},
 			&cli.IntFlag{Name: flagCapacity, Usage: "calls that may run at once; zero sets no limit"},
 		},
 		Action: func(ctx context.Context, command *cli.Command) error {
 			settings := lavplain.Settings{Latency: command.Duration(flagLatency), Capacity: command.Int(flagCapacity)}
+			journal, runs, err := lavjournal.Open(command.String(flagJournal))
+			if err != nil {
+				return err
+			}
+			settings.Journal = journal
 			service := lavplain.New(settings, lavfault.New(), time.Now())
+			service.Restore(runs)
 			return serve(ctx, command.String(flagAddress), service.Routes())
 		},
 	}
--- a/fake/models/lavtruth/truth.go
+++ b/fake/models/lavtruth/truth.go
@@ -1,6 +1,7 @@
 package lavtruth
 
 import (
+	"encoding/json"
 	"time"
 
 	"lavenderswitch/core/models/lavid"
@@ -14,7 +15,9 @@
 	Key     string          `json:",omitempty"`
 	Attempt lavid.AttemptID `json:",omitempty"`
 	Request lavid.RequestID `json:",omitempty"`
-	Since   time.Time
+	// Value is what a write of the table service carries.
+	Value json.RawMessage `json:",omitempty"`
+	Since time.Time
 }
 
 // Step is a point of a call at which a stand-in can apply a fault.
@@ -110,7 +113,9 @@
 	Connections int
 	Accepted    int
 	// HeldBytes counts the bytes that wait in a held route.
-	HeldBytes    int64
+	HeldBytes int64
+	// HeldLines are the first lines of the pieces that wait.
+	HeldLines    []string `json:",omitempty"`
 	ForwardBytes int64
 	BackBytes    int64
 }
--- a/fake/services/lavengine/chat.go
+++ b/fake/services/lavengine/chat.go
@@ -89,7 +89,11 @@
 	}
 	e.forget(now)
 	e.running++
-	run := e.record(request, body.Model, now)
+	run, err := e.record(request, body.Model, now)
+	if err != nil {
+		e.running--
+		return nil, err
+	}
 	if fails(run.Running, run.Capacity) {
 		e.running--
 		run.Ended = now
@@ -98,7 +102,7 @@
 	return e.newJob(run, body, answers, digest), nil
 }
 
-func (e *Engine) record(request *http.Request, version lavid.VersionID, now time.Time) *lavtruth.Run {
+func (e *Engine) record(request *http.Request, version lavid.VersionID, now time.Time) (*lavtruth.Run, error) {
 	capacity := e.settings.Warmth.capacity(e.coldSince, now)
 	if e.running > capacity {
 		e.truth.Overloads++
@@ -114,7 +118,7 @@
 		Capacity: capacity,
 	}
 	e.runs = append(e.runs, run)
-	return run
+	return run, e.settings.Journal.Append(*run)
 }
 
 func (e *Engine) newJob(run *lavtruth.Run, body chatRequest, answers lavid.VersionID, digest string) *job {
--- a/fake/services/lavengine/engine.go
+++ b/fake/services/lavengine/engine.go
@@ -13,6 +13,7 @@
 	"lavenderswitch/core/models/lavid"
 	"lavenderswitch/fake/models/lavtruth"
 	"lavenderswitch/fake/services/lavfault"
+	"lavenderswitch/fake/services/lavjournal"
 )
 
 // Speed is how fast the engine generates.
@@ -53,6 +54,8 @@
 	// Fenced says that orders with an old epoch are refused.
 	Fenced bool
 	Seed   uint64
+	// Journal keeps the runs over a restart.
+	Journal *lavjournal.Journal
 }
 
 // Engine answers chat completions with counted words.
@@ -81,6 +84,9 @@
 
 // New returns an engine without versions.
 func New(settings Settings, faults *lavfault.Injector, now time.Time) *Engine {
+	if settings.Journal == nil {
+		settings.Journal = &lavjournal.Journal{}
+	}
 	engine := &Engine{
 		settings:  settings,
 		faults:    faults,
@@ -98,6 +104,15 @@
 	return engine
 }
 
+// Restore adds the runs of an earlier process to the ground truth.
+func (e *Engine) Restore(runs []lavtruth.Run) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for _, run := range runs {
+		e.runs = append(e.runs, &run)
+	}
+}
+
 // Load adds a version at once.
 func (e *Engine) Load(version lavid.VersionID) {
 	e.mu.Lock()
--- a/fake/services/lavfault/fault.go
+++ b/fake/services/lavfault/fault.go
@@ -1,6 +1,8 @@
 package lavfault
 
 import (
+	"slices"
+
 	"lavenderswitch/core/modules/lavsettings"
 	"lavenderswitch/fake/models/lavtruth"
 )
@@ -57,11 +59,13 @@
 // Call names the call that a fault may hit.
 type Call struct {
 	lavtruth.Held
+	// Tables lists the further tables of a batch.
+	Tables []string
 }
 
 func (f Fault) hits(call Call) bool {
 	if f.Step != "" && f.Step != call.Step {
 		return false
 	}
-	return f.Table == "" || f.Table == call.Table
+	return f.Table == "" || f.Table == call.Table || slices.Contains(call.Tables, f.Table)
 }
--- a/fake/services/lavplain/service.go
+++ b/fake/services/lavplain/service.go
@@ -14,6 +14,7 @@
 	"lavenderswitch/core/modules/lavhttp"
 	"lavenderswitch/fake/models/lavtruth"
 	"lavenderswitch/fake/services/lavfault"
+	"lavenderswitch/fake/services/lavjournal"
 )
 
 const (
@@ -29,6 +30,8 @@
 	Latency time.Duration
 	// Capacity is how many calls may run at once; zero sets no limit.
 	Capacity int
+	// Journal keeps the runs over a restart.
+	Journal *lavjournal.Journal
 }
 
 // Service answers every call with the number of times that its request ran.
@@ -44,11 +47,24 @@
 
 // New returns a service that has run nothing.
 func New(settings Settings, faults *lavfault.Injector, now time.Time) *Service {
+	if settings.Journal == nil {
+		settings.Journal = &lavjournal.Journal{}
+	}
 	service := &Service{settings: settings, faults: faults, counts: make(map[string]int)}
 	service.truth.Started = now
 	return service
 }
 
+// Restore adds the runs of an earlier process to the ground truth.
+func (s *Service) Restore(runs []lavtruth.Run) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, run := range runs {
+		s.counts[string(run.Request)]++
+		s.runs = append(s.runs, &run)
+	}
+}
+
 type stateReply struct {
 	Running int
 	Waiting int
@@ -124,7 +140,7 @@
 		Capacity: capacity,
 	}
 	s.runs = append(s.runs, run)
-	return run, s.counts[id], true
+	return run, s.counts[id], s.settings.Journal.Append(*run) == nil
 }
 
 func (s *Service) end(run *lavtruth.Run, now time.Time) {
--- a/fake/services/lavrelay/route.go
+++ b/fake/services/lavrelay/route.go
@@ -1,6 +1,7 @@
 package lavrelay
 
 import (
+	"bytes"
 	"context"
 	"net"
 	"sync"
@@ -36,6 +37,7 @@
 	maxConnections = 2000
 	copyBytes      = 16 << 10
 	dialTimeout    = time.Second
+	maxLineBytes   = 80
 )
 
 // Route carries connections from one address to another.
@@ -47,6 +49,7 @@
 	changed chan struct{}
 	open    map[*pair]struct{}
 	truth   lavtruth.Route
+	lines   map[*string]struct{}
 	work    conc.WaitGroup
 }
 
@@ -58,7 +61,7 @@
 }
 
 func newRoute(listen, target string) *Route {
-	return &Route{listen: listen, target: target, mode: Pass, changed: make(chan struct{}), open: make(map[*pair]struct{})}
+	return &Route{listen: listen, target: target, mode: Pass, changed: make(chan struct{}), open: make(map[*pair]struct{}), lines: make(map[*string]struct{})}
 }
 
 // serve takes connections until ctx ends.
@@ -108,6 +111,9 @@
 	truth.Target = r.target
 	truth.Mode = string(r.mode)
 	truth.Connections = len(r.open)
+	for line := range r.lines {
+		truth.HeldLines = append(truth.HeldLines, *line)
+	}
 	return truth
 }
 
@@ -159,7 +165,7 @@
 	for {
 		n, err := from.Read(data)
 		if n > 0 {
-			if !r.wait(ctx, one, n, forward) {
+			if !r.wait(ctx, one, data[:n], forward) {
 				continue
 			}
 			if _, writeErr := to.Write(data[:n]); writeErr != nil {
@@ -184,8 +190,9 @@
 	one.close()
 }
 
-// wait holds n bytes as the mode says and returns whether they are to be written.
-func (r *Route) wait(ctx context.Context, one *pair, n int, forward bool) bool {
+// wait holds a piece as the mode says and returns whether it is to be written.
+func (r *Route) wait(ctx context.Context, one *pair, piece []byte, forward bool) bool {
+	line := firstLine(piece)
 	held := false
 	for {
 		r.mu.Lock()
@@ -193,10 +200,12 @@
 		holds := mode == Hold || (mode == HoldBack && !forward)
 		if holds && !silent && !held {
 			held = true
-			r.truth.HeldBytes += int64(n)
+			r.truth.HeldBytes += int64(len(piece))
+			r.lines[&line] = struct{}{}
 		}
 		if !holds || silent {
-			r.count(n, forward, held, silent)
+			delete(r.lines, &line)
+			r.count(len(piece), forward, held, silent)
 			r.mu.Unlock()
 			return !silent
 		}
@@ -209,6 +218,11 @@
 	}
 }
 
+func firstLine(piece []byte) string {
+	line, _, _ := bytes.Cut(piece[:min(len(piece), maxLineBytes)], []byte("\r\n"))
+	return string(line)
+}
+
 func (r *Route) count(n int, forward, held, silent bool) {
 	if held {
 		r.truth.HeldBytes -= int64(n)
--- a/fake/services/lavtableservice/service.go
+++ b/fake/services/lavtableservice/service.go
@@ -84,12 +84,16 @@
 	lavhttp.WriteJSON(w, http.StatusOK, reply)
 }
 
-// insertCall names a batch by its first row; a batch over several tables has the table of the first.
+// insertCall names a batch by its first row and lists the tables of all.
 func insertCall(inserts []lavplatform.Insert) lavfault.Call {
 	call := lavfault.Call{Held: lavtruth.Held{Step: lavtruth.StepInsert}}
 	if len(inserts) > 0 {
 		call.Table = inserts[0].Table
 		call.Key = inserts[0].Key
+		call.Value = inserts[0].Value
+	}
+	for _, insert := range inserts {
+		call.Tables = append(call.Tables, insert.Table)
 	}
 	return call
 }
@@ -111,7 +115,7 @@
 		return
 	}
 	var written lavplatform.Written
-	call := lavfault.Call{Held: lavtruth.Held{Step: lavtruth.StepSwap, Table: body.Table, Key: body.Key}}
+	call := lavfault.Call{Held: lavtruth.Held{Step: lavtruth.StepSwap, Table: body.Table, Key: body.Key, Value: body.Value}}
 	done := s.faults.Do(request.Context(), call, func() {
 		s.mu.Lock()
 		defer s.mu.Unlock()
--- /dev/null
+++ b/tests/faults/doc.go
@@ -0,0 +1,2 @@
+// Package lavfaults runs the fault matrix on fleets of separate processes.
+package lavfaults
--- /dev/null
+++ b/tests/modules/lavcluster/cluster.go
@@ -0,0 +1,274 @@
+package lavcluster
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"lavenderswitch/core/models/lavid"
+	"lavenderswitch/core/modules/lavplatform"
+)
+
+const (
+	// maxClusters bounds the fleets that run at once.
+	maxClusters = 4
+	startLimit  = 20 * time.Second
+	pollPause   = 20 * time.Millisecond
+)
+
+var slots = make(chan struct{}, maxClusters)
+
+type routeAddresses struct {
+	listen string
+	target string
+}
+
+// Cluster is one fleet.
+type Cluster struct {
+	t         testing.TB
+	programs  *Programs
+	dir       string
+	http      *http.Client
+	processes map[string]*Process
+	addresses map[string]string
+	routes    map[string]routeAddresses
+}
+
+// Options change the stand-ins of a fleet.
+type Options struct {
+	EngineArgs   []string
+	ServiceArgs  []string
+	PlatformArgs []string
+}
+
+// Start starts a fleet with its first configuration in force and ends it with the test.
+func Start(t testing.TB, programs *Programs, options Options) *Cluster {
+	t.Helper()
+	slots <- struct{}{}
+	t.Cleanup(func() { <-slots })
+	c := &Cluster{
+		t:         t,
+		programs:  programs,
+		dir:       t.TempDir(),
+		http:      &http.Client{Timeout: 2 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}},
+		processes: make(map[string]*Process),
+		addresses: make(map[string]string),
+		routes:    make(map[string]routeAddresses),
+	}
+	t.Cleanup(c.end)
+	c.plan()
+	c.startStandIns(options)
+	c.startSides()
+	c.startEntries()
+	c.firstConfig()
+	c.putHosts()
+	c.waitReady()
+	return c
+}
+
+func (c *Cluster) end() {
+	if c.t.Failed() {
+		c.showLogs()
+	}
+	for _, process := range c.processes {
+		process.Kill()
+	}
+}
+
+// logTail is how much of each log a failed test shows.
+const logTail = 1200
+
+func (c *Cluster) showLogs() {
+	for name, process := range c.processes {
+		log := process.Log()
+		c.t.Logf("log of %s:\n%s", name, log[max(0, len(log)-logTail):])
+	}
+}
+
+func (c *Cluster) must(err error) {
+	c.t.Helper()
+	if err != nil {
+		c.t.Fatal(err)
+	}
+}
+
+func (c *Cluster) address(name string) string {
+	if address, ok := c.addresses[name]; ok {
+		return address
+	}
+	address, err := freeAddress()
+	c.must(err)
+	c.addresses[name] = address
+	return address
+}
+
+func (c *Cluster) addRoute(hop Hop, host, target string) {
+	name := route(hop, host)
+	c.routes[name] = routeAddresses{listen: c.address("route " + name), target: target}
+}
+
+// plan chooses the address of every listener and the routes between them.
+func (c *Cluster) plan() {
+	platform := c.address(namePlatform)
+	for _, entry := range Entries() {
+		c.addRoute(HopCallers, entry, c.address(entry+" callers"))
+		c.addRoute(HopEntryStore, entry, platform)
+		c.addRoute(HopPeers, entry, c.address(entry+" peers"))
+		c.address(entry + " operators")
+	}
+	for _, backend := range Backends() {
+		c.addRoute(HopSides, backend, c.address(SideOf(backend)))
+		c.addRoute(HopBackends, backend, c.address(backend))
+		c.addRoute(HopSideStore, backend, platform)
+	}
+}
+
+func (c *Cluster) start(name, program string, args ...string) {
+	process := &Process{
+		Name:    name,
+		path:    filepath.Join(c.programs.dir, program),
+		args:    args,
+		logPath: filepath.Join(c.dir, name+".log"),
+	}
+	c.processes[name] = process
+	c.must(process.Start())
+}
+
+func (c *Cluster) startStandIns(options Options) {
+	c.start(namePlatform, programFake, append([]string{"platform", "--address", c.address(namePlatform)}, options.PlatformArgs...)...)
+	relay := []string{"relay", "--address", c.address(nameRelay)}
+	for _, one := range c.routes {
+		relay = append(relay, "--route", one.listen+"="+one.target)
+	}
+	c.start(nameRelay, programFake, relay...)
+	for _, engine := range Engines() {
+		args := []string{"engine", "--address", c.address(engine), "--journal", c.journal(engine)}
+		args = append(args, "--version", string(Version1), "--version", string(Version2))
+		c.start(engine, programFake, append(args, options.EngineArgs...)...)
+	}
+	for _, service := range Services() {
+		args := []string{"service", "--address", c.address(service), "--journal", c.journal(service)}
+		c.start(service, programFake, append(args, options.ServiceArgs...)...)
+	}
+	for _, name := range append(Backends(), namePlatform, nameRelay) {
+		c.waitAnswers(name, "http://"+c.address(name)+"/truth")
+	}
+}
+
+func (c *Cluster) journal(backend string) string {
+	return filepath.Join(c.dir, backend+".journal")
+}
+
+func (c *Cluster) url(hop Hop, host string) string {
+	return "http://" + c.routes[route(hop, host)].listen
+}
+
+func (c *Cluster) startSides() {
+	for _, backend := range Backends() {
+		path, err := writeSettings(c.dir, SideOf(backend), sideSettings{
+			HostID:          SideOf(backend),
+			DataCentre:      DataCentreOf(backend),
+			BackendServer:   backend,
+			Address:         c.address(SideOf(backend)),
+			BackendAddress:  c.url(HopBackends, backend),
+			PlatformAddress: c.url(HopSideStore, backend),
+			LogLevel:        "info",
+		})
+		c.must(err)
+		c.start(SideOf(backend), programSide, "run", "--settings", path)
+	}
+}
+
+func (c *Cluster) startEntries() {
+	for _, entry := range Entries() {
+		path, err := writeSettings(c.dir, entry, entrySettings{
+			HostID:            entry,
+			DataCentre:        DataCentreOf(entry),
+			CallerAddress:     c.address(entry + " callers"),
+			OperatorAddress:   c.address(entry + " operators"),
+			PeerAddress:       c.address(entry + " peers"),
+			PlatformAddress:   c.url(HopEntryStore, entry),
+			OperatorKeyHashes: []string{hashOf(OperatorKey)},
+			RequestTimeout:    "20s",
+			LogLevel:          "info",
+		})
+		c.must(err)
+		c.start(entry, programEntry, "run", "--settings", path)
+	}
+}
+
+// putHosts fills the host list with every entry host and side process.
+func (c *Cluster) putHosts() {
+	var hosts []lavplatform.Host
+	for _, entry := range Entries() {
+		hosts = append(hosts, lavplatform.Host{
+			ID:         lavid.HostID(entry),
+			Role:       lavplatform.RoleEntry,
+			Address:    c.routes[route(HopPeers, entry)].listen,
+			DataCentre: DataCentreOf(entry),
+		})
+	}
+	for _, backend := range Backends() {
+		hosts = append(hosts, lavplatform.Host{
+			ID:            lavid.HostID(SideOf(backend)),
+			Role:          lavplatform.RoleSide,
+			Address:       c.routes[route(HopSides, backend)].listen,
+			DataCentre:    DataCentreOf(backend),
+			BackendServer: lavid.BackendServerID(backend),
+		})
+	}
+	c.must(c.send(http.MethodPut, "http://"+c.address(namePlatform)+"/hosts", hostList{Hosts: hosts}, nil))
+}
+
+type hostList struct{ Hosts []lavplatform.Host }
+
+func (c *Cluster) waitAnswers(name, url string) {
+	c.t.Helper()
+	c.WaitFor(startLimit, name+" answers", func() bool { return c.send(http.MethodGet, url, nil, nil) == nil })
+}
+
+// waitReady returns when every entry host serves chats and calls at all backend servers.
+func (c *Cluster) waitReady() {
+	c.t.Helper()
+	for _, entry := range Entries() {
+		c.WaitFor(startLimit, entry+" serves", func() bool {
+			chat := c.Send(context.Background(), entry, Request{ID: NewRequestID("warm"), Account: AccountBoth, Kind: Chat})
+			call := c.Send(context.Background(), entry, Request{ID: NewRequestID("warm"), Account: AccountBoth, Kind: Status})
+			return chat.Whole() && call.Whole()
+		})
+	}
+	time.Sleep(settleTime)
+}
+
+// settleTime lets every side process read the state of its backend server.
+const settleTime = 700 * time.Millisecond
+
+// WaitFor waits until the condition holds and fails the test when it does not within the limit.
+func (c *Cluster) WaitFor(limit time.Duration, what string, condition func() bool) {
+	c.t.Helper()
+	if !Poll(limit, condition) {
+		c.t.Fatalf("%s: not within %s", what, limit)
+	}
+}
+
+// Poll tells whether the condition holds within the limit.
+func Poll(limit time.Duration, condition func() bool) bool {
+	for began := time.Now(); time.Since(began) < limit; time.Sleep(pollPause) {
+		if condition() {
+			return true
+		}
+	}
+	return condition()
+}
+
+// Process returns a process by name: an entry host, a backend server or SideOf one.
+func (c *Cluster) Process(name string) *Process {
+	process, ok := c.processes[name]
+	if !ok {
+		panic(fmt.Sprintf("no process %s", name))
+	}
+	return process
+}
--- /dev/null
+++ b/tests/modules/lavcluster/control.go
@@ -0,0 +1,134 @@
+package lavcluster
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+
+	"github.com/pkg/errors"
+
+	"lavenderswitch/core/modules/lavsettings"
+	"lavenderswitch/fake/models/lavtruth"
+	"lavenderswitch/fake/services/lavfault"
+	"lavenderswitch/fake/services/lavrelay"
+)
+
+// send exchanges JSON with a stand-in.
+func (c *Cluster) send(method, url string, body, reply any) error {
+	data, err := json.Marshal(body)
+	if err != nil {
+		return errors.Wrap(err, "encode body")
+	}
+	request, err := http.NewRequestWithContext(context.Background(), method, url, bytes.NewReader(data))
+	if err != nil {
+		return errors.Wrap(err, "build request")
+	}
+	response, err := c.http.Do(request)
+	if err != nil {
+		return errors.Wrap(err, "reach the stand-in")
+	}
+	defer response.Body.Close()
+	answer, err := io.ReadAll(response.Body)
+	if err != nil || response.StatusCode != http.StatusOK {
+		return errors.Errorf("%s %s: %s %s", method, url, response.Status, answer)
+	}
+	if reply == nil {
+		return nil
+	}
+	return errors.Wrap(json.Unmarshal(answer, reply), "decode reply")
+}
+
+// PlatformFaults replaces the faults of the platform and releases what was held.
+func (c *Cluster) PlatformFaults(faults ...lavfault.Fault) {
+	c.t.Helper()
+	c.must(c.faults(namePlatform, faults))
+}
+
+// BackendFaults replaces the faults of a backend server and releases what was held.
+func (c *Cluster) BackendFaults(backend string, faults ...lavfault.Fault) {
+	c.t.Helper()
+	c.must(c.faults(backend, faults))
+}
+
+// AddPlatformFaults adds faults to those of the platform.
+func (c *Cluster) AddPlatformFaults(faults ...lavfault.Fault) {
+	c.t.Helper()
+	c.must(c.send(http.MethodPost, "http://"+c.address(namePlatform)+"/control", lavfault.Command{Add: faults}, nil))
+}
+
+// AddBackendFaults adds faults to those of a backend server.
+func (c *Cluster) AddBackendFaults(backend string, faults ...lavfault.Fault) {
+	c.t.Helper()
+	c.must(c.send(http.MethodPost, "http://"+c.address(backend)+"/control", lavfault.Command{Add: faults}, nil))
+}
+
+// ReleaseBackend clears the faults of a backend server that may be gone.
+func (c *Cluster) ReleaseBackend(backend string) {
+	_ = c.faults(backend, nil)
+}
+
+func (c *Cluster) faults(name string, faults []lavfault.Fault) error {
+	command := lavfault.Command{Clear: true, Add: faults}
+	return c.send(http.MethodPost, "http://"+c.address(name)+"/control", command, nil)
+}
+
+// SetRoute changes the mode of the relay in one hop at one host.
+func (c *Cluster) SetRoute(hop Hop, host string, mode lavrelay.Mode) {
+	c.t.Helper()
+	command := lavrelay.Command{Listen: c.routes[route(hop, host)].listen, Mode: mode}
+	c.must(c.send(http.MethodPost, "http://"+c.address(nameRelay)+"/control", command, nil))
+}
+
+// Route returns the state of the relay in one hop at one host.
+func (c *Cluster) Route(hop Hop, host string) lavtruth.Route {
+	c.t.Helper()
+	var truth lavtruth.Relay
+	c.must(c.send(http.MethodGet, "http://"+c.address(nameRelay)+"/truth", nil, &truth))
+	for _, one := range truth.Routes {
+		if one.Listen == c.routes[route(hop, host)].listen {
+			return one
+		}
+	}
+	return lavtruth.Route{}
+}
+
+// PlatformTruth returns the ground truth of the platform.
+func (c *Cluster) PlatformTruth() lavtruth.Platform {
+	c.t.Helper()
+	var truth lavtruth.Platform
+	c.must(c.send(http.MethodGet, "http://"+c.address(namePlatform)+"/truth", nil, &truth))
+	return truth
+}
+
+// BackendTruth returns the ground truth of a backend server.
+func (c *Cluster) BackendTruth(backend string) (lavtruth.Backend, error) {
+	var truth lavtruth.Backend
+	err := c.send(http.MethodGet, "http://"+c.address(backend)+"/truth", nil, &truth)
+	return truth, err
+}
+
+// MarkLeaving sets the leaving flag of a backend server's host in the host list.
+func (c *Cluster) MarkLeaving(backend string) {
+	c.t.Helper()
+	c.must(c.send(http.MethodPut, "http://"+c.address(namePlatform)+"/hosts/"+SideOf(backend)+"/leaving", nil, nil))
+}
+
+type lagBody struct{ Lag lavsettings.Duration }
+
+// SetHostsLag changes the time until a change of the host list shows.
+func (c *Cluster) SetHostsLag(lag lavsettings.Duration) {
+	c.t.Helper()
+	c.must(c.send(http.MethodPut, "http://"+c.address(namePlatform)+"/hosts-lag", lagBody{Lag: lag}, nil))
+}
+
+// BackendOfAddress returns the backend server whose side process has the address, directly or behind its relay.
+func (c *Cluster) BackendOfAddress(address string) (string, bool) {
+	for _, backend := range Backends() {
+		if address == c.address(SideOf(backend)) || address == c.routes[route(HopSides, backend)].listen {
+			return backend, true
+		}
+	}
+	return "", false
+}
--- /dev/null
+++ b/tests/modules/lavcluster/operator.go
@@ -0,0 +1,133 @@
+package lavcluster
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"lavenderswitch/core/models/lavconfig"
+	"lavenderswitch/core/models/lavid"
+	"lavenderswitch/core/modules/lavhttp"
+)
+
+// Operation is one operation of a JSON patch.
+type Operation struct {
+	Op    string `json:"op"`
+	Path  string `json:"path"`
+	Value any    `json:"value"`
+}
+
+// Withdraw returns the patch that withdraws a version.
+func Withdraw(version lavid.VersionID) []Operation {
+	return []Operation{{Op: "replace", Path: "/Versions/" + string(version) + "/State", Value: lavconfig.VersionWithdrawn}}
+}
+
+// TakeOut returns the patch that takes a data centre out of service.
+func TakeOut(dataCentre lavid.DataCentreID) []Operation {
+	return []Operation{{Op: "replace", Path: "/DataCentres/" + string(dataCentre) + "/State", Value: lavconfig.OutOfService}}
+}
+
+// SetWeight returns a patch that changes nothing that the cases look at but the stated weight.
+func SetWeight(weight float64) []Operation {
+	return []Operation{{Op: "add", Path: "/ClientAccounts/" + string(AccountBoth) + "/Weight", Value: weight}}
+}
+
+// Submitted is what an operator learned of one try of a patch.
+type Submitted struct {
+	Patch  lavid.PatchID
+	Base   lavid.ConfigNumber
+	Entry  string
+	Sent   time.Time
+	Status int
+	Number lavid.ConfigNumber
+	Detail lavhttp.ErrorDetail
+	Err    error
+}
+
+// Accepted tells whether the reply says that the patch is accepted.
+func (s Submitted) Accepted() bool { return s.Status == http.StatusOK && s.Err == nil }
+
+// String describes the try in one line.
+func (s Submitted) String() string {
+	return fmt.Sprintf("patch %s against %d at %s: status %d, number %d, %s, error %v", s.Patch, s.Base, s.Entry, s.Status, s.Number, s.Detail.Message, s.Err)
+}
+
+const operatorTimeout = 8 * time.Second
+
+// Submit sends a patch against a configuration number to an entry host.
+func (c *Cluster) Submit(entry string, patch lavid.PatchID, base lavid.ConfigNumber, operations []Operation) Submitted {
+	submitted := Submitted{Patch: patch, Base: base, Entry: entry, Sent: time.Now()}
+	data, err := json.Marshal(operations)
+	c.must(err)
+	header := http.Header{"If-Match": {strconv.Quote(strconv.FormatUint(uint64(base), 10))}, "Lavender-Patch": {string(patch)}}
+	var reply struct {
+		Number lavid.ConfigNumber
+		lavhttp.ErrorBody
+	}
+	submitted.Status, submitted.Err = c.operate(http.MethodPatch, entry, header, data, &reply)
+	submitted.Number = reply.Number
+	submitted.Detail = reply.Error
+	return submitted
+}
+
+// Document returns the configuration in force at an entry host.
+func (c *Cluster) Document(entry string) (*lavconfig.Document, error) {
+	document := &lavconfig.Document{}
+	status, err := c.operate(http.MethodGet, entry, http.Header{}, nil, document)
+	if err == nil && status != http.StatusOK {
+		err = errors.Errorf("status %d", status)
+	}
+	return document, err
+}
+
+func (c *Cluster) operate(method, entry string, header http.Header, body []byte, reply any) (int, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), operatorTimeout)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, method, "http://"+c.address(entry+" operators")+"/config", bytes.NewReader(body))
+	if err != nil {
+		return 0, errors.Wrap(err, "build request")
+	}
+	request.Header = header
+	request.Header.Set("Authorization", "Bearer "+OperatorKey)
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	response, err := client.Do(request)
+	if err != nil {
+		return 0, errors.Wrap(err, "reach the entry host")
+	}
+	defer response.Body.Close()
+	return response.StatusCode, errors.Wrap(json.NewDecoder(response.Body).Decode(reply), "decode reply")
+}
+
+// firstConfig submits the first configuration and waits until every entry host has it.
+func (c *Cluster) firstConfig() {
+	c.t.Helper()
+	document := c.firstDocument()
+	operations := []Operation{
+		{Op: "add", Path: "/ClientAccounts", Value: document.ClientAccounts},
+		{Op: "add", Path: "/Versions", Value: document.Versions},
+		{Op: "add", Path: "/Services", Value: document.Services},
+		{Op: "add", Path: "/DataCentres", Value: document.DataCentres},
+		{Op: "add", Path: "/BackendServers", Value: document.BackendServers},
+	}
+	var last Submitted
+	accepted := Poll(startLimit, func() bool {
+		last = c.Submit(Entry1, "first", 0, operations)
+		return last.Accepted() || strings.Contains(last.Detail.Message, "present one is 1")
+	})
+	if !accepted {
+		c.t.Fatalf("first configuration is not accepted: %s", last)
+	}
+	for _, entry := range Entries() {
+		c.WaitFor(startLimit, entry+" has the first configuration", func() bool {
+			document, err := c.Document(entry)
+			return err == nil && document.Number >= 1
+		})
+	}
+}
--- /dev/null
+++ b/tests/modules/lavcluster/settings.go
@@ -0,0 +1,108 @@
+package lavcluster
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"os"
+	"path/filepath"
+
+	"github.com/pkg/errors"
+
+	"lavenderswitch/core/models/lavconfig"
+	"lavenderswitch/core/models/lavid"
+)
+
+type entrySettings struct {
+	HostID            string
+	DataCentre        lavid.DataCentreID
+	CallerAddress     string
+	OperatorAddress   string
+	PeerAddress       string
+	PlatformAddress   string
+	OperatorKeyHashes []string
+	RequestTimeout    string
+	LogLevel          string
+}
+
+type sideSettings struct {
+	HostID          string
+	DataCentre      lavid.DataCentreID
+	BackendServer   string
+	Address         string
+	BackendAddress  string
+	PlatformAddress string
+	LogLevel        string
+}
+
+func writeSettings(dir, name string, settings any) (string, error) {
+	data, err := json.MarshalIndent(settings, "", "  ")
+	if err != nil {
+		return "", errors.Wrap(err, "encode settings")
+	}
+	path := filepath.Join(dir, name+".json")
+	return path, errors.Wrap(os.WriteFile(path, data, 0o600), "write settings")
+}
+
+func hashOf(key string) string {
+	sum := sha256.Sum256([]byte(key))
+	return hex.EncodeToString(sum[:])
+}
+
+// PathSubmit is the call that may run at most once, PathStatus one that may be repeated.
+const (
+	PathSubmit = "/services/claims/submit"
+	PathStatus = "/services/claims/status"
+)
+
+const serviceClaims lavid.ServiceID = "claims"
+
+// maxRunning bounds the work that a backend server takes at once.
+const maxRunning = 16
+
+// firstDocument is the configuration that a new fleet starts with.
+func (c *Cluster) firstDocument() lavconfig.Document {
+	document := lavconfig.Document{
+		ClientAccounts: make(map[lavid.AccountID]lavconfig.ClientAccount),
+		Versions: map[lavid.VersionID]lavconfig.Version{
+			Version1: {Model: "small", State: lavconfig.VersionServing, InputPrice: 1, OutputPrice: 2, ExpectedQuality: 0.9},
+			Version2: {Model: "small", State: lavconfig.VersionServing, InputPrice: 3, OutputPrice: 4, ExpectedQuality: 0.9},
+		},
+		Services: map[lavid.ServiceID]lavconfig.Service{serviceClaims: {Calls: map[lavid.CallID]lavconfig.Call{
+			"submit": {Method: "POST", Path: "/submit", Price: 100},
+			"status": {Method: "POST", Path: "/status", Idempotent: true, Price: 1},
+		}}},
+		DataCentres: map[lavid.DataCentreID]lavconfig.DataCentre{
+			DataCentre1: {Region: "test", State: lavconfig.InService},
+			DataCentre2: {Region: "test", State: lavconfig.InService},
+		},
+		BackendServers: make(map[lavid.BackendServerID]lavconfig.BackendServer),
+	}
+	for _, account := range []lavid.AccountID{AccountBoth, AccountOne} {
+		document.ClientAccounts[account] = lavconfig.ClientAccount{
+			KeyHashes:       []string{hashOf(CallerKey(account))},
+			AllowedVersions: versionsOf(account),
+			AllowedServices: []lavid.ServiceID{serviceClaims},
+			QualityTarget:   0.8,
+		}
+	}
+	for _, backend := range Backends() {
+		document.BackendServers[lavid.BackendServerID(backend)] = c.backendRow(backend)
+	}
+	return document
+}
+
+func (c *Cluster) backendRow(backend string) lavconfig.BackendServer {
+	row := lavconfig.BackendServer{
+		DataCentre:  DataCentreOf(backend),
+		SideAddress: c.routes[route(HopSides, backend)].listen,
+		State:       lavconfig.InService,
+		MaxRunning:  maxRunning,
+	}
+	if backend == Claims1 || backend == Claims2 {
+		row.Service = serviceClaims
+		return row
+	}
+	row.Versions = []lavid.VersionID{Version1, Version2}
+	return row
+}
--- /dev/null
+++ b/tests/modules/lavmatrix/doc.go
@@ -0,0 +1,2 @@
+// Package lavmatrix holds the steps, the faults and the checker of the fault matrix.
+package lavmatrix
--- /dev/null
+++ b/tests/modules/lavmatrix/report.go
@@ -0,0 +1,116 @@
+package lavmatrix
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"os"
+	"slices"
+	"strings"
+	"sync"
+
+	"github.com/pkg/errors"
+)
+
+// Verdict is the outcome of one cell.
+type Verdict string
+
+// The verdicts.
+const (
+	Pass     Verdict = "pass"
+	Fail     Verdict = "FAIL"
+	KnownRed Verdict = "red"
+	NA       Verdict = "n.a."
+	NotRun   Verdict = "-"
+)
+
+// Report collects the verdicts of a run.
+type Report struct {
+	mu       sync.Mutex
+	verdicts map[string]Verdict
+	notes    []string
+}
+
+// NewReport returns an empty report.
+func NewReport() *Report {
+	return &Report{verdicts: make(map[string]Verdict)}
+}
+
+// Add records the verdict of a cell and what was seen.
+func (r *Report) Add(cell string, verdict Verdict, notes ...string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.verdicts[cell] = verdict
+	for _, note := range notes {
+		r.notes = append(r.notes, fmt.Sprintf("%s %s: %s", verdict, cell, note))
+	}
+}
+
+const (
+	nameWidth = 24
+	cellWidth = 5
+)
+
+// Print writes the matrix, steps down and faults across, and the notes below it.
+func (r *Report) Print(w io.Writer) error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	out := bufio.NewWriter(w)
+	faults := Faults()
+	for i, fault := range faults {
+		fmt.Fprintf(out, "%3d = %s\n", i, fault.Name)
+	}
+	fmt.Fprintf(out, "\n%-*s", nameWidth, "step")
+	for i := range faults {
+		fmt.Fprintf(out, "%*d", cellWidth, i)
+	}
+	fmt.Fprintln(out)
+	counts := make(map[Verdict]int)
+	for _, step := range Steps() {
+		fmt.Fprintf(out, "%-*s", nameWidth, step.Name)
+		for _, fault := range faults {
+			verdict := r.verdict(step, fault)
+			counts[verdict]++
+			fmt.Fprintf(out, "%*s", cellWidth, verdict)
+		}
+		fmt.Fprintln(out)
+	}
+	fmt.Fprintf(out, "\n%d pass, %d fail, %d known red, %d not applicable, %d not run\n\n", counts[Pass], counts[Fail], counts[KnownRed], counts[NA], counts[NotRun])
+	slices.Sort(r.notes)
+	for _, note := range slices.Compact(r.notes) {
+		fmt.Fprintln(out, note)
+	}
+	return errors.Wrap(out.Flush(), "print the matrix")
+}
+
+func (r *Report) verdict(step Step, fault Fault) Verdict {
+	if NotApplicable(step, fault) != "" {
+		return NA
+	}
+	if verdict, ok := r.verdicts[CellName(step, fault)]; ok {
+		return verdict
+	}
+	return NotRun
+}
+
+// knownRedPrefix starts the entry of a cell in KNOWN-RED.txt.
+const knownRedPrefix = "tests/faults TestMatrix/"
+
+// ReadKnownRed returns the cells that a list of known failures names; a missing list names none.
+func ReadKnownRed(path string) ([]string, error) {
+	data, err := os.ReadFile(path) //nolint:gosec // the test names the file
+	if os.IsNotExist(err) {
+		return nil, nil
+	}
+	if err != nil {
+		return nil, errors.Wrap(err, "read the list of known failures")
+	}
+	var cells []string
+	for line := range strings.Lines(string(data)) {
+		if rest, ok := strings.CutPrefix(line, knownRedPrefix); ok {
+			name, _, _ := strings.Cut(rest, " |")
+			cells = append(cells, strings.ReplaceAll(strings.TrimSpace(name), "_", " "))
+		}
+	}
+	return cells, nil
+}
