--- /dev/null
+++ b/entry/services/lavexposure/reporter.go
@@ -0,0 +1,169 @@
+package lavexposure
+
+import (
+	"context"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"lavenderswitch/core/models/lavconfig"
+	"lavenderswitch/core/models/lavid"
+	"lavenderswitch/core/modules/lavlife"
+	"lavenderswitch/core/modules/lavlog"
+	"lavenderswitch/core/modules/lavring"
+	"lavenderswitch/core/services/lavevidence"
+	"lavenderswitch/core/services/lavplan"
+	"lavenderswitch/wire/lavwire"
+)
+
+const (
+	reportInterval = 500 * time.Millisecond
+	// quietInterval separates reports of a model without new counts.
+	quietInterval = 4 * time.Second
+	reportTimeout = time.Second
+)
+
+// Reporter sends this host's counts to the owners and follows their decisions.
+type Reporter struct {
+	lavlife.Part
+	Host    lavid.HostID
+	Configs Configs
+	Members Members
+	Plans   *lavplan.State
+	Local   *Owner
+	HTTP    *http.Client
+	// Scheme precedes the address of a peer, such as "http://".
+	Scheme string
+	Log    *logrus.Logger
+
+	mu     sync.Mutex
+	models map[lavid.ModelID]*modelReports
+}
+
+// modelReports is what this host has to report on one model and what its owner said last.
+type modelReports struct {
+	collector *lavevidence.Collector
+	sent      time.Time
+	exposure  lavplan.Exposure
+}
+
+// Add counts an answer or a late rating.
+func (r *Reporter) Add(document *lavconfig.Document, count lavevidence.Count, now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.model(document.Versions[count.Version].Model, now).collector.Add(count)
+}
+
+func (r *Reporter) model(id lavid.ModelID, now time.Time) *modelReports {
+	if r.models == nil {
+		r.models = make(map[lavid.ModelID]*modelReports)
+	}
+	row, ok := r.models[id]
+	if !ok {
+		row = &modelReports{collector: lavevidence.NewCollector(uint64(now.UnixNano()))}
+		r.models[id] = row
+	}
+	return row
+}
+
+// Run reports and runs the local owner's tests until ctx ends.
+func (r *Reporter) Run(ctx context.Context) {
+	defer r.Finish()
+	lavlife.Tick(ctx, reportInterval, func(now time.Time) { r.Tick(ctx, now) })
+}
+
+// Tick reports each model that has new counts, or whose owner was not asked for long.
+func (r *Reporter) Tick(ctx context.Context, now time.Time) {
+	document := r.Configs.Document()
+	if document == nil {
+		return
+	}
+	r.Local.Tick(ctx, now)
+	members := r.Members.Entries(now)
+	for _, model := range modelsOf(document) {
+		if message, due := r.next(model, now); due {
+			r.report(ctx, members, model, message)
+		}
+	}
+	r.Plans.SetExposure(r.exposure())
+	r.Plans.Tick(document, now)
+}
+
+func modelsOf(document *lavconfig.Document) []lavid.ModelID {
+	var models []lavid.ModelID
+	for _, version := range document.Versions {
+		models = append(models, version.Model)
+	}
+	slices.Sort(models)
+	return slices.Compact(models)
+}
+
+func (r *Reporter) next(model lavid.ModelID, now time.Time) (*lavwire.EvidenceReport, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	row := r.model(model, now)
+	message := &lavwire.EvidenceReport{SenderId: string(r.Host), ModelId: string(model)}
+	report, found := row.collector.Next(r.Host)
+	if !found && now.Sub(row.sent) < quietInterval {
+		return nil, false
+	}
+	row.sent = now
+	if found {
+		message.ReportNumber = report.Number
+		message.Counts = toWire(report.Counts)
+	}
+	return message, true
+}
+
+// report sends a message to the first owner that answers; the counts stay until one has them.
+func (r *Reporter) report(ctx context.Context, members []lavring.Member, model lavid.ModelID, message *lavwire.EvidenceReport) {
+	for _, owner := range lavring.Owners(members, ownerKey(model)) {
+		limited, cancel := context.WithTimeout(ctx, reportTimeout)
+		state, err := r.client(owner).Report(limited, message)
+		cancel()
+		if err == nil {
+			r.follow(model, message.GetReportNumber(), state, time.Now())
+			return
+		}
+		r.Log.WithError(err).WithField(lavlog.FieldPeer, owner.ID).Warning("owner of a model did not take the evidence; asking the next one")
+	}
+}
+
+func (r *Reporter) client(owner lavring.Member) lavwire.Evidence {
+	if owner.ID == r.Host {
+		return r.Local
+	}
+	return lavwire.NewEvidenceProtobufClient(r.Scheme+owner.Address, r.HTTP)
+}
+
+func (r *Reporter) follow(model lavid.ModelID, number uint64, state *lavwire.EvidenceState, now time.Time) {
+	r.Plans.Evidence.Adopt(fromWire(state.GetTotals()), now)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	row := r.model(model, now)
+	if number > 0 {
+		row.collector.Confirm(number)
+	}
+	row.exposure = lavplan.Exposure{}
+	for _, id := range state.GetStoppedVersionIds() {
+		row.exposure.Stopped = append(row.exposure.Stopped, lavid.VersionID(id))
+	}
+	for _, share := range state.GetShares() {
+		row.exposure.Shares = append(row.exposure.Shares, lavplan.VersionShare{Version: lavid.VersionID(share.GetVersionId()), Share: lavid.Share(share.GetShare())})
+	}
+}
+
+// exposure joins what the owners of all models said last.
+func (r *Reporter) exposure() lavplan.Exposure {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var all lavplan.Exposure
+	for _, row := range r.models {
+		all.Stopped = append(all.Stopped, row.exposure.Stopped...)
+		all.Shares = append(all.Shares, row.exposure.Shares...)
+	}
+	return all
+}
