Check configurations as a whole and give operators every verb

Cause: a patch was refused for its first fault only, nothing kept an operator from taking the last version from a client account, and a conflict did not say what had changed.

A patched document is compared with the types of the configuration and with its rules, and every fault is listed with path, value and remedy. Changes that take the last usable version, data centre, engine or service replica away, or that allow a call to be repeated, need Force. The interface has history, differences, dry runs, the state of a patch, fleet, roll-outs and calls in doubt; the author of a patch is the name of the operator's key. Patches of the system that withdraw a bad version carry Force.

Ruled out: a status of a patch from the absence of its row, because the write may still take effect; such a patch is Open until it is submitted again.

--- a/core/models/lavconfig/check.go
+++ b/core/models/lavconfig/check.go
@@ -6,16 +6,14 @@
 	"maps"
 	"net/http"
 	"net/netip"
-	"regexp"
 	"slices"
 	"strings"
 
 	"lavenderswitch/core/models/lavid"
+	"lavenderswitch/core/modules/lavkey"
 	"lavenderswitch/core/modules/lavsettings"
 )
 
-var keyHash = regexp.MustCompile(`^[0-9a-f]{64}$`)
-
 // checker collects the faults of one document.
 type checker struct {
 	lavsettings.Faults
@@ -54,7 +52,7 @@
 func (c *checker) checkKeys(path string, id lavid.AccountID, account ClientAccount, owners map[string]lavid.AccountID) {
 	for i, hash := range account.KeyHashes {
 		path := fmt.Sprintf("%s/KeyHashes/%d", path, i)
-		c.Add(keyHash.MatchString(hash), path, hash, "give the SHA-256 hash in 64 lower-case hexadecimal digits; lavenderctl hash-key makes it")
+		c.Add(lavkey.IsHash(hash), path, hash, "give the SHA-256 hash in 64 lower-case hexadecimal digits; lavenderctl hash-key makes it")
 		owner, taken := owners[hash]
 		c.Add(!taken, path, hash, fmt.Sprintf("give each key to one client account; %s has it already", owner))
 		owners[hash] = id
--- a/core/modules/lavkey/key.go
+++ b/core/modules/lavkey/key.go
@@ -5,6 +5,7 @@
 	"crypto/subtle"
 	"encoding/hex"
 	"net/http"
+	"regexp"
 	"strings"
 )
 
@@ -14,6 +15,13 @@
 	return hex.EncodeToString(sum[:])
 }
 
+var hashForm = regexp.MustCompile(`^[0-9a-f]{64}$`)
+
+// IsHash tells whether text has the form of a hash.
+func IsHash(text string) bool {
+	return hashForm.MatchString(text)
+}
+
 // Matches tells whether a key has one of the hashes; its time does not depend on which one.
 func Matches(key string, hashes []string) bool {
 	hash := []byte(Hash(key))
--- a/entry/cmd/host.go
+++ b/entry/cmd/host.go
@@ -8,7 +8,6 @@
 	"github.com/sirupsen/logrus"
 	"github.com/sourcegraph/conc"
 
-	"lavenderswitch/core/models/lavconfig"
 	"lavenderswitch/core/modules/lavdump"
 	"lavenderswitch/core/modules/lavhttp"
 	"lavenderswitch/core/modules/lavlife"
@@ -25,7 +24,6 @@
 	"lavenderswitch/core/services/lavspread"
 	"lavenderswitch/entry/models/lavsetting"
 	"lavenderswitch/entry/routers/lavcaller"
-	"lavenderswitch/entry/routers/lavoperator"
 	"lavenderswitch/entry/routers/lavpeer"
 	"lavenderswitch/entry/services/lavattempt"
 	"lavenderswitch/entry/services/lavfleet"
@@ -165,7 +163,7 @@
 
 func (h *host) listen(ctx context.Context) error {
 	h.router = &lavcaller.Router{Configs: h.current, Server: h.service, RequestTimeout: h.settings.RequestTimeout.Duration}
-	operators := &lavoperator.Router{Configs: h, KeyHashes: h.settings.OperatorKeyHashes, Dump: h.dump}
+	operators := h.operatorRouter()
 	peers := &lavpeer.Router{Sessions: h.pins, Bills: h.bills, Config: h.spreader.Handler()}
 	var err error
 	h.callers, err = lavhttp.Listen(ctx, h.settings.CallerAddress, h.router.Routes(), nil, lavhttp.DefaultLimits())
@@ -232,19 +230,6 @@
 	return h.members.Owners(now)
 }
 
-// Document returns the configuration in force here.
-func (h *host) Document() *lavconfig.Document {
-	return h.current.Document()
-}
-
-// Submit writes a patch and adopts the configuration that it gives.
-func (h *host) Submit(ctx context.Context, patch lavspread.Patch) (*lavconfig.Document, error) {
-	if _, err := h.spreader.Submit(ctx, patch); err != nil {
-		return nil, err
-	}
-	return h.current.Document(), nil
-}
-
 // shutDown ends the listeners once running requests are answered, then writes the last bills.
 func (h *host) shutDown(ctx context.Context) error {
 	h.router.Drain()
--- /dev/null
+++ b/entry/cmd/operators.go
@@ -0,0 +1,23 @@
+package lavcmd
+
+import (
+	"lavenderswitch/entry/routers/lavoperator"
+	"lavenderswitch/entry/services/lavoperation"
+)
+
+// operatorRouter returns the operators' interface over the parts of this host.
+func (h *host) operatorRouter() *lavoperator.Router {
+	service := &lavoperation.Service{
+		Configs:   h.current,
+		Submitter: h.spreader,
+		Rows:      h.platform,
+		Hosts:     h.members,
+		Calls:     lavoperation.NoCalls{},
+		Servers:   func() any { return h.fleet.Dump() },
+	}
+	router := &lavoperator.Router{Service: service, Dump: h.dump}
+	for _, key := range h.settings.AllOperatorKeys() {
+		router.Keys = append(router.Keys, lavoperator.Key{Name: key.Name, Hash: key.Hash})
+	}
+	return router
+}
--- a/entry/models/lavsetting/settings.go
+++ b/entry/models/lavsetting/settings.go
@@ -1,11 +1,14 @@
 package lavsetting
 
 import (
+	"fmt"
 	"net/netip"
 	"net/url"
+	"slices"
 	"time"
 
 	"lavenderswitch/core/models/lavid"
+	"lavenderswitch/core/modules/lavkey"
 	"lavenderswitch/core/modules/lavsettings"
 )
 
@@ -25,7 +28,9 @@
 	Seeds []string
 	// OperatorKeyHashes holds SHA-256 hashes of operators' keys in hexadecimal.
 	OperatorKeyHashes []string
-	LogLevel          string
+	// OperatorKeys holds operators' keys with the names under which their patches are recorded.
+	OperatorKeys []OperatorKey
+	LogLevel     string
 	// DrainTimeout bounds a graceful shutdown.
 	DrainTimeout lavsettings.Duration
 	// ReadinessDelay is how long the host still answers after its readiness has turned negative.
@@ -36,6 +41,25 @@
 	SilenceTimeout lavsettings.Duration
 }
 
+// OperatorKey is one operator's key.
+type OperatorKey struct {
+	Name string
+	// Hash is the SHA-256 hash of the key in hexadecimal.
+	Hash string
+}
+
+// namedDigits is how many digits of a hash name an operator whose key has no name.
+const namedDigits = 8
+
+// AllOperatorKeys returns the keys with and without a name.
+func (s Settings) AllOperatorKeys() []OperatorKey {
+	keys := slices.Clone(s.OperatorKeys)
+	for _, hash := range s.OperatorKeyHashes {
+		keys = append(keys, OperatorKey{Name: "key-" + hash[:min(namedDigits, len(hash))], Hash: hash})
+	}
+	return keys
+}
+
 // Read returns the checked settings of a file, or all its faults.
 func Read(path string) (Settings, error) {
 	settings := defaults()
@@ -67,7 +91,7 @@
 	}
 	parsed, err := url.Parse(s.PlatformAddress)
 	faults.Add(err == nil && parsed.Host != "", "PlatformAddress", s.PlatformAddress, "give a URL such as http://127.0.0.1:7000")
-	faults.Add(len(s.OperatorKeyHashes) > 0, "OperatorKeyHashes", len(s.OperatorKeyHashes), "give the SHA-256 hash of at least one operator's key")
+	s.checkKeys(&faults)
 	faults.Add(s.DrainTimeout.Duration > 0, "DrainTimeout", s.DrainTimeout, "give a time above zero")
 	faults.Add(s.ReadinessDelay.Duration >= 0, "ReadinessDelay", s.ReadinessDelay, "give a time of zero or more")
 	faults.Add(s.RequestTimeout.Duration > 0, "RequestTimeout", s.RequestTimeout, "give a time above zero")
@@ -75,6 +99,20 @@
 	return faults.Err()
 }
 
+func (s Settings) checkKeys(faults *lavsettings.Faults) {
+	keys := s.AllOperatorKeys()
+	faults.Add(len(keys) > 0, "OperatorKeys", len(keys), "give the name and the SHA-256 hash of at least one operator's key; lavenderctl hash-key makes the hash")
+	names := make(map[string]bool)
+	for i, key := range s.OperatorKeys {
+		path := fmt.Sprintf("OperatorKeys/%d", i)
+		faults.Add(key.Name != "" && !names[key.Name], path+"/Name", key.Name, "give each operator's key a name of its own")
+		names[key.Name] = true
+	}
+	for _, key := range keys {
+		faults.Add(lavkey.IsHash(key.Hash), "OperatorKeys", key.Hash, "give the SHA-256 hash in 64 lower-case hexadecimal digits; lavenderctl hash-key makes it")
+	}
+}
+
 func checkAddress(faults *lavsettings.Faults, path, address string) {
 	_, err := netip.ParseAddrPort(address)
 	faults.Add(err == nil, path, address, "give IP:port")
--- a/entry/services/lavexposure/owner.go
+++ b/entry/services/lavexposure/owner.go
@@ -143,6 +143,7 @@
 		Author:     systemAuthor,
 		Base:       withdrawal.Base,
 		Operations: withdrawal.Operations,
+		Force:      true,
 	}
 	entry := o.Log.WithField("versions", withdrawal.Versions)
 	_, err = o.Patches.Submit(ctx, patch)
