Give lavenderctl every verb and make mutual TLS from settings

Cause: operators had get and patch only, from one entry host, with one exit code, and nothing made TLS configurations.

Roll-outs, data centres and backend servers have commands that build the patch against the number just read and show it. lavtls lists every fault of its files and lets processes without files listen on the loopback interface only.

Ruled out: reading whether a patch was accepted in place of repeating it.

The exit code test failed before usage errors of subcommands were marked.

--- /dev/null
+++ b/core/modules/lavtls/doc.go
@@ -0,0 +1,2 @@
+// Package lavtls makes mutual TLS configurations from settings and checks them.
+package lavtls
--- /dev/null
+++ b/core/modules/lavtls/settings.go
@@ -0,0 +1,141 @@
+package lavtls
+
+import (
+	"crypto/tls"
+	"crypto/x509"
+	"net/netip"
+	"os"
+
+	"github.com/pkg/errors"
+
+	"lavenderswitch/core/modules/lavsettings"
+)
+
+// Settings name the files of one side of TLS; all are empty without TLS.
+type Settings struct {
+	// CertificateFile holds this host's certificate chain in PEM.
+	CertificateFile string
+	// KeyFile holds the private key of the certificate in PEM.
+	KeyFile string
+	// AuthorityFile holds the certificates that the other side's certificate is checked against, in PEM.
+	AuthorityFile string
+}
+
+// Enabled tells whether any file is named.
+func (s Settings) Enabled() bool {
+	return s != Settings{}
+}
+
+// Check adds every fault of the settings under a path; without TLS every address has to be on the loopback interface.
+func (s Settings) Check(faults *lavsettings.Faults, path string, addresses ...string) {
+	if !s.Enabled() {
+		for _, address := range addresses {
+			faults.Add(isLoopback(address), path, "missing", "name certificate files, because "+address+" is not on the loopback interface")
+		}
+		return
+	}
+	checkFile(faults, path+"/CertificateFile", s.CertificateFile)
+	checkFile(faults, path+"/KeyFile", s.KeyFile)
+	if s.CertificateFile != "" && s.KeyFile != "" {
+		_, err := tls.LoadX509KeyPair(s.CertificateFile, s.KeyFile)
+		faults.Add(err == nil, path+"/CertificateFile", s.CertificateFile, "name a certificate that fits the key: "+text(err))
+	}
+	checkFile(faults, path+"/AuthorityFile", s.AuthorityFile)
+	if s.AuthorityFile != "" {
+		_, err := pool(s.AuthorityFile)
+		faults.Add(err == nil, path+"/AuthorityFile", s.AuthorityFile, "name a file with certificates in PEM")
+	}
+}
+
+func checkFile(faults *lavsettings.Faults, path, name string) {
+	if name == "" {
+		faults.Add(false, path, "missing", "name the file; all three files are needed")
+		return
+	}
+	file, err := os.Open(name) //nolint:gosec // the settings name the file
+	faults.Add(err == nil, path, name, "name a readable file: "+text(err))
+	if err == nil {
+		file.Close()
+	}
+}
+
+func text(err error) string {
+	if err == nil {
+		return ""
+	}
+	return err.Error()
+}
+
+func isLoopback(address string) bool {
+	parsed, err := netip.ParseAddrPort(address)
+	return err != nil || parsed.Addr().IsLoopback()
+}
+
+// Server returns the configuration of a listener that asks for a certificate of the authority, or nil without TLS.
+func (s Settings) Server() (*tls.Config, error) {
+	config, err := s.base()
+	if config == nil {
+		return nil, err
+	}
+	config.ClientAuth = tls.RequireAndVerifyClientCert
+	config.ClientCAs = config.RootCAs
+	return config, nil
+}
+
+// ServerOnly returns the configuration of a listener whose clients show a key in place of a certificate, or nil without TLS.
+func (s Settings) ServerOnly() (*tls.Config, error) {
+	return s.base()
+}
+
+// Client returns the configuration of calls to such a listener, or nil without TLS.
+func (s Settings) Client() (*tls.Config, error) {
+	return s.base()
+}
+
+func (s Settings) base() (*tls.Config, error) {
+	if !s.Enabled() {
+		return nil, nil //nolint:nilnil // no configuration means no TLS
+	}
+	certificate, err := tls.LoadX509KeyPair(s.CertificateFile, s.KeyFile)
+	if err != nil {
+		return nil, errors.Wrap(err, "load the certificate; check CertificateFile and KeyFile")
+	}
+	authorities, err := pool(s.AuthorityFile)
+	if err != nil {
+		return nil, err
+	}
+	return &tls.Config{
+		MinVersion:   tls.VersionTLS13,
+		Certificates: []tls.Certificate{certificate},
+		RootCAs:      authorities,
+	}, nil
+}
+
+// Scheme returns what precedes the address of a peer.
+func (s Settings) Scheme() string {
+	if s.Enabled() {
+		return "https://"
+	}
+	return "http://"
+}
+
+// Trusting returns the configuration of a client without a certificate that checks the server against a file.
+func Trusting(authorityFile string) (*tls.Config, error) {
+	authorities, err := pool(authorityFile)
+	if err != nil {
+		return nil, err
+	}
+	return &tls.Config{MinVersion: tls.VersionTLS13, RootCAs: authorities}, nil
+}
+
+func pool(name string) (*x509.CertPool, error) {
+	data, err := os.ReadFile(name) //nolint:gosec // the settings name the file
+	if err != nil {
+		return nil, errors.Wrap(err, "read the authority's certificates; check AuthorityFile")
+	}
+	authorities := x509.NewCertPool()
+	if !authorities.AppendCertsFromPEM(data) {
+		return nil, errors.Errorf("%s holds no certificate in PEM; check AuthorityFile", name)
+	}
+	return authorities, nil
+}
--- /dev/null
+++ b/ctl/cmd/calls.go
@@ -0,0 +1,110 @@
+package lavcmd
+
+import (
+	"context"
+	"encoding/json"
+	"net/url"
+	"os"
+
+	"github.com/pkg/errors"
+	"github.com/urfave/cli/v3"
+
+	"lavenderswitch/core/models/lavid"
+	"lavenderswitch/ctl/services/lavclient"
+)
+
+const (
+	flagAccount     = "account"
+	flagRequest     = "request"
+	flagAttempt     = "attempt"
+	flagRan         = "ran"
+	flagNotRun      = "not-run"
+	flagStatusCode  = "status-code"
+	flagContentType = "content-type"
+	flagBody        = "body-file"
+)
+
+func callsCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "calls",
+		Usage: "list and settle calls that may not be repeated and whose outcome is not known",
+		Commands: []*cli.Command{
+			{Name: "list", Usage: "list calls in doubt; calls that are still running are among them", Action: listCalls},
+			{
+				Name: "settle", Usage: "say whether the backend server ran a call", Action: settleCall,
+				Description: "Look into the backend server first. Repeats of the call are answered from what you say here.\n\nExample:\n   lavenderctl calls settle --account donativa --request claim-17 --attempt 5f0c… --not-run",
+				Flags: []cli.Flag{
+					&cli.StringFlag{Name: flagAccount, Usage: "client account", Required: true},
+					&cli.StringFlag{Name: flagRequest, Usage: "request id", Required: true},
+					&cli.StringFlag{Name: flagAttempt, Usage: "attempt id that calls list shows", Required: true},
+					&cli.BoolFlag{Name: flagRan, Usage: "the backend server ran the call"},
+					&cli.BoolFlag{Name: flagNotRun, Usage: "the backend server did not run the call"},
+					&cli.Int64Flag{Name: flagStatusCode, Usage: "status that the backend server answered, if known"},
+					&cli.StringFlag{Name: flagContentType, Usage: "content type of that answer"},
+					&cli.StringFlag{Name: flagBody, Usage: "file with the body of that answer"},
+				},
+			},
+		},
+	}
+}
+
+func listCalls(ctx context.Context, command *cli.Command) error {
+	client, err := client(command)
+	if err != nil {
+		return err
+	}
+	all := lavclient.CallPage{Calls: []lavclient.CallInDoubt{}}
+	for after := ""; ; {
+		var page lavclient.CallPage
+		if err := client.Read(ctx, "/calls/in-doubt", url.Values{"After": {after}}, &page); err != nil {
+			return err
+		}
+		all.Calls = append(all.Calls, page.Calls...)
+		if page.Next == "" || page.Next == after {
+			break
+		}
+		after = page.Next
+	}
+	if command.Bool(flagJSON) {
+		data, err := json.Marshal(all)
+		if err != nil {
+			return errors.Wrap(err, "encode")
+		}
+		return printJSON(command, data)
+	}
+	rows := [][]string{{"ACCOUNT", "REQUEST", "ATTEMPT", "BACKEND SERVER", "HOLDER", "CLAIMED"}}
+	for _, call := range all.Calls {
+		rows = append(rows, []string{string(call.Account), string(call.Request), string(call.Attempt), string(call.Server), call.Holder, timeText(call.Claimed)})
+	}
+	return printTable(command, rows)
+}
+
+func settleCall(ctx context.Context, command *cli.Command) error {
+	if command.Bool(flagRan) == command.Bool(flagNotRun) {
+		return usageError{errors.New("say either --ran or --not-run")}
+	}
+	settlement := lavclient.Settlement{
+		Account:     lavid.AccountID(command.String(flagAccount)),
+		Request:     lavid.RequestID(command.String(flagRequest)),
+		Attempt:     lavid.AttemptID(command.String(flagAttempt)),
+		Ran:         command.Bool(flagRan),
+		StatusCode:  int(command.Int64(flagStatusCode)),
+		ContentType: command.String(flagContentType),
+	}
+	if name := command.String(flagBody); name != "" {
+		body, err := os.ReadFile(name) //nolint:gosec // the operator names the file
+		if err != nil {
+			return errors.Wrap(err, "read the answer; check --body-file")
+		}
+		settlement.Body = body
+	}
+	client, err := client(command)
+	if err != nil {
+		return err
+	}
+	data, err := client.Settle(ctx, settlement)
+	if err != nil {
+		return err
+	}
+	return printJSON(command, data)
+}
--- /dev/null
+++ b/ctl/cmd/hash_key.go
@@ -0,0 +1,31 @@
+package lavcmd
+
+import (
+	"bufio"
+	"context"
+	"strings"
+
+	"github.com/pkg/errors"
+	"github.com/urfave/cli/v3"
+
+	"lavenderswitch/core/modules/lavkey"
+)
+
+func hashKeyCommand() *cli.Command {
+	return &cli.Command{
+		Name:        "hash-key",
+		Usage:       "print the hash of the key on standard input",
+		Description: "Configurations and settings hold hashes of keys only.\n\nExample:\n   openssl rand -hex 24 | tee caller.key | lavenderctl hash-key",
+		Action:      hashKey,
+	}
+}
+
+func hashKey(_ context.Context, command *cli.Command) error {
+	line, err := bufio.NewReader(command.Root().Reader).ReadString('\n')
+	key := strings.TrimSpace(line)
+	if key == "" {
+		return errors.Wrap(err, "standard input holds no key")
+	}
+	printLine(command, "%s", lavkey.Hash(key))
+	return nil
+}
--- /dev/null
+++ b/ctl/cmd/patch.go
@@ -0,0 +1,33 @@
+package lavcmd
+
+import (
+	"context"
+	"net/url"
+
+	"github.com/urfave/cli/v3"
+
+	"lavenderswitch/ctl/services/lavclient"
+)
+
+func patchCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "patch",
+		Usage: "tell what became of a patch",
+		Commands: []*cli.Command{{
+			Name: "status", Usage: "show whether a patch was accepted", ArgsUsage: "PATCH-ID", Action: patchStatus,
+			Description: "A patch that is Open may still be accepted; repeat it with config patch --id to settle it.",
+			Flags:       []cli.Flag{&cli.Uint64Flag{Name: flagBase, Usage: "number that the patch was made against", Required: true}},
+		}},
+	}
+}
+
+func patchStatus(ctx context.Context, command *cli.Command) error {
+	id, err := argument(command, "PATCH-ID")
+	if err != nil {
+		return err
+	}
+	query := url.Values{"Base": {text(command.Uint64(flagBase))}}
+	return show(ctx, command, "/patches/"+url.PathEscape(id), query, func(status lavclient.PatchStatus) [][]string {
+		return [][]string{{"PATCH", "STATE", "NUMBER", "REMEDY"}, {string(status.Patch), status.State, text(status.Number), status.Remedy}}
+	})
+}
--- /dev/null
+++ b/ctl/cmd/rollout.go
@@ -0,0 +1,96 @@
+package lavcmd
+
+import (
+	"context"
+
+	"github.com/urfave/cli/v3"
+
+	"lavenderswitch/core/models/lavconfig"
+	"lavenderswitch/core/models/lavid"
+	"lavenderswitch/ctl/services/lavchange"
+	"lavenderswitch/ctl/services/lavclient"
+)
+
+const (
+	flagReplaces    = "replaces"
+	flagShare       = "share"
+	flagInputPrice  = "input-price"
+	flagOutputPrice = "output-price"
+	flagQuality     = "quality"
+	argumentVersion = "VERSION"
+)
+
+func rolloutCommand() *cli.Command {
+	share := &cli.Float64Flag{Name: flagShare, Usage: "largest share of new sessions, from 0 to 1", Required: true}
+	return &cli.Command{
+		Name:  "rollout",
+		Usage: "roll versions out and withdraw them",
+		Commands: []*cli.Command{
+			{Name: "list", Usage: "list versions and their shares", Action: rollouts},
+			{
+				Name: "start", Usage: "add a version beside the one that it replaces", ArgsUsage: argumentVersion, Action: startRollout,
+				Description: "Client accounts and backend servers that have the replaced version get the new one too.\n\nExample:\n   lavenderctl rollout start small-2 --replaces small-1 --share 0.01",
+				Flags: append([]cli.Flag{
+					&cli.StringFlag{Name: flagReplaces, Usage: "version that serves now", Required: true},
+					share,
+					&cli.Int64Flag{Name: flagInputPrice, Usage: "billionths of a unit per token; by default as the replaced version"},
+					&cli.Int64Flag{Name: flagOutputPrice, Usage: "billionths of a unit per token; by default as the replaced version"},
+					&cli.Float64Flag{Name: flagQuality, Usage: "expected quality from 0 to 1; by default as the replaced version"},
+				}, submitFlags()...),
+			},
+			{Name: "widen", Usage: "change the share of a version under roll-out", ArgsUsage: argumentVersion, Action: widenRollout, Flags: append([]cli.Flag{share}, submitFlags()...)},
+			{Name: "finish", Usage: "let a version serve without limit", ArgsUsage: argumentVersion, Action: setVersion(lavconfig.VersionServing), Flags: submitFlags()},
+			{Name: "withdraw", Usage: "give a version no new work", ArgsUsage: argumentVersion, Action: setVersion(lavconfig.VersionWithdrawn), Flags: submitFlags()},
+		},
+	}
+}
+
+func rollouts(ctx context.Context, command *cli.Command) error {
+	return show(ctx, command, "/rollouts", nil, func(reply lavclient.Rollouts) [][]string {
+		rows := [][]string{{"VERSION", "MODEL", "STATE", "LARGEST SHARE", "REPLACES"}}
+		for _, version := range reply.Versions {
+			rows = append(rows, []string{string(version.Version), string(version.Model), string(version.State), text(version.MaxShare), string(version.Replaces)})
+		}
+		return rows
+	})
+}
+
+func startRollout(ctx context.Context, command *cli.Command) error {
+	id, err := argument(command, argumentVersion)
+	if err != nil {
+		return err
+	}
+	rollout := lavchange.Rollout{
+		Version:     lavid.VersionID(id),
+		Replaces:    lavid.VersionID(command.String(flagReplaces)),
+		Share:       lavid.Share(command.Float64(flagShare)),
+		InputPrice:  lavid.NanoUnits(command.Int64(flagInputPrice)),
+		OutputPrice: lavid.NanoUnits(command.Int64(flagOutputPrice)),
+		Quality:     lavid.Quality(command.Float64(flagQuality)),
+	}
+	return change(ctx, command, func(document *lavconfig.Document) ([]lavchange.Operation, error) {
+		return lavchange.StartRollout(document, rollout)
+	})
+}
+
+func widenRollout(ctx context.Context, command *cli.Command) error {
+	id, err := argument(command, argumentVersion)
+	if err != nil {
+		return err
+	}
+	return change(ctx, command, func(document *lavconfig.Document) ([]lavchange.Operation, error) {
+		return lavchange.WidenRollout(document, lavid.VersionID(id), lavid.Share(command.Float64(flagShare)))
+	})
+}
+
+func setVersion(state lavconfig.VersionState) cli.ActionFunc {
+	return func(ctx context.Context, command *cli.Command) error {
+		id, err := argument(command, argumentVersion)
+		if err != nil {
+			return err
+		}
+		return change(ctx, command, func(document *lavconfig.Document) ([]lavchange.Operation, error) {
+			return lavchange.SetVersion(document, lavid.VersionID(id), state)
+		})
+	}
+}
--- /dev/null
+++ b/ctl/services/lavchange/change.go
@@ -0,0 +1,118 @@
+package lavchange
+
+import (
+	"maps"
+	"slices"
+	"strings"
+
+	"github.com/pkg/errors"
+
+	"lavenderswitch/core/models/lavconfig"
+	"lavenderswitch/core/models/lavid"
+)
+
+// Operation is one operation of a JSON patch.
+type Operation struct {
+	Op    string `json:"op"`
+	Path  string `json:"path"`
+	Value any    `json:"value"`
+}
+
+// Rollout states a version to be rolled out.
+type Rollout struct {
+	Version     lavid.VersionID
+	Replaces    lavid.VersionID
+	Share       lavid.Share
+	InputPrice  lavid.NanoUnits
+	OutputPrice lavid.NanoUnits
+	Quality     lavid.Quality
+}
+
+// StartRollout adds a version beside the one it replaces, for the client accounts and backend servers that have that one.
+func StartRollout(document *lavconfig.Document, rollout Rollout) ([]Operation, error) {
+	replaced, ok := document.Versions[rollout.Replaces]
+	if !ok {
+		return nil, errors.Errorf("configuration %d has no version %s; name the version that serves now with --replaces", document.Number, rollout.Replaces)
+	}
+	if _, ok := document.Versions[rollout.Version]; ok {
+		return nil, errors.Errorf("configuration %d has version %s already; use rollout widen", document.Number, rollout.Version)
+	}
+	row := lavconfig.Version{
+		Model:           replaced.Model,
+		State:           lavconfig.VersionRollingOut,
+		MaxShare:        rollout.Share,
+		Replaces:        rollout.Replaces,
+		InputPrice:      orElse(rollout.InputPrice, replaced.InputPrice),
+		OutputPrice:     orElse(rollout.OutputPrice, replaced.OutputPrice),
+		ExpectedQuality: orElse(rollout.Quality, replaced.ExpectedQuality),
+	}
+	operations := []Operation{{"add", "/Versions/" + escape(rollout.Version), row}}
+	for _, id := range slices.Sorted(maps.Keys(document.ClientAccounts)) {
+		if slices.Contains(document.ClientAccounts[id].AllowedVersions, rollout.Replaces) {
+			operations = append(operations, Operation{"add", "/ClientAccounts/" + escape(id) + "/AllowedVersions/-", rollout.Version})
+		}
+	}
+	for _, id := range slices.Sorted(maps.Keys(document.BackendServers)) {
+		if slices.Contains(document.BackendServers[id].Versions, rollout.Replaces) {
+			operations = append(operations, Operation{"add", "/BackendServers/" + escape(id) + "/Versions/-", rollout.Version})
+		}
+	}
+	return operations, nil
+}
+
+// WidenRollout changes the share of a version under roll-out.
+func WidenRollout(document *lavconfig.Document, version lavid.VersionID, share lavid.Share) ([]Operation, error) {
+	row, ok := document.Versions[version]
+	if !ok || row.State != lavconfig.VersionRollingOut {
+		return nil, errors.Errorf("version %s is not rolling out in configuration %d; see lavenderctl rollout list", version, document.Number)
+	}
+	return []Operation{{"replace", "/Versions/" + escape(version) + "/MaxShare", share}}, nil
+}
+
+// SetVersion changes the state of a version.
+func SetVersion(document *lavconfig.Document, version lavid.VersionID, state lavconfig.VersionState) ([]Operation, error) {
+	row, ok := document.Versions[version]
+	if !ok {
+		return nil, errors.Errorf("configuration %d has no version %s; see lavenderctl rollout list", document.Number, version)
+	}
+	if row.State == state {
+		return nil, errors.Errorf("version %s is %s already in configuration %d", version, state, document.Number)
+	}
+	return []Operation{{"replace", "/Versions/" + escape(version) + "/State", state}}, nil
+}
+
+// SetDataCentre takes a data centre out of service or back.
+func SetDataCentre(document *lavconfig.Document, id lavid.DataCentreID, state lavconfig.ServingState) ([]Operation, error) {
+	row, ok := document.DataCentres[id]
+	if !ok {
+		return nil, errors.Errorf("configuration %d has no data centre %s; see lavenderctl config get", document.Number, id)
+	}
+	if row.State == state {
+		return nil, errors.Errorf("data centre %s is %s already in configuration %d", id, state, document.Number)
+	}
+	return []Operation{{"replace", "/DataCentres/" + escape(id) + "/State", state}}, nil
+}
+
+// SetServer takes a backend server out of service or back.
+func SetServer(document *lavconfig.Document, id lavid.BackendServerID, state lavconfig.ServingState) ([]Operation, error) {
+	row, ok := document.BackendServers[id]
+	if !ok {
+		return nil, errors.Errorf("configuration %d has no backend server %s; see lavenderctl fleet", document.Number, id)
+	}
+	if row.State == state {
+		return nil, errors.Errorf("backend server %s is %s already in configuration %d", id, state, document.Number)
+	}
+	return []Operation{{"replace", "/BackendServers/" + escape(id) + "/State", state}}, nil
+}
+
+func orElse[Value comparable](value, other Value) Value {
+	var none Value
+	if value == none {
+		return other
+	}
+	return value
+}
+
+func escape[ID ~string](id ID) string {
+	return strings.NewReplacer("~", "~0", "/", "~1").Replace(string(id))
+}
--- a/ctl/services/lavclient/client.go
+++ b/ctl/services/lavclient/client.go
@@ -1,60 +1,159 @@
 package lavclient
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"io"
 	"net/http"
+	"net/url"
 	"strconv"
-	"strings"
 	"time"
 
 	"github.com/pkg/errors"
 
+	"lavenderswitch/core/models/lavconfig"
 	"lavenderswitch/core/models/lavid"
 )
 
-const requestTimeout = 10 * time.Second
+const requestTimeout = 15 * time.Second
 
-// Client speaks to one entry host.
+// headerPatch carries the patch id.
+const headerPatch = "Lavender-Patch"
+
+// Client speaks to the operators' interface of entry hosts.
 type Client struct {
-	Address string
-	Key     string
+	// Addresses are URLs of entry hosts, tried in turn.
+	Addresses []string
+	Key       string
+	HTTP      *http.Client
+}
+
+// call is one request that any entry host may answer.
+type call struct {
+	method string
+	path   string
+	query  url.Values
+	match  string
+	patch  lavid.PatchID
+	body   []byte
+}
+
+// Get returns the reply to a path as JSON.
+func (c *Client) Get(ctx context.Context, path string, query url.Values) (json.RawMessage, error) {
+	return c.send(ctx, call{method: http.MethodGet, path: path, query: query})
+}
+
+// Read decodes the reply to a path.
+func (c *Client) Read(ctx context.Context, path string, query url.Values, value any) error {
+	data, err := c.Get(ctx, path, query)
+	if err != nil {
+		return err
+	}
+	return errors.Wrap(json.Unmarshal(data, value), "decode the reply; lavenderctl and the entry host may be of different versions")
 }
 
-// Config returns the configuration as JSON.
-func (c Client) Config(ctx context.Context) (json.RawMessage, error) {
-	return c.call(ctx, http.MethodGet, "/config", nil, "")
+// Config returns the configuration in force.
+func (c *Client) Config(ctx context.Context) (*lavconfig.Document, error) {
+	document := &lavconfig.Document{}
+	err := c.Read(ctx, "/config", nil, document)
+	return document.WithTables(), err
 }
 
-// Patch submits a JSON patch against a configuration number.
-func (c Client) Patch(ctx context.Context, base lavid.ConfigNumber, operations json.RawMessage) (json.RawMessage, error) {
-	match := strconv.Quote(strconv.FormatUint(uint64(base), 10))
-	return c.call(ctx, http.MethodPatch, "/config", operations, match)
+// Submission is a patch on its way.
+type Submission struct {
+	ID         lavid.PatchID
+	Base       lavid.ConfigNumber
+	Operations json.RawMessage
+	Force      bool
+	DryRun     bool
 }
 
-func (c Client) call(ctx context.Context, method, path string, body []byte, match string) (json.RawMessage, error) {
+// Submit sends a patch; its id makes it safe to try several entry hosts.
+func (c *Client) Submit(ctx context.Context, submission Submission) (json.RawMessage, error) {
+	query := url.Values{}
+	if submission.Force {
+		query.Set("Force", "true")
+	}
+	if submission.DryRun {
+		query.Set("DryRun", "true")
+	}
+	return c.send(ctx, call{
+		method: http.MethodPatch,
+		path:   "/config",
+		query:  query,
+		match:  strconv.Quote(strconv.FormatUint(uint64(submission.Base), 10)),
+		patch:  submission.ID,
+		body:   submission.Operations,
+	})
+}
+
+// Settle sends an operator's word on a call in doubt.
+func (c *Client) Settle(ctx context.Context, settlement Settlement) (json.RawMessage, error) {
+	body, err := json.Marshal(settlement)
+	if err != nil {
+		return nil, errors.Wrap(err, "encode the settlement")
+	}
+	return c.send(ctx, call{method: http.MethodPost, path: "/calls/settle", body: body})
+}
+
+// send tries each address until one answers; an answer that refuses is an answer.
+func (c *Client) send(ctx context.Context, call call) (json.RawMessage, error) {
+	if len(c.Addresses) == 0 {
+		return nil, errors.New("no entry host is named; give --address or set LAVENDERCTL_ADDRESS")
+	}
+	var last error
+	for _, address := range c.Addresses {
+		data, err := c.sendTo(ctx, address, call)
+		if err == nil || !isUnreachable(err) {
+			return data, err
+		}
+		last = err
+	}
+	if call.method == http.MethodPatch {
+		return nil, errors.Wrapf(last, "no entry host answered; repeat with --id %s to settle it", call.patch)
+	}
+	return nil, errors.Wrap(last, "no entry host answered; check --address")
+}
+
+// unreachable says that an address gave no answer.
+type unreachable struct{ error }
+
+func isUnreachable(err error) bool {
+	var typed unreachable
+	return errors.As(err, &typed)
+}
+
+// IsUnreachable tells whether no entry host answered.
+func IsUnreachable(err error) bool { return isUnreachable(err) }
+
+func (c *Client) sendTo(ctx context.Context, address string, call call) (json.RawMessage, error) {
 	ctx, cancel := context.WithTimeout(ctx, requestTimeout)
 	defer cancel()
-	request, err := http.NewRequestWithContext(ctx, method, c.Address+path, strings.NewReader(string(body)))
+	target := address + call.path
+	if len(call.query) > 0 {
+		target += "?" + call.query.Encode()
+	}
+	request, err := http.NewRequestWithContext(ctx, call.method, target, bytes.NewReader(call.body))
 	if err != nil {
 		return nil, errors.Wrap(err, "build request; check --address")
 	}
 	request.Header.Set("Authorization", "Bearer "+c.Key)
-	if match != "" {
-		request.Header.Set("If-Match", match)
+	if call.match != "" {
+		request.Header.Set("If-Match", call.match)
+		request.Header.Set(headerPatch, string(call.patch))
 	}
-	response, err := http.DefaultClient.Do(request)
+	response, err := c.HTTP.Do(request)
 	if err != nil {
-		return nil, errors.Wrap(err, "reach the entry host; check --address or name another entry host")
+		return nil, unreachable{err}
 	}
 	defer response.Body.Close()
 	data, err := io.ReadAll(response.Body)
 	if err != nil {
-		return nil, errors.Wrap(err, "read the reply")
+		return nil, unreachable{err}
 	}
 	if response.StatusCode != http.StatusOK {
-		return nil, errors.Errorf("entry host answered %s: %s", response.Status, data)
+		return nil, readRefusal(response.StatusCode, data)
 	}
 	return data, nil
 }
--- /dev/null
+++ b/ctl/services/lavclient/refusal.go
@@ -0,0 +1,54 @@
+package lavclient
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strings"
+
+	"lavenderswitch/core/models/lavid"
+	"lavenderswitch/core/modules/laverror"
+	"lavenderswitch/core/modules/lavhttp"
+	"lavenderswitch/core/modules/lavsettings"
+)
+
+// Refusal is an error answer of an entry host.
+type Refusal struct {
+	Status int `json:"-"`
+	lavhttp.ErrorBody
+	Faults   lavsettings.Faults
+	Warnings lavsettings.Faults
+	Current  lavid.ConfigNumber
+	Since    []HistoryEntry
+}
+
+func readRefusal(status int, data []byte) error {
+	refusal := &Refusal{Status: status}
+	if json.Unmarshal(data, refusal) != nil || refusal.ErrorBody.Error.Message == "" {
+		refusal.ErrorBody.Error.Message = fmt.Sprintf("entry host answered %d %s", status, http.StatusText(status))
+	}
+	return refusal
+}
+
+// Kind returns the kind of the refusal.
+func (r *Refusal) Kind() laverror.Kind {
+	return r.ErrorBody.Error.Code
+}
+
+// Error returns the message, the remedy and every detail, one a line.
+func (r *Refusal) Error() string {
+	lines := []string{r.ErrorBody.Error.Message}
+	for _, fault := range r.Faults {
+		lines = append(lines, "  fault "+lavsettings.Faults{fault}.Error())
+	}
+	for _, warning := range r.Warnings {
+		lines = append(lines, "  danger "+lavsettings.Faults{warning}.Error())
+	}
+	if r.Current > 0 {
+		lines = append(lines, fmt.Sprintf("  the present configuration is %d; accepted since:", r.Current))
+	}
+	for _, entry := range r.Since {
+		lines = append(lines, fmt.Sprintf("  %d by %s: %s", entry.Number, entry.Author, entry.Operations))
+	}
+	return strings.Join(lines, "\n")
+}
