Entry: follow a higher configuration that a side process names

Cause: an entry host one number behind tried every server with a version that each refused as withdrawn, and then gave up.

Change: a refusal with a higher number makes the entry catch up; when the version was withdrawn the request is planned anew and its session moves.

Measured: the new lavserve test fails without catchUp (attempts run out) and passes with it.

--- a/entry/cmd/host.go
+++ b/entry/cmd/host.go
@@ -145,6 +145,7 @@
 	h.service = &lavserve.Service{
 		Host:     h.settings.HostID,
 		Configs:  h.current,
+		Peers:    h.spreader,
 		Attempts: attempts,
 		Sessions: h.resolver,
 		Seals:    lavledger.New(h.platform),
--- /dev/null
+++ b/entry/services/lavserve/outdated.go
@@ -0,0 +1,29 @@
+package lavserve
+
+import (
+	"github.com/pkg/errors"
+
+	"lavenderswitch/core/modules/laverror"
+)
+
+// errPlanOutdated says that a side process knows of a configuration under which the plan may not run.
+type errPlanOutdated struct{ typed *laverror.Error }
+
+// Error returns the text for the caller.
+func (e errPlanOutdated) Error() string {
+	return e.typed.Error()
+}
+
+// Unwrap returns the typed error for the caller.
+func (e errPlanOutdated) Unwrap() error {
+	return e.typed
+}
+
+func planOutdated() error {
+	return errPlanOutdated{laverror.New(laverror.KindNotAllowed, "the configuration no longer allows the version or service", "choose one that is allowed")}
+}
+
+func isErrPlanOutdated(err error) bool {
+	var typed errPlanOutdated
+	return errors.As(err, &typed)
+}
--- a/entry/services/lavserve/serve.go
+++ b/entry/services/lavserve/serve.go
@@ -43,6 +43,11 @@
 	Document() *lavconfig.Document
 }
 
+// Peers brings this host up to a higher configuration number that another host has named.
+type Peers interface {
+	CatchUp(ctx context.Context, address string, number lavid.ConfigNumber) bool
+}
+
 // Attempts sends attempts to side processes.
 type Attempts interface {
 	Run(ctx context.Context, base string, attempt *lavwire.Attempt, sink lavrequest.Sink) (lavattempt.Result, error)
@@ -70,6 +75,7 @@
 type Service struct {
 	Host     lavid.HostID
 	Configs  Configs
+	Peers    Peers
 	Attempts Attempts
 	Sessions Sessions
 	Seals    Seals
@@ -170,21 +176,30 @@
 	return w.servePlans(ctx)
 }
 
-// servePlans takes another plan while the pools of the one before have no server with room.
+// maxPlans bounds the plans tried for one request.
+const maxPlans = 6
+
+// servePlans takes another plan while the pools of the one before have no server with room, or its version was withdrawn.
 func (w *work) servePlans(ctx context.Context) error {
 	var last error
-	for {
+	for range maxPlans {
 		plan, err := w.plan(ctx)
 		if err != nil {
 			return firstOf(last, err)
 		}
 		err = w.serveStages(ctx, plan)
-		if err == nil || !w.mayReplan(err, plan) {
+		switch {
+		case err == nil:
+			return nil
+		case isErrPlanOutdated(err):
+		case w.mayReplan(err, plan):
+			w.excluded = append(w.excluded, plan.Stages[len(plan.Stages)-1].Version)
+		default:
 			return err
 		}
 		last = err
-		w.excluded = append(w.excluded, plan.Stages[len(plan.Stages)-1].Version)
 	}
+	return last
 }
 
 // mayReplan tells whether another version may serve instead: nothing ran, and neither caller nor session asks for this one.
--- a/entry/services/lavserve/serve_test.go
+++ b/entry/services/lavserve/serve_test.go
@@ -49,6 +49,15 @@
 
 func (f *fake) Document() *lavconfig.Document { return f.document }
 
+func (f *fake) CatchUp(_ context.Context, _ string, number lavid.ConfigNumber) bool {
+	withdrawn := *f.document
+	withdrawn.Number = number
+	withdrawn.Versions = map[lavid.VersionID]lavconfig.Version{"small": {State: lavconfig.VersionWithdrawn}, "large": {OutputPrice: 10}}
+	f.document = &withdrawn
+	f.plan = lavplan.Plan{Stages: []lavplan.Stage{{Version: "large"}}}
+	return true
+}
+
 func (f *fake) Run(_ context.Context, _ string, attempt *lavwire.Attempt, sink lavrequest.Sink) (lavattempt.Result, error) {
 	f.attempts = append(f.attempts, attempt)
 	next := f.replies[0]
@@ -133,7 +142,7 @@
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	return &Service{
-		Configs: f, Attempts: f, Sessions: f, Seals: f, Planner: f, Raters: f, Gate: f,
+		Configs: f, Peers: f, Attempts: f, Sessions: f, Seals: f, Planner: f, Raters: f, Gate: f,
 		Fleet: lavfleet.New("h1", "d1"), Bills: f.bills, Retries: lavretry.New(), Hedgers: NewHedgers(),
 		Traces: lavtrace.NewRing(4), Metrics: lavmetric.NewSet(), Log: log,
 		Holders: func(string) lavwire.Bills { return f },
@@ -219,6 +228,20 @@
 	is.Equal(f.enters, 2)
 }
 
+func TestServePlansAnewWhenASideKnowsOfAWithdrawal(t *testing.T) {
+	is := is.New(t)
+	behind := refused(lavwire.RefusalKind_REFUSAL_KIND_VERSION_WITHDRAWN, lavwire.RunState_RUN_STATE_NOT_RUN)
+	behind.result.Refusal.ConfigNumber = 8
+	f := newFake(behind, whole)
+	f.pinned = "small"
+	request := chatRequest()
+	request.Session = "s"
+	is.NoErr(f.service().Serve(t.Context(), request, &lavrequest.Whole{}))
+	is.Equal(f.attempts[1].GetVersionId(), "large")
+	is.Equal(f.attempts[1].GetConfigNumber(), uint64(8))
+	is.True(request.SessionMoved)
+}
+
 func TestServeBillsTheSumOfACascadeOnce(t *testing.T) {
 	is := is.New(t)
 	f := newFake(whole, whole)
--- a/entry/services/lavserve/settle.go
+++ b/entry/services/lavserve/settle.go
@@ -35,6 +35,9 @@
 		message := laverror.New(laverror.KindBackendFailed, "the answer broke off and could not be resumed", "repeat the request")
 		return false, message.WithRun(laverror.Ran)
 	}
+	if err := t.catchUp(ctx, out); err != nil {
+		return false, err
+	}
 	t.exclude(out)
 	if notRun(out) || t.request.Idempotent {
 		t.Metrics.Count(metricRetries, 1)
@@ -74,6 +77,22 @@
 	return whole.Replay(t.stage.sink)
 }
 
+// catchUp adopts a higher configuration that the side process named; the error says that the plan no longer holds.
+func (t *tries) catchUp(ctx context.Context, out outcome) error {
+	refusal := out.result.Refusal
+	if number := lavid.ConfigNumber(refusal.GetConfigNumber()); number > t.document.Number {
+		server := lavid.BackendServerID(out.attempt.GetBackendServerId())
+		t.Peers.CatchUp(ctx, t.document.BackendServers[server].SideAddress, number)
+		t.document = t.Configs.Document()
+	}
+	switch refusal.GetKind() {
+	case lavwire.RefusalKind_REFUSAL_KIND_VERSION_WITHDRAWN, lavwire.RefusalKind_REFUSAL_KIND_VERSION_NOT_ALLOWED:
+		return planOutdated()
+	default:
+		return nil
+	}
+}
+
 func (t *tries) callerSawBytes(out outcome) bool {
 	starter, ok := t.stage.sink.(lavrequest.Starter)
 	return ok && out.sink == t.stage.sink && starter.Started()
