Entry: end a stream that broke off instead of sending it again

Cause: the tee that keeps an answer for its rating hid whether bytes had reached the caller, so a stream that broke off in the middle was sent again from its start behind the first half.

--- a/entry/services/lavserve/stages.go
+++ b/entry/services/lavserve/stages.go
@@ -113,6 +113,12 @@
 
 const maxRatedBytes = 64 << 10
 
+// Started tells whether bytes of the answer have reached the caller.
+func (t *tee) Started() bool {
+	starter, ok := t.Sink.(lavrequest.Starter)
+	return ok && starter.Started()
+}
+
 // Chunk passes data on and keeps it while there is room.
 func (t *tee) Chunk(data []byte) error {
 	if room := maxRatedBytes - len(t.body); room > 0 {
