Measure the overhead of the router on processes

Cause: nothing showed what the path through entry and side costs. Ruled out: benchmarks within one process, which leave out the sockets. Conclusion: the measure calls with four callers from now on, so that the added time is not that of a full machine.

--- a/tests/measures/lavload/measures.go
+++ b/tests/measures/lavload/measures.go
@@ -9,5 +9,6 @@
 		{Name: "cold start", Run: ColdStart},
 		{Name: "data centre", Run: DataCentre},
 		{Name: "fairness", Run: Fairness},
+		{Name: "overhead", Run: Overhead},
 	}
 }
--- /dev/null
+++ b/tests/measures/lavload/overhead.go
@@ -0,0 +1,237 @@
+package lavload
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/sourcegraph/conc"
+
+	"lavenderswitch/tests/measures/lavprocess"
+	"lavenderswitch/tests/measures/lavreport"
+)
+
+const (
+	programs        = "bin"
+	overheadCallers = 4
+	overheadLength  = 4 * time.Second
+	idleStreams     = 400
+	idlePause       = 20 * time.Second
+	wideLimit       = 1000
+)
+
+// burst is what some callers saw of requests sent one after another.
+type burst struct {
+	mu      sync.Mutex
+	answers []lavprocess.Answer
+	failed  int
+	took    time.Duration
+}
+
+func (b *burst) add(answer lavprocess.Answer, err error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if err != nil || !answer.Complete {
+		b.failed++
+		return
+	}
+	b.answers = append(b.answers, answer)
+}
+
+func (b *burst) whole() []time.Duration {
+	samples := make([]time.Duration, 0, len(b.answers))
+	for _, answer := range b.answers {
+		samples = append(samples, answer.Whole)
+	}
+	return samples
+}
+
+func (b *burst) first() []time.Duration {
+	samples := make([]time.Duration, 0, len(b.answers))
+	for _, answer := range b.answers {
+		samples = append(samples, answer.First)
+	}
+	return samples
+}
+
+// sendClosed lets callers send one request after another for a time.
+func sendClosed(address string, callers int, stream bool, length time.Duration) *burst {
+	caller := lavprocess.NewCaller(address)
+	defer caller.HTTP.CloseIdleConnections()
+	result := &burst{}
+	began := time.Now()
+	ctx, cancel := context.WithTimeout(context.Background(), length+10*time.Second)
+	defer cancel()
+	var group conc.WaitGroup
+	for range callers {
+		group.Go(func() {
+			for time.Since(began) < length {
+				result.add(caller.Send(ctx, stream, "a prompt of some words"))
+			}
+		})
+	}
+	group.Wait()
+	result.took = time.Since(began)
+	return result
+}
+
+// used is the processor time and the allocations between two readings.
+type used struct {
+	entry, side time.Duration
+	allocations float64
+}
+
+type memoryVars struct {
+	Stats struct{ Mallocs float64 } `json:"memstats"`
+}
+
+func allocations(f *lavprocess.Fleet) float64 {
+	text, err := f.Read(0, "/debug/vars")
+	if err != nil {
+		return 0
+	}
+	var vars memoryVars
+	if json.Unmarshal([]byte(text), &vars) != nil {
+		return 0
+	}
+	return vars.Stats.Mallocs
+}
+
+func readUsed(f *lavprocess.Fleet) (used, error) {
+	entry, err := f.Entries[0].Usage()
+	if err != nil {
+		return used{}, err
+	}
+	side, err := f.Sides[0].Usage()
+	return used{entry.Processor, side.Processor, allocations(f)}, err
+}
+
+// Overhead compares one engine called directly with the same engine behind entry and side.
+func Overhead(options lavreport.Options) ([]lavreport.Row, error) {
+	f, err := oneServer("--first-token", "1ms", "--between-tokens", "0", "--tokens", "20")
+	if err != nil {
+		return nil, err
+	}
+	defer f.Stop()
+	var rows []lavreport.Row
+	for _, stream := range []bool{false, true} {
+		measured, err := compareDirect(f, stream, options.Seed)
+		if err != nil {
+			return nil, err
+		}
+		rows = append(rows, measured...)
+	}
+	idle, err := measureIdle(options.Seed)
+	return append(rows, idle), err
+}
+
+func oneServer(engineArguments ...string) (*lavprocess.Fleet, error) {
+	f, err := lavprocess.New(programs)
+	if err != nil {
+		return nil, err
+	}
+	arguments := append([]string{"--capacity", fmt.Sprint(wideLimit)}, engineArguments...)
+	if err := errors.Wrap(firstError(
+		f.AddServer("dc-1", wideLimit, arguments...),
+		f.AddEntry("dc-1"),
+		f.Ready(),
+	), "start fleet"); err != nil {
+		f.Stop()
+		return nil, err
+	}
+	return f, nil
+}
+
+func firstError(all ...error) error {
+	for _, err := range all {
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func compareDirect(f *lavprocess.Fleet, stream bool, seed uint64) ([]lavreport.Row, error) {
+	sendClosed(f.Entries[0].Address, overheadCallers, stream, 2*time.Second)
+	direct := sendClosed(f.Engines[0].Address, overheadCallers, stream, overheadLength)
+	before, err := readUsed(f)
+	if err != nil {
+		return nil, err
+	}
+	through := sendClosed(f.Entries[0].Address, overheadCallers, stream, overheadLength)
+	after, err := readUsed(f)
+	if err != nil {
+		return nil, err
+	}
+	name := "plain answers of 20 tokens"
+	if stream {
+		name = "streams of 20 tokens"
+	}
+	count := float64(max(len(through.answers), 1))
+	entry := (after.entry - before.entry).Seconds()
+	side := (after.side - before.side).Seconds()
+	row := lavreport.Row{Measure: "overhead (processes)", Case: name, Policy: "direct", Seed: seed, Verdict: lavreport.Baseline, Figures: burstFigures(direct)}
+	routed := row
+	routed.Policy = "lavenderswitch"
+	routed.Figures = append(burstFigures(through),
+		lavreport.Number("added p50 ms", millis(quantile(through.whole(), middle)-quantile(direct.whole(), middle)), 2),
+		lavreport.Number("added p99 ms", millis(quantile(through.whole(), far)-quantile(direct.whole(), far)), 2),
+		lavreport.Number("requests/s per entry core", count/max(entry, 0.01), 0),
+		lavreport.Number("per side core", count/max(side, 0.01), 0),
+		lavreport.Number("entry allocations/request", (after.allocations-before.allocations)/count, 0),
+	)
+	return []lavreport.Row{row, routed}, nil
+}
+
+const far = 0.99
+
+func burstFigures(b *burst) []lavreport.Figure {
+	return []lavreport.Figure{
+		lavreport.Number("p50 ms", millis(quantile(b.whole(), middle)), 2),
+		lavreport.Number("p99 ms", millis(quantile(b.whole(), far)), 2),
+		lavreport.Number("requests/s", float64(len(b.answers))/b.took.Seconds(), 0),
+		lavreport.Number("failed", float64(b.failed), 0),
+	}
+}
+
+// measureIdle opens streams whose next token is far away and reads the memory that they take.
+func measureIdle(seed uint64) (lavreport.Row, error) {
+	row := lavreport.Row{Measure: "overhead (processes)", Case: fmt.Sprintf("%d idle streams", idleStreams), Policy: "lavenderswitch", Seed: seed, Verdict: lavreport.Baseline}
+	f, err := oneServer("--first-token", "10ms", "--between-tokens", idlePause.String(), "--tokens", "2")
+	if err != nil {
+		return row, err
+	}
+	defer f.Stop()
+	before, err := memoryOf(f)
+	if err != nil {
+		return row, err
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	caller := lavprocess.NewCaller(f.Entries[0].Address)
+	var group conc.WaitGroup
+	for range idleStreams {
+		group.Go(func() { _, _ = caller.Send(ctx, true, "wait") })
+	}
+	time.Sleep(6 * time.Second)
+	after, err := memoryOf(f)
+	cancel()
+	group.Wait()
+	row.Figures = []lavreport.Figure{
+		lavreport.Number("entry KB/stream", float64(after[0]-before[0])/idleStreams/1024, 1),
+		lavreport.Number("side KB/stream", float64(after[1]-before[1])/idleStreams/1024, 1),
+	}
+	return row, err
+}
+
+func memoryOf(f *lavprocess.Fleet) ([2]int64, error) {
+	entry, err := f.Entries[0].Usage()
+	if err != nil {
+		return [2]int64{}, err
+	}
+	side, err := f.Sides[0].Usage()
+	return [2]int64{entry.ResidentBytes, side.ResidentBytes}, err
+}
--- /dev/null
+++ b/tests/measures/lavprocess/caller.go
@@ -0,0 +1,91 @@
+package lavprocess
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// Caller sends chat requests to one address.
+type Caller struct {
+	// Base is the URL in front of the path, such as "http://127.0.0.1:8000".
+	Base string
+	HTTP *http.Client
+}
+
+// NewCaller returns a caller that keeps its connections.
+func NewCaller(address string) *Caller {
+	transport := &http.Transport{MaxIdleConnsPerHost: 2000, MaxIdleConns: 4000}
+	return &Caller{Base: "http://" + address, HTTP: &http.Client{Transport: transport}}
+}
+
+// Answer is what a caller saw of one request.
+type Answer struct {
+	Status int
+	// First is the time to the first token, Whole to the end.
+	First  time.Duration
+	Whole  time.Duration
+	Tokens int
+	// Complete says that the answer came to its proper end.
+	Complete bool
+}
+
+// Between is the mean time between the tokens of a stream.
+func (a Answer) Between() time.Duration {
+	if a.Tokens < 2 {
+		return 0
+	}
+	return (a.Whole - a.First) / time.Duration(a.Tokens-1)
+}
+
+// Send sends one chat request and reads the whole answer.
+func (c *Caller) Send(ctx context.Context, stream bool, text string) (Answer, error) {
+	body := `{"model":"small-1","messages":[{"role":"user","content":"` + text + `"}]}`
+	if stream {
+		body = `{"model":"small-1","stream":true,"messages":[{"role":"user","content":"` + text + `"}]}`
+	}
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, c.Base+"/v1/chat/completions", bytes.NewReader([]byte(body)))
+	if err != nil {
+		return Answer{}, errors.Wrap(err, "build request")
+	}
+	request.Header.Set("Authorization", "Bearer "+CallerKey)
+	began := time.Now()
+	response, err := c.HTTP.Do(request)
+	if err != nil {
+		return Answer{}, errors.Wrap(err, "send request")
+	}
+	defer response.Body.Close()
+	if !stream || response.StatusCode != http.StatusOK {
+		_, err := io.Copy(io.Discard, response.Body)
+		whole := time.Since(began)
+		return Answer{Status: response.StatusCode, First: whole, Whole: whole, Complete: err == nil && response.StatusCode == http.StatusOK}, nil
+	}
+	return readStream(response, began), nil
+}
+
+func readStream(response *http.Response, began time.Time) Answer {
+	answer := Answer{Status: response.StatusCode}
+	lines := bufio.NewScanner(response.Body)
+	for lines.Scan() {
+		data, ok := strings.CutPrefix(lines.Text(), "data: ")
+		if !ok {
+			continue
+		}
+		if data == "[DONE]" {
+			answer.Complete = true
+			break
+		}
+		if answer.Tokens == 0 {
+			answer.First = time.Since(began)
+		}
+		answer.Tokens++
+		answer.Whole = time.Since(began)
+	}
+	return answer
+}
