Entry: settle calls through the ledger; take a seal's word on not run

Cause: the ledger now tells apart a row sealed for this attempt from one held by another; the state alone no longer says that the lost attempt did not run.

--- a/entry/services/lavserve/serve_test.go
+++ b/entry/services/lavserve/serve_test.go
@@ -89,7 +89,7 @@
 	if !f.ledgerUp {
 		return lavledger.Position{}, lavplatform.ErrStoreUnavailable{Reason: "down"}
 	}
-	return lavledger.Position{Entry: f.ledger}, nil
+	return lavledger.Position{Entry: f.ledger, NotRun: f.ledger.State == lavledger.StateSealed}, nil
 }
 
 func (f *fake) Choose(*lavconfig.Document, lavplan.Query, time.Time) (lavplan.Plan, bool) {
--- a/entry/services/lavserve/settle.go
+++ b/entry/services/lavserve/settle.go
@@ -165,12 +165,12 @@
 		return false, inDoubt()
 	}
 	switch {
-	case position.Entry.State == lavledger.StateSealed:
-		t.note(lavtrace.Step{Kind: lavtrace.StepSealed, Attempt: position.Entry.Attempt})
-		t.Metrics.Count(metricRetries, 1)
-		return false, nil
 	case position.Entry.State == lavledger.StateFinished && position.Entry.Answer != nil:
 		return true, t.deliverStored(ctx, out, position.Entry.Answer)
+	case position.NotRun:
+		t.note(lavtrace.Step{Kind: lavtrace.StepSealed, Attempt: lavid.AttemptID(out.attempt.GetAttemptId())})
+		t.Metrics.Count(metricRetries, 1)
+		return false, nil
 	default:
 		return false, inDoubt()
 	}
