--- a/core/services/lavplan/balance.go
+++ b/core/services/lavplan/balance.go
@@ -45,6 +45,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	clear(s.frontiers)
+	clear(s.estimates)
 	for account, found := range s.balances {
 		if _, exists := document.ClientAccounts[account]; !exists {
 			delete(s.balances, account)
--- a/core/services/lavplan/frontier.go
+++ b/core/services/lavplan/frontier.go
@@ -88,7 +88,7 @@
 		if i > 0 {
 			key.After = versions[i-1]
 		}
-		known := s.Evidence.Estimate(document, key, now)
+		known := s.estimate(document, key, now)
 		accepted := s.accepted(query.Account, key, float64(known.Accepted))
 		quality := s.settings.Rater.quality(accepted)
 		if i == len(versions)-1 {
--- a/core/services/lavplan/observe.go
+++ b/core/services/lavplan/observe.go
@@ -28,9 +28,9 @@
 
 // ObserveDelivery counts a delivered answer into the measured quality of its account.
 func (s *State) ObserveDelivery(document *lavconfig.Document, delivery Delivery, now time.Time) {
-	pooled := float64(s.Evidence.Estimate(document, delivery.Key, now).Accepted)
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	pooled := float64(s.estimate(document, delivery.Key, now).Accepted)
 	found := s.balance(delivery.Account, now)
 	accepted := found.habits.accepted(delivery.Key, pooled, s.settings.PooledRated)
 	found.delivered++
@@ -39,8 +39,8 @@
 
 // ObserveRating counts a rating, however late, of any answer of an account, delivered or rejected before.
 func (s *State) ObserveRating(document *lavconfig.Document, account lavid.AccountID, key lavevidence.Key, accepted bool, now time.Time) {
-	pooled := float64(s.Evidence.Estimate(document, key, now).Accepted)
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	pooled := float64(s.estimate(document, key, now).Accepted)
 	s.balance(account, now).habits.add(key, accepted, pooled)
 }
--- a/core/services/lavplan/state.go
+++ b/core/services/lavplan/state.go
@@ -63,6 +63,8 @@
 	exposure  Exposure
 	balances  map[lavid.AccountID]*balance
 	frontiers map[frontierKey]frontier
+	// estimates holds what was read from Evidence since the last tick.
+	estimates map[lavevidence.Key]lavevidence.Estimate
 }
 
 // NewState returns a state that knows the configuration only.
@@ -72,6 +74,7 @@
 		settings:  settings,
 		balances:  make(map[lavid.AccountID]*balance),
 		frontiers: make(map[frontierKey]frontier),
+		estimates: make(map[lavevidence.Key]lavevidence.Estimate),
 	}
 }
 
@@ -94,6 +97,16 @@
 	return found
 }
 
+// estimate reads the evidence on a key once per tick.
+func (s *State) estimate(document *lavconfig.Document, key lavevidence.Key, now time.Time) lavevidence.Estimate {
+	found, ok := s.estimates[key]
+	if !ok {
+		found = s.Evidence.Estimate(document, key, now)
+		s.estimates[key] = found
+	}
+	return found
+}
+
 func (q Query) shape() shape {
 	return shape{model: q.Model, version: q.Version, class: q.Class, canCheck: q.CanCheck}
 }
--- /dev/null
+++ b/core/services/lavrollout/rollout_test.go
@@ -0,0 +1,142 @@
+package lavrollout
+
+import (
+	"encoding/json"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	jsonpatch "github.com/evanphx/json-patch/v5"
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"lavenderswitch/core/models/lavconfig"
+	"lavenderswitch/core/models/lavid"
+	"lavenderswitch/core/services/lavevidence"
+	"lavenderswitch/core/services/lavplan"
+)
+
+var start = time.Date(2026, time.April, 1, 8, 0, 0, 0, time.UTC)
+
+func document() *lavconfig.Document {
+	return &lavconfig.Document{
+		Number: 7,
+		ClientAccounts: map[lavid.AccountID]lavconfig.ClientAccount{
+			"one": {AllowedVersions: []lavid.VersionID{"old", "new/2"}},
+		},
+		Versions: map[lavid.VersionID]lavconfig.Version{
+			"old":   {Model: "m", State: lavconfig.VersionServing},
+			"new/2": {Model: "m", State: lavconfig.VersionRollingOut, Replaces: "old", MaxShare: 0.3},
+		},
+	}
+}
+
+// feed reports one tick of answers and returns what is permitted then.
+func feed(state *State, random *rand.Rand, at int, bad map[lavid.VersionID]float64) lavplan.Exposure {
+	for _, id := range []lavid.VersionID{"new/2", "old"} {
+		counts := lavevidence.Counts{Answers: 10, Rated: 10}
+		for range 10 {
+			if random.Float64() >= bad[id] {
+				counts.Accepted++
+			}
+		}
+		state.Observe(lavevidence.Count{Key: lavevidence.Key{Version: id, Class: "hard"}, Counts: counts})
+	}
+	return state.Tick(document(), start.Add(time.Duration(at)*time.Second))
+}
+
+func TestBadVersionIsStoppedWithinStatedAnswers(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		random := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 0))
+		state := NewState(DefaultSettings())
+		turns := rapid.IntRange(0, 60).Draw(t, "turns bad at")
+		const limit = 20 // ticks of ten rated answers
+		for at := range turns + limit {
+			bad := map[lavid.VersionID]float64{"old": 0.1, "new/2": 0.1}
+			if at >= turns {
+				bad["new/2"] = 0.7
+			}
+			exposure := feed(state, random, at, bad)
+			if len(exposure.Stopped) == 1 && exposure.Stopped[0] == "new/2" {
+				return
+			}
+		}
+		t.Fatalf("a version with 7 bad answers in 10 was not stopped after %d answers", limit*10)
+	})
+}
+
+func TestGoodVersionsAreRarelyStopped(t *testing.T) {
+	is := is.New(t)
+	const runs = 500
+	stopped := 0
+	for run := range runs {
+		random := rand.New(rand.NewPCG(uint64(run), 5))
+		state := NewState(DefaultSettings())
+		var last lavplan.Exposure
+		for at := range 200 {
+			last = feed(state, random, at, map[lavid.VersionID]float64{"old": 0.15, "new/2": 0.15})
+		}
+		stopped += len(last.Stopped)
+	}
+	is.True(stopped < runs/100) // under 1 in 100
+}
+
+func TestShareGrowsWithRatingsOnlyAndWithinItsMaximum(t *testing.T) {
+	is := is.New(t)
+	state := NewState(DefaultSettings())
+	random := rand.New(rand.NewPCG(3, 3))
+	initial := DefaultSettings().InitialShare
+	for at := range 100 {
+		exposure := state.Tick(document(), start.Add(time.Duration(at)*time.Second))
+		is.Equal(exposure.Shares[0].Share, initial) // no ratings, no growth
+	}
+	highest := lavid.Share(0)
+	for at := range 400 {
+		for _, row := range feed(state, random, 100+at, map[lavid.VersionID]float64{"old": 0.1, "new/2": 0.02}).Shares {
+			highest = max(highest, row.Share)
+			is.True(row.Share <= 0.3)
+		}
+	}
+	is.Equal(highest, lavid.Share(0.3))
+}
+
+func TestSnapshotCarriesTheDecisionOver(t *testing.T) {
+	is := is.New(t)
+	state := NewState(DefaultSettings())
+	random := rand.New(rand.NewPCG(4, 4))
+	for at := range 30 {
+		feed(state, random, at, map[lavid.VersionID]float64{"old": 0.1, "new/2": 0.8})
+	}
+	text, err := json.Marshal(state.Snapshot())
+	is.NoErr(err)
+	var snapshot Snapshot
+	is.NoErr(json.Unmarshal(text, &snapshot))
+	other := NewState(DefaultSettings())
+	other.Restore(snapshot)
+	now := start.Add(time.Hour)
+	is.Equal(other.Tick(document(), now).Stopped, []lavid.VersionID{"new/2"})
+	is.Equal(other.Tick(document(), now), state.Tick(document(), now))
+}
+
+func TestWithdrawalAppliesToItsConfigurationOnly(t *testing.T) {
+	is := is.New(t)
+	withdrawal, ok, err := Withdraw(document(), []lavid.VersionID{"new/2", "gone"})
+	is.NoErr(err)
+	is.True(ok)
+	is.Equal(withdrawal.Base, lavid.ConfigNumber(7))
+	patch, err := jsonpatch.DecodePatch(withdrawal.Operations)
+	is.NoErr(err)
+	text, err := json.Marshal(document())
+	is.NoErr(err)
+	text, err = patch.Apply(text)
+	is.NoErr(err)
+	var after lavconfig.Document
+	is.NoErr(json.Unmarshal(text, &after))
+	is.Equal(after.Versions["new/2"].State, lavconfig.VersionWithdrawn)
+	is.Equal(after.Versions["old"].State, lavconfig.VersionServing)
+	_, err = patch.Apply(text)
+	is.True(err != nil) // the state that the decision was about is gone
+	_, ok, err = Withdraw(document(), []lavid.VersionID{"old"})
+	is.NoErr(err)
+	is.True(!ok) // the account's last serving version stays
+}
--- a/core/services/lavrollout/sample.go
+++ b/core/services/lavrollout/sample.go
@@ -32,7 +32,7 @@
 
 // highest returns a rate that the true one is rarely above.
 func (s Sample) highest(assumed float64) float64 {
-	const deviations = 3
+	const deviations = 2
 	rate := s.rate(assumed, assumedTrials)
 	return rate + deviations*math.Sqrt(rate*(1-rate)/(s.Trials+assumedTrials))
 }
@@ -63,9 +63,9 @@
 	b[stratum] = b[stratum].plus(block)
 }
 
-func (b Blocks) scale(factor float64) {
+func (b Blocks) scale(failures, ratings float64) {
 	for stratum, block := range b {
-		b[stratum] = Block{Failures: block.Failures.scaled(factor), Ratings: block.Ratings.scaled(factor)}
+		b[stratum] = Block{Failures: block.Failures.scaled(failures), Ratings: block.Ratings.scaled(ratings)}
 	}
 }
 
--- a/core/services/lavrollout/settings.go
+++ b/core/services/lavrollout/settings.go
@@ -16,6 +16,8 @@
 	Margin float64
 	// NeededPast is the number of trials before a past is compared with.
 	NeededPast float64
+	// RecentHalfLife is the time after which a recent answer weighs half in what all versions suffer now.
+	RecentHalfLife time.Duration
 	// Assumed is the bad rate expected before there is a past.
 	Assumed float64
 }
@@ -35,8 +37,6 @@
 	// Suspicion is the evidence at which a share no longer grows, and Doubt that at which it is cut to the first one.
 	Suspicion float64
 	Doubt     float64
-	// RecentHalfLife is the time after which a recent answer weighs half.
-	RecentHalfLife time.Duration
 	// PastTrials caps the weight of a version's past.
 	PastTrials float64
 }
@@ -45,27 +45,28 @@
 func DefaultSettings() Settings {
 	return Settings{
 		Failures: Stream{
-			Excesses:   []float64{0.02, 0.08, 0.3, 0.6},
-			Horizon:    20_000,
-			Margin:     0.02,
-			NeededPast: 500,
-			Assumed:    0.01,
+			Excesses:       []float64{0.02, 0.08, 0.3, 0.6},
+			Horizon:        20_000,
+			Margin:         0.02,
+			NeededPast:     500,
+			Assumed:        0.01,
+			RecentHalfLife: 8 * time.Second,
 		},
 		Ratings: Stream{
-			Excesses:   []float64{0.04, 0.1, 0.25, 0.5},
-			Horizon:    20_000,
-			Margin:     0.03,
-			NeededPast: 500,
-			Assumed:    0.1,
+			Excesses:       []float64{0.04, 0.1, 0.25, 0.5},
+			Horizon:        20_000,
+			Margin:         0.02,
+			NeededPast:     500,
+			Assumed:        0.1,
+			RecentHalfLife: 30 * time.Second,
 		},
-		FalseStops:     0.009,
-		InitialShare:   0.01,
-		FirstRated:     30,
-		Growth:         2,
-		Suspicion:      1,
-		Doubt:          2,
-		RecentHalfLife: 8 * time.Second,
-		PastTrials:     20_000,
+		FalseStops:   0.009,
+		InitialShare: 0.01,
+		FirstRated:   30,
+		Growth:       2,
+		Suspicion:    0.5,
+		Doubt:        0.6,
+		PastTrials:   20_000,
 	}
 }
 
--- a/core/services/lavrollout/state.go
+++ b/core/services/lavrollout/state.go
@@ -93,19 +93,25 @@
 
 // refresh adds what came in to the recent answers of each version.
 func (s *State) refresh(now time.Time) {
-	factor := 0.0
-	if !s.ticked.IsZero() {
-		factor = math.Exp2(-float64(now.Sub(s.ticked)) / float64(s.settings.RecentHalfLife))
-	}
+	failures := decay(s.settings.Failures.RecentHalfLife, s.ticked, now)
+	ratings := decay(s.settings.Ratings.RecentHalfLife, s.ticked, now)
 	s.ticked = now
 	for id, row := range s.rows {
-		row.Recent.scale(factor)
+		row.Recent.scale(failures, ratings)
 		for stratum, block := range s.pending[id] {
 			row.Recent.add(stratum, block)
 		}
 	}
 }
 
+// decay returns what an answer from the last tick weighs now; before the first tick there is none.
+func decay(halfLife time.Duration, last, now time.Time) float64 {
+	if last.IsZero() {
+		return 0
+	}
+	return math.Exp2(-float64(now.Sub(last)) / float64(halfLife))
+}
+
 // shifts is how far versions are above their past now, per kind of bad answer.
 type shifts struct {
 	failures shift
