--- a/tests/measures/quality/lavcost/measure.go
+++ b/tests/measures/quality/lavcost/measure.go
@@ -3,6 +3,7 @@
 import (
 	"math"
 
+	"lavenderswitch/core/models/lavid"
 	"lavenderswitch/core/services/lavplan"
 	"lavenderswitch/tests/measures/lavreport"
 )
@@ -24,22 +25,29 @@
 	ratings ratings
 	// assumed is what the system is told of the rating service's errors.
 	assumed lavplan.Rater
+	// outage says that the rating service is down for the middle third.
+	outage bool
+	// worsens names a version that is worse from the second third on.
+	worsens lavid.VersionID
 }
 
 func scenarios() []scenario {
 	known := lavplan.Rater{FalseAccept: 0.05, FalseReject: 0.04}
+	half := ratings{missingGood: 0.5, missingBad: 0.5}
 	return []scenario{
-		{name: "half of ratings missing", ratings: ratings{missingGood: 0.5, missingBad: 0.5}, assumed: known},
+		{name: "half of ratings missing", ratings: half, assumed: known},
+		{name: "rating service down for a third", ratings: half, assumed: known, outage: true},
+		{name: "a version worsens after a third", ratings: half, assumed: known, worsens: "base-2"},
 		{name: "nine in ten missing", ratings: ratings{missingGood: 0.9, missingBad: 0.9}, assumed: known},
 		{name: "bad answers rated half as often", ratings: ratings{missingGood: 0.5, missingBad: 0.75}, assumed: known},
-		{name: "rater's errors not known", ratings: ratings{missingGood: 0.5, missingBad: 0.5}},
+		{name: "rater's errors not known", ratings: half},
 	}
 }
 
 func run(options lavreport.Options) ([]lavreport.Row, error) {
 	var rows []lavreport.Row
 	for i, conditions := range scenarios() {
-		w := newWorld(options.Seed, conditions.ratings)
+		w := newWorld(options.Seed, conditions)
 		oracle := newRestricted(w)
 		driver := newPlanned(w, options.Seed, settings(conditions))
 		got := driver.run()
--- a/tests/measures/quality/lavcost/oracle.go
+++ b/tests/measures/quality/lavcost/oracle.go
@@ -14,7 +14,7 @@
 
 // restricted is an oracle that knows the true quality of every plan per account and class, but no request's outcome.
 type restricted struct {
-	// hulls holds the best choices of each account and class, weighted by the class's part of the requests.
+	// hulls holds the best choices of each account, class and phase, weighted by their part of the requests.
 	hulls [][][]choice
 }
 
@@ -24,7 +24,9 @@
 	for account := range w.accounts {
 		var hulls [][]choice
 		for class := range w.classes {
-			hulls = append(hulls, upperHull(w.choices(account, class, orders)))
+			for phase := range phaseCount {
+				hulls = append(hulls, upperHull(w.choices(account, class, phase, orders)))
+			}
 		}
 		oracle.hulls = append(oracle.hulls, hulls)
 	}
@@ -46,8 +48,8 @@
 	return orders
 }
 
-// choices sums every order over the requests of an account and class, as part of all requests of the account.
-func (w *world) choices(account, class int, orders [][]int) []choice {
+// choices sums every order over the requests of an account, class and phase, as part of all requests of the account.
+func (w *world) choices(account, class, phase int, orders [][]int) []choice {
 	sums := make([]choice, len(orders))
 	requests := 0.0
 	for _, drawn := range w.requests {
@@ -55,7 +57,7 @@
 			continue
 		}
 		requests++
-		if drawn.class != class {
+		if drawn.class != class || drawn.phase != phase {
 			continue
 		}
 		for i, order := range orders {
--- a/tests/measures/quality/lavcost/planned.go
+++ b/tests/measures/quality/lavcost/planned.go
@@ -92,7 +92,7 @@
 	now := epoch.Add(drawn.at)
 	account := p.world.accounts[drawn.account].id
 	class := p.world.classes[drawn.class].id
-	query := lavplan.Query{Account: account, Class: class, CanCheck: true}
+	query := lavplan.Query{Account: account, Class: class, CanCheck: !drawn.down}
 	plan, _ := lavplan.Choose(p.document, p.state, query, p.random, now)
 	key := lavevidence.Key{Class: class}
 	for _, stage := range plan.Stages {
--- a/tests/measures/quality/lavcost/result.go
+++ b/tests/measures/quality/lavcost/result.go
@@ -52,7 +52,7 @@
 	for i, version := range order {
 		last = version
 		cost += w.versions[version].cost(drawn.tokens)
-		if i == len(order)-1 {
+		if i == len(order)-1 || drawn.down {
 			break
 		}
 		cost += checkCost
--- a/tests/measures/quality/lavcost/world.go
+++ b/tests/measures/quality/lavcost/world.go
@@ -19,6 +19,8 @@
 	checkMissing  = 0.05
 	meanLateness  = 30 * time.Second
 	inputDiscount = 4
+	// worsening is what a version loses in ability where one becomes worse.
+	worsening = 1.2
 )
 
 // versionTruth is what the system does not know of a version.
@@ -52,10 +54,13 @@
 	classes  []classTruth
 	accounts []accountTruth
 	rater    lavplan.Rater
-	ratings  ratings
+	scenario scenario
 	requests []request
 }
 
+// phaseCount is how many parts of equal length a world has; conditions may change between them.
+const phaseCount = 3
+
 // ratings says how late ratings go missing.
 type ratings struct {
 	missingGood float64
@@ -67,8 +72,11 @@
 	at      time.Duration
 	account int
 	class   int
+	phase   int
 	tokens  float64
+	// checked says that a rating before delivery would come in time, and down that none can be asked for.
 	checked bool
+	down    bool
 	answers []answer
 }
 
@@ -79,7 +87,7 @@
 	late     time.Duration
 }
 
-func newWorld(seed uint64, missing ratings) *world {
+func newWorld(seed uint64, conditions scenario) *world {
 	w := &world{
 		versions: []versionTruth{
 			{id: "mini-1", ability: 1.2, price: 100, expected: 0.7, talent: map[lavid.TaskClass]float64{"lookup": 0.8}},
@@ -99,25 +107,32 @@
 			{id: "costa", target: 0.93, weight: 2, mix: []float64{0.4, 0.3, 0.3}},
 			{id: "sierra", target: 0.88, weight: 1, mix: []float64{0.2, 0.3, 0.5}, harder: 0.5},
 		},
-		rater:   lavplan.Rater{FalseAccept: 0.05, FalseReject: 0.04},
-		ratings: missing,
+		rater:    lavplan.Rater{FalseAccept: 0.05, FalseReject: 0.04},
+		scenario: conditions,
 	}
 	random := rand.New(rand.NewPCG(seed, 1))
 	for i := range requestCount {
-		w.requests = append(w.requests, w.draw(random, time.Duration(i)*requestGap))
+		phase := i * phaseCount / requestCount
+		w.requests = append(w.requests, w.draw(random, time.Duration(i)*requestGap, phase))
 	}
 	return w
 }
 
-func (w *world) draw(random *rand.Rand, at time.Duration) request {
+func (w *world) draw(random *rand.Rand, at time.Duration, phase int) request {
 	account := pick(random, w.accountWeights())
 	class := pick(random, w.accounts[account].mix)
-	drawn := request{at: at, account: account, class: class}
+	drawn := request{at: at, account: account, class: class, phase: phase}
 	drawn.tokens = 0.5 + random.Float64()
 	drawn.checked = random.Float64() >= checkMissing
+	drawn.down = w.scenario.outage && phase == 1
 	difficulty := w.difficulty(random, account, class)
 	for _, version := range w.versions {
-		drawn.answers = append(drawn.answers, w.answer(random, version, class, difficulty))
+		if phase > 0 && version.id == w.scenario.worsens {
+			version.ability -= worsening
+		}
+		answered := w.answer(random, version, class, difficulty)
+		answered.missing = answered.missing || drawn.down
+		drawn.answers = append(drawn.answers, answered)
 	}
 	return drawn
 }
@@ -130,10 +145,10 @@
 func (w *world) answer(random *rand.Rand, version versionTruth, class int, difficulty float64) answer {
 	drawn := answer{good: random.Float64() < version.quality(w.classes[class].id, difficulty)}
 	drawn.accepted = random.Float64() < float64(w.rater.FalseAccept)
-	missing := w.ratings.missingBad
+	missing := w.scenario.ratings.missingBad
 	if drawn.good {
 		drawn.accepted = random.Float64() >= float64(w.rater.FalseReject)
-		missing = w.ratings.missingGood
+		missing = w.scenario.ratings.missingGood
 	}
 	drawn.missing = random.Float64() < missing
 	drawn.late = time.Duration(random.ExpFloat64() * float64(meanLateness))
