Entry: rate answers, plan on evidence and follow roll-out decisions

Cause: plans knew only the configured quality.

Change: the rater asks for ratings before delivery within the breaker's limit, queues the rest, and feeds plans and the owners' evidence; a cascade's second stage is learned apart, as the answer after a rejection.

Measured: lavserve tests pass; the program was not run.

--- a/entry/cmd/host.go
+++ b/entry/cmd/host.go
@@ -20,6 +20,7 @@
 	"lavenderswitch/core/services/lavledger"
 	"lavenderswitch/core/services/lavmembership"
 	"lavenderswitch/core/services/lavplan"
+	"lavenderswitch/core/services/lavrating"
 	"lavenderswitch/core/services/lavretry"
 	"lavenderswitch/core/services/lavsession"
 	"lavenderswitch/core/services/lavspread"
@@ -28,6 +29,7 @@
 	"lavenderswitch/entry/routers/lavoperator"
 	"lavenderswitch/entry/routers/lavpeer"
 	"lavenderswitch/entry/services/lavattempt"
+	"lavenderswitch/entry/services/lavexposure"
 	"lavenderswitch/entry/services/lavfleet"
 	"lavenderswitch/entry/services/lavgate"
 	"lavenderswitch/entry/services/lavpin"
@@ -56,6 +58,9 @@
 	gate       *lavgate.Gate
 	retries    *lavretry.Budget
 	bills      *lavbill.Writer
+	owner      *lavexposure.Owner
+	reporter   *lavexposure.Reporter
+	rater      *lavrate.Rater
 	pins       *lavpin.Owner
 	resolver   *lavpin.Resolver
 	service    *lavserve.Service
@@ -91,6 +96,7 @@
 	if err := h.addSessions(); err != nil {
 		return nil, err
 	}
+	h.addEvidence()
 	h.addService()
 	h.background, h.stop = context.WithCancel(context.Background())
 	h.metrics.Publish("Entry")
@@ -135,13 +141,44 @@
 	return nil
 }
 
+// addEvidence makes the parts that learn the quality of versions and follow what their owners decide.
+func (h *host) addEvidence() {
+	h.owner = lavexposure.NewOwner()
+	h.owner.Host = h.settings.HostID
+	h.owner.Configs = h.current
+	h.owner.Patches = h.spreader
+	h.owner.Members = h
+	h.owner.Log = h.log
+	plans := lavplan.NewState(lavplan.DefaultSettings(), lavevidence.NewTable(lavevidence.DefaultSettings()))
+	h.reporter = &lavexposure.Reporter{
+		Host:    h.settings.HostID,
+		Configs: h.current,
+		Members: h,
+		Plans:   plans,
+		Local:   h.owner,
+		HTTP:    h.peerClient,
+		Scheme:  scheme,
+		Log:     h.log,
+	}
+	h.rater = &lavrate.Rater{
+		Configs: h.current,
+		Ratings: h.platform,
+		Counts:  h.reporter,
+		Plans:   plans,
+		Breaker: lavrating.NewBreaker(lavrating.DefaultBreakerSettings()),
+		Queue:   lavrating.NewQueue(lavrating.DefaultQueueSettings()),
+	}
+	h.dump.Register("Plans", func() any { return plans.Dump() })
+	h.dump.Register("Rollouts", func() any { return h.owner.Dump() })
+	h.dump.Register("RatingBreaker", func() any { return h.rater.Breaker.Dump() })
+	h.dump.Register("RatingQueue", func() any { return h.rater.Queue.Dump() })
+}
+
 func (h *host) addService() {
 	attempts := lavattempt.New(lavattempt.NewTransport())
 	attempts.SilenceTimeout = h.settings.SilenceTimeout.Duration
 	attempts.AttachTimeout = attachTimeout
 	attempts.Loads = h.fleet
-	plans := lavplan.NewState(lavplan.DefaultSettings(), lavevidence.NewTable(lavevidence.DefaultSettings()))
-	rater := &lavrate.Rater{Plans: plans}
 	h.service = &lavserve.Service{
 		Host:     h.settings.HostID,
 		Configs:  h.current,
@@ -151,8 +188,8 @@
 		Seals:    lavledger.New(h.platform),
 		Fleet:    h.fleet,
 		Bills:    h.bills.Pending,
-		Planner:  rater,
-		Raters:   rater,
+		Planner:  h.rater,
+		Raters:   h.rater,
 		Gate:     h.gate,
 		Retries:  h.retries,
 		Hedgers:  lavserve.NewHedgers(),
@@ -167,7 +204,7 @@
 func (h *host) listen(ctx context.Context) error {
 	h.router = &lavcaller.Router{Configs: h.current, Server: h.service, RequestTimeout: h.settings.RequestTimeout.Duration}
 	operators := &lavoperator.Router{Configs: h, KeyHashes: h.settings.OperatorKeyHashes, Dump: h.dump}
-	peers := &lavpeer.Router{Sessions: h.pins, Bills: h.bills, Config: h.spreader.Handler()}
+	peers := &lavpeer.Router{Sessions: h.pins, Bills: h.bills, Evidence: h.owner, Config: h.spreader.Handler()}
 	var err error
 	h.callers, err = lavhttp.Listen(ctx, h.settings.CallerAddress, h.router.Routes(), nil, lavhttp.DefaultLimits())
 	if err != nil {
@@ -188,6 +225,8 @@
 	h.parts.Go(func() { h.bills.Run(h.background) })
 	h.parts.Go(func() { h.pins.Run(h.background) })
 	h.parts.Go(func() { h.gate.Run(h.background) })
+	h.parts.Go(func() { h.reporter.Run(h.background) })
+	h.parts.Go(func() { h.rater.Run(h.background) })
 	poller := &lavmembership.Poller{Table: h.members, List: h.platform, Log: h.log}
 	h.parts.Go(func() { poller.Run(h.background) })
 	h.parts.Go(func() { h.spreader.Run(h.background) })
--- a/entry/routers/lavpeer/router.go
+++ b/entry/routers/lavpeer/router.go
@@ -12,6 +12,7 @@
 type Router struct {
 	Sessions lavwire.Sessions
 	Bills    lavwire.Bills
+	Evidence lavwire.Evidence
 	// Config answers configuration exchanges.
 	Config http.Handler
 }
@@ -21,6 +22,7 @@
 	router := httprouter.New()
 	mount(router, lavwire.NewSessionsServer(r.Sessions))
 	mount(router, lavwire.NewBillsServer(r.Bills))
+	mount(router, lavwire.NewEvidenceServer(r.Evidence))
 	router.Handler(http.MethodPost, lavwire.ConfigPathPrefix+"*method", r.Config)
 	return router
 }
--- a/entry/services/lavrate/rater.go
+++ b/entry/services/lavrate/rater.go
@@ -2,19 +2,53 @@
 
 import (
 	"context"
+	"encoding/json"
 	"math/rand/v2"
 	"time"
 
+	"github.com/sourcegraph/conc/pool"
+
 	"lavenderswitch/core/models/lavconfig"
-	"lavenderswitch/core/models/lavid"
+	"lavenderswitch/core/modules/lavlife"
+	"lavenderswitch/core/modules/lavplatform"
+	"lavenderswitch/core/services/lavevidence"
 	"lavenderswitch/core/services/lavplan"
+	"lavenderswitch/core/services/lavrating"
 	"lavenderswitch/entry/models/lavrequest"
 	"lavenderswitch/entry/services/lavserve"
 )
 
-// Rater plans on what this host knows of the versions.
+const (
+	laterInterval = 100 * time.Millisecond
+	laterTimeout  = 5 * time.Second
+	laterBatch    = 32
+	laterWorkers  = 16
+)
+
+// Configs gives the configuration in force here.
+type Configs interface {
+	Document() *lavconfig.Document
+}
+
+// Ratings asks the rating service.
+type Ratings interface {
+	Rate(ctx context.Context, request lavplatform.RatingRequest) (lavplatform.Rating, error)
+}
+
+// Counts takes counts to be reported to the owners of models.
+type Counts interface {
+	Add(document *lavconfig.Document, count lavevidence.Count, now time.Time)
+}
+
+// Rater plans on the evidence and adds to it.
 type Rater struct {
-	Plans *lavplan.State
+	lavlife.Part
+	Configs Configs
+	Ratings Ratings
+	Counts  Counts
+	Plans   *lavplan.State
+	Breaker *lavrating.Breaker
+	Queue   *lavrating.Queue
 }
 
 // Choose returns the plan of a query.
@@ -23,18 +57,114 @@
 	return lavplan.Choose(document, r.Plans, query, random, now)
 }
 
-// Rate has no rating service to ask.
-func (r *Rater) Rate(context.Context, *lavrequest.Request, lavid.VersionID, []byte) lavserve.Verdict {
-	return lavserve.Unrated
+// CanCheck tells whether an answer can be rated before it is delivered.
+func (r *Rater) CanCheck(now time.Time) bool {
+	return r.Breaker.CanCheck(now)
 }
 
-// CanCheck says that no rating comes in time.
-func (r *Rater) CanCheck(time.Time) bool {
-	return false
+// Rate asks for the rating of an answer before its delivery, within the breaker's time limit.
+func (r *Rater) Rate(ctx context.Context, request *lavrequest.Request, key lavevidence.Key, answer []byte) lavplan.Rating {
+	began := time.Now()
+	limit, ok := r.Breaker.Start(began)
+	if !ok {
+		return lavplan.Unrated
+	}
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	rating, err := r.Ratings.Rate(ctx, lavplatform.RatingRequest{
+		Request: request.ID,
+		Version: key.Version,
+		Class:   key.Class,
+		Prompt:  string(promptOf(request)),
+		Answer:  string(answer),
+	})
+	now := time.Now()
+	r.Breaker.Finish(now.Sub(began), err != nil, now)
+	switch {
+	case err != nil:
+		return lavplan.Unrated
+	case rating.Acceptable:
+		return lavplan.RatedAccepted
+	default:
+		return lavplan.RatedRejected
+	}
 }
 
-// Observe keeps nothing.
-func (r *Rater) Observe(*lavrequest.Request, lavid.VersionID, []byte, lavid.NanoUnits) {}
+// Observe counts an answer; one that is delivered unrated is queued to be rated later.
+func (r *Rater) Observe(request *lavrequest.Request, answered lavserve.Answered) {
+	now := time.Now()
+	document := r.Configs.Document()
+	r.Counts.Add(document, lavevidence.Count{Key: answered.Key, Counts: lavevidence.Counts{Answers: 1, Cost: answered.Cost}}, now)
+	if answered.Rating != lavplan.Unrated {
+		r.rated(lavrating.Item{Account: request.Account, Key: answered.Key}, answered.Rating == lavplan.RatedAccepted, now)
+	}
+	if !answered.Delivered {
+		return
+	}
+	r.Plans.ObserveDelivery(document, lavplan.Delivery{Account: request.Account, Key: answered.Key, Rating: answered.Rating}, now)
+	if answered.Rating == lavplan.Unrated {
+		r.Queue.Put(lavrating.Item{
+			Request: request.ID,
+			Account: request.Account,
+			Key:     answered.Key,
+			Prompt:  promptOf(request),
+			Answer:  answered.Answer,
+			Due:     now,
+		}, now)
+	}
+}
 
-// Failed keeps nothing.
-func (r *Rater) Failed(*lavrequest.Request, lavid.VersionID) {}
+// Failed counts an attempt at a version that gave no answer.
+func (r *Rater) Failed(_ *lavrequest.Request, key lavevidence.Key) {
+	r.Counts.Add(r.Configs.Document(), lavevidence.Count{Key: key, Counts: lavevidence.Counts{Answers: 1, Failed: 1}}, time.Now())
+}
+
+func (r *Rater) rated(item lavrating.Item, accepted bool, now time.Time) {
+	document := r.Configs.Document()
+	counts := lavevidence.Counts{Rated: 1}
+	if accepted {
+		counts.Accepted = 1
+	}
+	r.Counts.Add(document, lavevidence.Count{Key: item.Key, Counts: counts}, now)
+	r.Plans.ObserveRating(document, item.Account, item.Key, accepted, now)
+}
+
+// Run asks for the ratings of delivered answers until ctx ends.
+func (r *Rater) Run(ctx context.Context) {
+	defer r.Finish()
+	workers := pool.New().WithMaxGoroutines(laterWorkers)
+	defer workers.Wait()
+	lavlife.Tick(ctx, laterInterval, func(now time.Time) {
+		for _, item := range r.Queue.Take(laterBatch, now) {
+			workers.Go(func() { r.rateLater(ctx, item) })
+		}
+	})
+}
+
+func (r *Rater) rateLater(ctx context.Context, item lavrating.Item) {
+	ctx, cancel := context.WithTimeout(ctx, laterTimeout)
+	defer cancel()
+	rating, err := r.Ratings.Rate(ctx, lavplatform.RatingRequest{
+		Request: item.Request,
+		Version: item.Key.Version,
+		Class:   item.Key.Class,
+		Prompt:  string(item.Prompt),
+		Answer:  string(item.Answer),
+	})
+	if err != nil {
+		r.Queue.Return(item, time.Now())
+		return
+	}
+	r.rated(item, rating.Acceptable, time.Now())
+}
+
+// promptOf returns the messages of a chat request.
+func promptOf(request *lavrequest.Request) []byte {
+	var body struct {
+		Messages json.RawMessage `json:"messages"`
+	}
+	if json.Unmarshal(request.Body, &body) != nil {
+		return nil
+	}
+	return body.Messages
+}
--- a/entry/services/lavserve/serve.go
+++ b/entry/services/lavserve/serve.go
@@ -11,6 +11,7 @@
 	"lavenderswitch/core/modules/laverror"
 	"lavenderswitch/core/modules/lavmetric"
 	"lavenderswitch/core/services/lavbill"
+	"lavenderswitch/core/services/lavevidence"
 	"lavenderswitch/core/services/lavledger"
 	"lavenderswitch/core/services/lavplan"
 	"lavenderswitch/core/services/lavretry"
@@ -139,6 +140,10 @@
 	trace    *lavtrace.Trace
 	// earlier sums the stages before the present one.
 	earlier earlierStages
+	// key names the present stage in the evidence.
+	key lavevidence.Key
+	// lastCost is the cost of the last stage that answered.
+	lastCost lavid.NanoUnits
 	// checkedBill bills the last checked stage when it turns out to end the request.
 	checkedBill func()
 	// excluded versions had no server with room.
--- a/entry/services/lavserve/serve_test.go
+++ b/entry/services/lavserve/serve_test.go
@@ -15,6 +15,7 @@
 	"lavenderswitch/core/modules/lavmetric"
 	"lavenderswitch/core/modules/lavplatform"
 	"lavenderswitch/core/services/lavbill"
+	"lavenderswitch/core/services/lavevidence"
 	"lavenderswitch/core/services/lavledger"
 	"lavenderswitch/core/services/lavplan"
 	"lavenderswitch/core/services/lavretry"
@@ -36,7 +37,8 @@
 	pinned   lavid.VersionID
 	asks     []lavpin.Ask
 	plan     lavplan.Plan
-	verdicts []Verdict
+	verdicts []lavplan.Rating
+	answered []Answered
 	bills    *lavbill.Pending
 	held     []*lavwire.Bill
 	enters   int
@@ -96,7 +98,7 @@
 	return f.plan, true
 }
 
-func (f *fake) Rate(context.Context, *lavrequest.Request, lavid.VersionID, []byte) Verdict {
+func (f *fake) Rate(context.Context, *lavrequest.Request, lavevidence.Key, []byte) lavplan.Rating {
 	next := f.verdicts[0]
 	f.verdicts = f.verdicts[1:]
 	return next
@@ -104,9 +106,11 @@
 
 func (f *fake) CanCheck(time.Time) bool { return true }
 
-func (f *fake) Observe(*lavrequest.Request, lavid.VersionID, []byte, lavid.NanoUnits) {}
+func (f *fake) Observe(_ *lavrequest.Request, answered Answered) {
+	f.answered = append(f.answered, answered)
+}
 
-func (f *fake) Failed(*lavrequest.Request, lavid.VersionID) {}
+func (f *fake) Failed(*lavrequest.Request, lavevidence.Key) {}
 
 func (f *fake) Begin(*lavrequest.Request) (func(), error) { return func() {}, nil }
 
@@ -246,11 +250,14 @@
 	is := is.New(t)
 	f := newFake(whole, whole)
 	f.plan = lavplan.Plan{Stages: []lavplan.Stage{{Version: "small", Checked: true}, {Version: "large"}}}
-	f.verdicts = []Verdict{Unacceptable}
+	f.verdicts = []lavplan.Rating{lavplan.RatedRejected}
 	is.NoErr(f.service().Serve(t.Context(), chatRequest(), &lavrequest.Whole{}))
 	is.Equal(f.attempts[0].GetBill(), false)
 	is.Equal(f.attempts[1].GetPriorCostNanos(), int64(2))
 	is.Equal(f.bills.Batch(9)[0].Cost, lavid.NanoUnits(22))
+	is.Equal(f.answered[0].Delivered, false)
+	is.Equal(f.answered[1].Key, lavevidence.Key{Version: "large", After: "small"})
+	is.Equal(f.answered[1].Cost, lavid.NanoUnits(20))
 	is.Equal(len(f.held), 0)
 }
 
@@ -258,7 +265,7 @@
 	is := is.New(t)
 	f := newFake(whole)
 	f.plan = lavplan.Plan{Stages: []lavplan.Stage{{Version: "small", Checked: true}, {Version: "large"}}}
-	f.verdicts = []Verdict{Acceptable}
+	f.verdicts = []lavplan.Rating{lavplan.RatedAccepted}
 	is.NoErr(f.service().Serve(t.Context(), chatRequest(), &lavrequest.Whole{}))
 	is.Equal(f.bills.Batch(9)[0].Cost, lavid.NanoUnits(2))
 	is.Equal(len(f.held), 1)
--- a/entry/services/lavserve/settle.go
+++ b/entry/services/lavserve/settle.go
@@ -138,7 +138,7 @@
 	t.note(lavtrace.Step{Kind: lavtrace.StepRefused, Server: server, Version: t.stage.version, Reason: reason})
 	t.entry(out).WithField("reason", reason).Info("attempt gave no answer")
 	if t.stage.version != "" && !notRun(out) {
-		t.Raters.Failed(t.request, t.stage.version)
+		t.Raters.Failed(t.request, t.key)
 	}
 }
 
--- a/entry/services/lavserve/stages.go
+++ b/entry/services/lavserve/stages.go
@@ -7,6 +7,7 @@
 	"lavenderswitch/core/models/lavid"
 	"lavenderswitch/core/modules/laverror"
 	"lavenderswitch/core/services/lavbill"
+	"lavenderswitch/core/services/lavevidence"
 	"lavenderswitch/core/services/lavplan"
 	"lavenderswitch/entry/models/lavrequest"
 	"lavenderswitch/entry/services/lavpin"
@@ -14,31 +15,33 @@
 	"lavenderswitch/wire/lavwire"
 )
 
-// Verdict is what a rating says of an answer.
-type Verdict string
-
-// The verdicts; Unrated means that no rating came in time.
-const (
-	Acceptable   Verdict = "Acceptable"
-	Unacceptable Verdict = "Unacceptable"
-	Unrated      Verdict = "Unrated"
-)
-
 // Raters asks the rating service within a bound and never waits for one that is slow or down.
 type Raters interface {
-	Rate(ctx context.Context, request *lavrequest.Request, version lavid.VersionID, answer []byte) Verdict
-	// Observe queues an answered request to be rated later, without waiting.
-	Observe(request *lavrequest.Request, version lavid.VersionID, answer []byte, cost lavid.NanoUnits)
 	// CanCheck tells whether an answer can be rated before it is delivered.
 	CanCheck(now time.Time) bool
-	// Failed notes that an attempt at a version gave no answer.
-	Failed(request *lavrequest.Request, version lavid.VersionID)
+	// Rate asks for the rating of an answer before its delivery.
+	Rate(ctx context.Context, request *lavrequest.Request, key lavevidence.Key, answer []byte) lavplan.Rating
+	// Observe counts an answer; one that is delivered unrated may be rated later.
+	Observe(request *lavrequest.Request, answered Answered)
+	// Failed counts an attempt at a version that gave no answer.
+	Failed(request *lavrequest.Request, key lavevidence.Key)
+}
+
+// Answered is the answer of one stage.
+type Answered struct {
+	Key       lavevidence.Key
+	Answer    []byte
+	Cost      lavid.NanoUnits
+	Rating    lavplan.Rating
+	Delivered bool
 }
 
 // serveStages runs checked stages until one is acceptable, then the last one straight to the caller.
 func (w *work) serveStages(ctx context.Context, plan lavplan.Plan) error {
 	last := len(plan.Stages) - 1
+	w.key = lavevidence.Key{Class: w.request.Class}
 	for _, planned := range plan.Stages[:last] {
+		w.key.Version = planned.Version
 		done, err := w.serveChecked(ctx, planned.Version)
 		if done || err != nil {
 			return err
@@ -46,28 +49,31 @@
 		w.Metrics.Count(metricEscalated, 1)
 	}
 	version := plan.Stages[last].Version
+	w.key.Version = version
 	tee := &tee{Sink: w.sink}
-	err := w.serveStage(ctx, stage{version: version, sink: tee})
-	if err != nil {
+	if err := w.serveStage(ctx, stage{version: version, sink: tee}); err != nil {
 		return err
 	}
 	w.pinLast(ctx, version, last > 0)
-	w.Raters.Observe(w.request, version, tee.body, 0)
+	w.Raters.Observe(w.request, Answered{Key: w.key, Answer: tee.body, Cost: w.lastCost, Rating: lavplan.Unrated, Delivered: true})
 	return nil
 }
 
-// serveChecked runs a stage into memory and passes its answer on when the rating accepts it.
+// serveChecked runs a stage into memory and passes its answer on unless the rating rejects it.
 func (w *work) serveChecked(ctx context.Context, version lavid.VersionID) (bool, error) {
 	whole := &lavrequest.Whole{}
 	stage := stage{version: version, sink: whole, checked: true}
 	if err := w.serveStage(ctx, stage); err != nil {
 		w.note(lavtrace.Step{Kind: lavtrace.StepFailed, Version: version, Reason: err.Error()})
-		return false, ctx.Err()
+		return false, w.fatal(ctx, err)
 	}
 	w.run = laverror.Ran
-	verdict := w.Raters.Rate(ctx, w.request, version, whole.Body)
-	w.note(lavtrace.Step{Kind: lavtrace.StepRated, Version: version, Reason: string(verdict)})
-	if verdict == Unacceptable {
+	rating := w.Raters.Rate(ctx, w.request, w.key, whole.Body)
+	w.note(lavtrace.Step{Kind: lavtrace.StepRated, Version: version, Reason: string(rating)})
+	rejected := rating == lavplan.RatedRejected
+	w.Raters.Observe(w.request, Answered{Key: w.key, Answer: whole.Body, Cost: w.lastCost, Rating: rating, Delivered: !rejected})
+	if rejected {
+		w.key.After = version
 		return false, nil
 	}
 	w.checkedBill()
@@ -75,6 +81,17 @@
 	return true, whole.Replay(w.sink)
 }
 
+// fatal returns the errors of a checked stage after which no later stage may follow.
+func (w *work) fatal(ctx context.Context, err error) error {
+	if isErrPlanOutdated(err) {
+		return err
+	}
+	if ctx.Err() != nil {
+		return timedOut(laverror.NotRun)
+	}
+	return nil
+}
+
 // pinLast pins a session to the version that answered a plan of several stages.
 func (w *work) pinLast(ctx context.Context, version lavid.VersionID, several bool) {
 	if !several || w.request.Session == "" || w.request.Version != "" {
@@ -86,6 +103,7 @@
 // bill records the bill of a stage's answer; a checked stage is billed only when it ends the request.
 func (w *work) bill(ctx context.Context, attempt *lavwire.Attempt, base string, usage lavrequest.Usage, checked bool) {
 	bill := lavbill.ForAttempt(w.document, attempt, lavbill.Usage{Input: usage.InputTokens, Output: usage.OutputTokens}, time.Now())
+	w.lastCost = bill.Cost - w.earlier.cost
 	if checked {
 		w.earlier = earlierStages{count: bill.Stages, cost: bill.Cost}
 		w.checkedBill = func() { w.hold(ctx, base, bill) }
