--- a/entry/cmd/operators.go
+++ b/entry/cmd/operators.go
@@ -1,6 +1,7 @@
 package lavcmd
 
 import (
+	"lavenderswitch/core/services/lavledger"
 	"lavenderswitch/entry/routers/lavoperator"
 	"lavenderswitch/entry/services/lavoperation"
 )
@@ -12,8 +13,9 @@
 		Submitter: h.spreader,
 		Rows:      h.platform,
 		Hosts:     h.members,
-		Calls:     lavoperation.NoCalls{},
+		Calls:     lavoperation.LedgerCalls{Ledger: lavledger.New(h.platform)},
 		Servers:   func() any { return h.fleet.Dump() },
+		Evidence:  func() any { return h.owner.Dump() },
 	}
 	router := &lavoperator.Router{Service: service, Dump: h.dump}
 	for _, key := range h.settings.AllOperatorKeys() {
--- a/entry/services/lavserve/serve_test.go
+++ b/entry/services/lavserve/serve_test.go
@@ -15,6 +15,7 @@
 	"lavenderswitch/core/modules/lavmetric"
 	"lavenderswitch/core/modules/lavplatform"
 	"lavenderswitch/core/services/lavbill"
+	"lavenderswitch/core/services/lavevidence"
 	"lavenderswitch/core/services/lavledger"
 	"lavenderswitch/core/services/lavplan"
 	"lavenderswitch/core/services/lavretry"
@@ -36,7 +37,8 @@
 	pinned   lavid.VersionID
 	asks     []lavpin.Ask
 	plan     lavplan.Plan
-	verdicts []Verdict
+	verdicts []lavplan.Rating
+	answered []Answered
 	bills    *lavbill.Pending
 	held     []*lavwire.Bill
 	enters   int
@@ -49,6 +51,15 @@
 
 func (f *fake) Document() *lavconfig.Document { return f.document }
 
+func (f *fake) CatchUp(_ context.Context, _ string, number lavid.ConfigNumber) bool {
+	withdrawn := *f.document
+	withdrawn.Number = number
+	withdrawn.Versions = map[lavid.VersionID]lavconfig.Version{"small": {State: lavconfig.VersionWithdrawn}, "large": {OutputPrice: 10}}
+	f.document = &withdrawn
+	f.plan = lavplan.Plan{Stages: []lavplan.Stage{{Version: "large"}}}
+	return true
+}
+
 func (f *fake) Run(_ context.Context, _ string, attempt *lavwire.Attempt, sink lavrequest.Sink) (lavattempt.Result, error) {
 	f.attempts = append(f.attempts, attempt)
 	next := f.replies[0]
@@ -80,14 +91,14 @@
 	if !f.ledgerUp {
 		return lavledger.Position{}, lavplatform.ErrStoreUnavailable{Reason: "down"}
 	}
-	return lavledger.Position{Entry: f.ledger}, nil
+	return lavledger.Position{Entry: f.ledger, NotRun: f.ledger.State == lavledger.StateSealed}, nil
 }
 
 func (f *fake) Choose(*lavconfig.Document, lavplan.Query, time.Time) (lavplan.Plan, bool) {
 	return f.plan, true
 }
 
-func (f *fake) Rate(context.Context, *lavrequest.Request, lavid.VersionID, []byte) Verdict {
+func (f *fake) Rate(context.Context, *lavrequest.Request, lavevidence.Key, []byte) lavplan.Rating {
 	next := f.verdicts[0]
 	f.verdicts = f.verdicts[1:]
 	return next
@@ -95,9 +106,11 @@
 
 func (f *fake) CanCheck(time.Time) bool { return true }
 
-func (f *fake) Observe(*lavrequest.Request, lavid.VersionID, []byte, lavid.NanoUnits) {}
+func (f *fake) Observe(_ *lavrequest.Request, answered Answered) {
+	f.answered = append(f.answered, answered)
+}
 
-func (f *fake) Failed(*lavrequest.Request, lavid.VersionID) {}
+func (f *fake) Failed(*lavrequest.Request, lavevidence.Key) {}
 
 func (f *fake) Begin(*lavrequest.Request) (func(), error) { return func() {}, nil }
 
@@ -133,7 +146,7 @@
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	return &Service{
-		Configs: f, Attempts: f, Sessions: f, Seals: f, Planner: f, Raters: f, Gate: f,
+		Configs: f, Peers: f, Attempts: f, Sessions: f, Seals: f, Planner: f, Raters: f, Gate: f,
 		Fleet: lavfleet.New("h1", "d1"), Bills: f.bills, Retries: lavretry.New(), Hedgers: NewHedgers(),
 		Traces: lavtrace.NewRing(4), Metrics: lavmetric.NewSet(), Log: log,
 		Holders: func(string) lavwire.Bills { return f },
@@ -219,15 +232,32 @@
 	is.Equal(f.enters, 2)
 }
 
+func TestServePlansAnewWhenASideKnowsOfAWithdrawal(t *testing.T) {
+	is := is.New(t)
+	behind := refused(lavwire.RefusalKind_REFUSAL_KIND_VERSION_WITHDRAWN, lavwire.RunState_RUN_STATE_NOT_RUN)
+	behind.result.Refusal.ConfigNumber = 8
+	f := newFake(behind, whole)
+	f.pinned = "small"
+	request := chatRequest()
+	request.Session = "s"
+	is.NoErr(f.service().Serve(t.Context(), request, &lavrequest.Whole{}))
+	is.Equal(f.attempts[1].GetVersionId(), "large")
+	is.Equal(f.attempts[1].GetConfigNumber(), uint64(8))
+	is.True(request.SessionMoved)
+}
+
 func TestServeBillsTheSumOfACascadeOnce(t *testing.T) {
 	is := is.New(t)
 	f := newFake(whole, whole)
 	f.plan = lavplan.Plan{Stages: []lavplan.Stage{{Version: "small", Checked: true}, {Version: "large"}}}
-	f.verdicts = []Verdict{Unacceptable}
+	f.verdicts = []lavplan.Rating{lavplan.RatedRejected}
 	is.NoErr(f.service().Serve(t.Context(), chatRequest(), &lavrequest.Whole{}))
 	is.Equal(f.attempts[0].GetBill(), false)
 	is.Equal(f.attempts[1].GetPriorCostNanos(), int64(2))
 	is.Equal(f.bills.Batch(9)[0].Cost, lavid.NanoUnits(22))
+	is.Equal(f.answered[0].Delivered, false)
+	is.Equal(f.answered[1].Key, lavevidence.Key{Version: "large", After: "small"})
+	is.Equal(f.answered[1].Cost, lavid.NanoUnits(20))
 	is.Equal(len(f.held), 0)
 }
 
@@ -235,7 +265,7 @@
 	is := is.New(t)
 	f := newFake(whole)
 	f.plan = lavplan.Plan{Stages: []lavplan.Stage{{Version: "small", Checked: true}, {Version: "large"}}}
-	f.verdicts = []Verdict{Acceptable}
+	f.verdicts = []lavplan.Rating{lavplan.RatedAccepted}
 	is.NoErr(f.service().Serve(t.Context(), chatRequest(), &lavrequest.Whole{}))
 	is.Equal(f.bills.Batch(9)[0].Cost, lavid.NanoUnits(2))
 	is.Equal(len(f.held), 1)
