--- a/entry/cmd/host.go
+++ b/entry/cmd/host.go
@@ -10,10 +10,8 @@
 
 	"lavenderswitch/core/modules/lavdump"
 	"lavenderswitch/core/modules/lavhttp"
-	"lavenderswitch/core/modules/lavlife"
 	"lavenderswitch/core/modules/lavmetric"
 	"lavenderswitch/core/modules/lavplatform"
-	"lavenderswitch/core/modules/lavring"
 	"lavenderswitch/core/services/lavbill"
 	"lavenderswitch/core/services/lavevidence"
 	"lavenderswitch/core/services/lavledger"
@@ -215,77 +213,3 @@
 	h.peers, err = lavhttp.Listen(ctx, h.settings.PeerAddress, peers.Routes(), nil, lavhttp.DefaultLimits())
 	return err
 }
-
-func (h *host) start() {
-	h.serve(h.callers)
-	h.serve(h.operators)
-	h.serve(h.peers)
-	h.parts.Go(func() { h.bills.Run(h.background) })
-	h.parts.Go(func() { h.pins.Run(h.background) })
-	h.parts.Go(func() { h.gate.Run(h.background) })
-	h.parts.Go(func() { h.reporter.Run(h.background) })
-	h.parts.Go(func() { h.rater.Run(h.background) })
-	poller := &lavmembership.Poller{Table: h.members, List: h.platform, Log: h.log}
-	h.parts.Go(func() { poller.Run(h.background) })
-	h.parts.Go(func() { h.spreader.Run(h.background) })
-	h.tick(loadTick, h.readLoads)
-}
-
-func (h *host) serve(server *lavhttp.Server) {
-	h.parts.Go(func() {
-		if err := server.Serve(); err != nil {
-			h.log.WithError(err).Error("listener ended")
-		}
-	})
-}
-
-func (h *host) tick(interval time.Duration, step func(now time.Time)) {
-	h.parts.Go(func() { lavlife.Tick(h.background, interval, step) })
-}
-
-// readLoads asks a few servers whose load is unknown or old, so that they can be chosen.
-func (h *host) readLoads(now time.Time) {
-	document := h.current.Document()
-	if document == nil {
-		return
-	}
-	h.fleet.Follow(document, now)
-	h.retries.Tick(now)
-	for _, id := range h.fleet.Stale(document, now) {
-		h.readLoad(document.BackendServers[id].SideAddress)
-	}
-}
-
-func (h *host) readLoad(address string) {
-	ctx, cancel := context.WithTimeout(h.background, loadTick)
-	defer cancel()
-	load, err := lavwire.NewSideProtobufClient(scheme+address, h.peerClient).ReadLoad(ctx, &lavwire.ReadLoadRequest{})
-	if err == nil {
-		h.fleet.Record(load, time.Now())
-	}
-}
-
-// Entries returns the live entry hosts, this one included.
-func (h *host) Entries(now time.Time) []lavring.Member {
-	return h.members.Owners(now)
-}
-
-// shutDown ends the listeners once running requests are answered, then writes the last bills.
-func (h *host) shutDown(ctx context.Context) error {
-	h.router.Drain()
-	h.members.Leave()
-	time.Sleep(h.settings.ReadinessDelay.Duration)
-	err := h.callers.Shutdown(ctx)
-	h.stop()
-	h.bills.Flush(ctx)
-	h.pins.WriteBehind(ctx)
-	operatorErr := h.operators.Shutdown(ctx)
-	peerErr := h.peers.Shutdown(ctx)
-	h.parts.Wait()
-	for _, failed := range []error{err, operatorErr, peerErr} {
-		if failed != nil {
-			return failed
-		}
-	}
-	return nil
-}
--- /dev/null
+++ b/entry/cmd/parts.go
@@ -0,0 +1,70 @@
+package lavcmd
+
+import (
+	"context"
+	"time"
+
+	"lavenderswitch/core/modules/lavhttp"
+	"lavenderswitch/core/modules/lavlife"
+	"lavenderswitch/core/modules/lavring"
+	"lavenderswitch/core/services/lavmembership"
+	"lavenderswitch/wire/lavwire"
+)
+
+// loadTick separates the looks at the fleet.
+const loadTick = 200 * time.Millisecond
+
+// start begins the parts that run in the background.
+func (h *host) start() {
+	h.serve(h.callers)
+	h.serve(h.operators)
+	h.serve(h.peers)
+	h.parts.Go(func() { h.bills.Run(h.background) })
+	h.parts.Go(func() { h.pins.Run(h.background) })
+	h.parts.Go(func() { h.gate.Run(h.background) })
+	h.parts.Go(func() { h.reporter.Run(h.background) })
+	h.parts.Go(func() { h.rater.Run(h.background) })
+	poller := &lavmembership.Poller{Table: h.members, List: h.platform, Log: h.log}
+	h.parts.Go(func() { poller.Run(h.background) })
+	h.parts.Go(func() { h.spreader.Run(h.background) })
+	h.tick(loadTick, h.readLoads)
+}
+
+func (h *host) serve(server *lavhttp.Server) {
+	h.parts.Go(func() {
+		if err := server.Serve(); err != nil {
+			h.log.WithError(err).Error("listener ended")
+		}
+	})
+}
+
+func (h *host) tick(interval time.Duration, step func(now time.Time)) {
+	h.parts.Go(func() { lavlife.Tick(h.background, interval, step) })
+}
+
+// readLoads asks a few servers whose load is unknown or old, so that they can be chosen.
+func (h *host) readLoads(now time.Time) {
+	document := h.current.Document()
+	if document == nil {
+		return
+	}
+	h.fleet.Follow(document, now)
+	h.retries.Tick(now)
+	for _, id := range h.fleet.Stale(document, now) {
+		h.readLoad(document.BackendServers[id].SideAddress)
+	}
+}
+
+func (h *host) readLoad(address string) {
+	ctx, cancel := context.WithTimeout(h.background, loadTick)
+	defer cancel()
+	load, err := lavwire.NewSideProtobufClient(scheme+address, h.peerClient).ReadLoad(ctx, &lavwire.ReadLoadRequest{})
+	if err == nil {
+		h.fleet.Record(load, time.Now())
+	}
+}
+
+// Entries returns the live entry hosts, this one included.
+func (h *host) Entries(now time.Time) []lavring.Member {
+	return h.members.Owners(now)
+}
--- a/entry/cmd/run.go
+++ b/entry/cmd/run.go
@@ -5,7 +5,6 @@
 	"os"
 	"os/signal"
 	"syscall"
-	"time"
 
 	"github.com/sirupsen/logrus"
 	"github.com/urfave/cli/v3"
@@ -50,7 +49,3 @@
 	defer cancel()
 	return host.shutDown(ending)
 }
-
-const (
-	loadTick = 200 * time.Millisecond
-)
