Test the side process over HTTP with faults at each step

Cause: the guarantees of the side process had tests of their parts only.

Change: a side process in the test speaks frames over HTTP with a stand-in backend server and a table whose writes are lost, late or met half-way. The age at which a ledger reading is read again is an option, so that a pause can be tested within milliseconds.

--- a/side/cmd/host.go
+++ b/side/cmd/host.go
@@ -34,6 +34,8 @@
 const (
 	scheme         = "http://"
 	connectTimeout = 500 * time.Millisecond
+	// confirmAfter is how old the reading of a ledger row may be at dispatch.
+	confirmAfter = lavledger.SettleDelay / 2
 )
 
 // host holds the parts of a side process.
@@ -130,6 +132,7 @@
 			CallTimeout:    h.settings.CallTimeout.Duration,
 			OutcomeTimeout: h.settings.OutcomeTimeout.Duration,
 			OrphanTimeout:  h.settings.OrphanTimeout.Duration,
+			ConfirmAfter:   confirmAfter,
 		},
 	}, time.Now())
 	h.hosts = &hostList{platform: h.platform, follow: h.dispatcher.FollowHosts}
--- /dev/null
+++ b/side/routers/lavattempt/chat_test.go
@@ -0,0 +1,151 @@
+package lavattempt
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"lavenderswitch/core/models/lavconfig"
+	"lavenderswitch/wire/lavwire"
+)
+
+func cut(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }
+
+func silent(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() }
+
+func short(http.ResponseWriter, *http.Request) {}
+
+// TestBrokenStreamIsResumed breaks the engine's connection after half of the answer.
+func TestBrokenStreamIsResumed(t *testing.T) {
+	for name, half := range map[string]func(http.ResponseWriter, *http.Request){"cut": cut, "silent": silent, "ended early": short} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			backend := &engine{version: "v", half: half}
+			s := newSide(t, "engine", backend, newRows())
+			began := time.Now()
+			got := s.send(chat("1"))
+			is.Equal(string(got.body), wholeStream)
+			is.Equal(got.end.GetUsage().GetOutputTokens(), int64(5))
+			is.Equal(backend.value(&backend.runs), 1)
+			is.True(time.Since(began) < 4*silence)
+		})
+	}
+}
+
+// TestCutStreamIsNeverWhole breaks the connection of an engine that forgets its streams.
+func TestCutStreamIsNeverWhole(t *testing.T) {
+	for name, half := range map[string]func(http.ResponseWriter, *http.Request){"cut": cut, "silent": silent, "ended early": short} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			s := newSide(t, "engine", &engine{version: "v", half: half, unknown: true}, newRows())
+			got := s.send(chat("1"))
+			is.True(got.end == nil)
+			is.Equal(got.refusal.GetKind(), lavwire.RefusalKind_REFUSAL_KIND_BACKEND_FAILED)
+		})
+	}
+}
+
+func TestWrongVersionIsDiscarded(t *testing.T) {
+	is := is.New(t)
+	backend := &engine{version: "other"}
+	got := newSide(t, "engine", backend, newRows()).send(chat("1"))
+	is.Equal(got.refusal.GetKind(), lavwire.RefusalKind_REFUSAL_KIND_WRONG_VERSION)
+	is.Equal(len(got.body), 0)
+	for range 100 {
+		if backend.value(&backend.cancelled) > 0 {
+			break
+		}
+		time.Sleep(silence / 10)
+	}
+	is.Equal(backend.value(&backend.cancelled), 1)
+}
+
+func TestDuplicateAttachesToTheRun(t *testing.T) {
+	is := is.New(t)
+	backend := &engine{version: "v"}
+	s := newSide(t, "engine", backend, newRows())
+	is.Equal(string(s.send(chat("1")).body), wholeStream)
+	is.Equal(string(s.send(chat("1")).body), wholeStream)
+	is.Equal(string(s.post("/attach", &lavwire.Attach{AttemptId: "1", Offset: 10}).body), wholeStream[10:])
+	is.Equal(backend.value(&backend.runs), 1)
+}
+
+// TestRestartedSideResumesFromTheEngine attaches to a process that has never seen the attempt.
+func TestRestartedSideResumesFromTheEngine(t *testing.T) {
+	is := is.New(t)
+	backend := &engine{version: "v"}
+	s := newSide(t, "engine", backend, newRows())
+	attach := &lavwire.Attach{AttemptId: "1", RequestId: "r", AccountId: "a", VersionId: "v", Stream: true, Offset: 10}
+	got := s.post("/attach", attach)
+	is.Equal(string(got.body), wholeStream[10:])
+	is.Equal(got.end.GetLength(), uint64(len(wholeStream)))
+	attach.AttemptId = "2"
+	is.Equal(s.post("/attach", attach).refusal.GetKind(), lavwire.RefusalKind_REFUSAL_KIND_ATTEMPT_UNKNOWN)
+	is.Equal(backend.value(&backend.runs), 0)
+}
+
+// TestAttemptWithoutReaderIsCancelled leaves an endless answer without a reader.
+func TestAttemptWithoutReaderIsCancelled(t *testing.T) {
+	is := is.New(t)
+	backend := &engine{version: "v", half: silent}
+	s := newSide(t, "engine", backend, newRows())
+	s.dispatcher.Start(chat("5"), time.Now())
+	for range 100 {
+		s.dispatcher.Tick(time.Now())
+		if s.dispatcher.Running() == 0 {
+			break
+		}
+		time.Sleep(silence / 10)
+	}
+	is.Equal(s.dispatcher.Running(), 0)
+	is.Equal(s.dispatcher.Metrics.Value("Orphans"), int64(1))
+	is.Equal(backend.value(&backend.cancelled), 1)
+}
+
+func TestAttemptUnderANewerConfigurationWaitsForIt(t *testing.T) {
+	is := is.New(t)
+	s := newSide(t, "engine", &engine{version: "v"}, newRows())
+	attempt := chat("1")
+	attempt.ConfigNumber = 2
+	is.Equal(s.send(attempt).refusal.GetKind(), lavwire.RefusalKind_REFUSAL_KIND_CONFIG_BEHIND)
+	s.configs.fetched = document(lavconfig.VersionWithdrawn)
+	s.configs.fetched.Number = 2
+	attempt.AttemptId = "3"
+	is.Equal(s.send(attempt).refusal.GetKind(), lavwire.RefusalKind_REFUSAL_KIND_VERSION_WITHDRAWN)
+}
+
+func TestLeavingRefusesNewWorkAndFinishesOld(t *testing.T) {
+	is := is.New(t)
+	started, goOn := make(chan struct{}), make(chan struct{})
+	backend := &service{during: func() { close(started); <-goOn }}
+	s := newSide(t, "s1", backend, newRows())
+	answered := make(chan result, 1)
+	go func() { answered <- s.send(submit("1")) }()
+	<-started
+	s.dispatcher.Leave()
+	is.True(s.dispatcher.Load().GetLeaving())
+	is.Equal(s.send(submit("2")).refusal.GetKind(), lavwire.RefusalKind_REFUSAL_KIND_SERVER_LEAVING)
+	ready, err := http.Get(s.server.URL + "/ready")
+	is.NoErr(err)
+	ready.Body.Close()
+	is.Equal(ready.StatusCode, http.StatusServiceUnavailable)
+	close(goOn)
+	is.Equal(string((<-answered).body), "receipt")
+}
+
+func TestMalformedAttemptsAreRefused(t *testing.T) {
+	is := is.New(t)
+	s := newSide(t, "s1", &service{}, newRows())
+	for _, change := range []func(a *lavwire.Attempt){
+		func(a *lavwire.Attempt) { a.RequestId = "" },
+		func(a *lavwire.Attempt) { a.TimeoutMillis = 0 },
+		func(a *lavwire.Attempt) { a.VersionId = "v" },
+		func(a *lavwire.Attempt) { a.Path = "submit" },
+	} {
+		attempt := submit("1")
+		change(attempt)
+		is.Equal(s.send(attempt).refusal.GetKind(), lavwire.RefusalKind_REFUSAL_KIND_MALFORMED)
+	}
+}
--- /dev/null
+++ b/side/routers/lavattempt/harness_test.go
@@ -0,0 +1,319 @@
+package lavattempt
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/matryer/is"
+	"github.com/sirupsen/logrus"
+	"google.golang.org/protobuf/proto"
+
+	"lavenderswitch/core/models/lavconfig"
+	"lavenderswitch/core/models/lavid"
+	"lavenderswitch/core/modules/lavframe"
+	"lavenderswitch/core/modules/lavmetric"
+	"lavenderswitch/core/modules/lavplatform"
+	"lavenderswitch/core/services/lavanswer"
+	"lavenderswitch/core/services/lavbill"
+	"lavenderswitch/core/services/lavledger"
+	"lavenderswitch/side/services/lavbackend"
+	"lavenderswitch/side/services/lavdispatch"
+	"lavenderswitch/side/services/lavholder"
+	"lavenderswitch/wire/lavwire"
+)
+
+const silence = 150 * time.Millisecond
+
+// rows is a table service whose writes a test can meet before and after they take effect.
+type rows struct {
+	mu    sync.Mutex
+	table map[string]lavplatform.Row
+	// before may refuse a write, after may lose its reply.
+	before func(write lavplatform.Insert) error
+	after  func(write lavplatform.Insert) error
+}
+
+func newRows() *rows {
+	none := func(lavplatform.Insert) error { return nil }
+	return &rows{table: map[string]lavplatform.Row{}, before: none, after: none}
+}
+
+func (r *rows) apply(write lavplatform.Insert, revision lavplatform.Revision) lavplatform.Row {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if row := r.table[write.Key]; row.Revision == revision {
+		r.table[write.Key] = lavplatform.Row{Key: write.Key, Revision: revision + 1, Writer: write.Writer, Value: write.Value}
+	}
+	return r.table[write.Key]
+}
+
+func (r *rows) write(write lavplatform.Insert, revision lavplatform.Revision) (lavplatform.Written, error) {
+	if err := r.before(write); err != nil {
+		return lavplatform.Written{}, err
+	}
+	row := r.apply(write, revision)
+	return lavplatform.Written{Won: row.Writer == write.Writer, Row: row}, r.after(write)
+}
+
+func (r *rows) Insert(_ context.Context, insert lavplatform.Insert) (lavplatform.Written, error) {
+	return r.write(insert, 0)
+}
+
+func (r *rows) Swap(_ context.Context, swap lavplatform.Swap) (lavplatform.Written, error) {
+	return r.write(swap.Insert, swap.Revision)
+}
+
+func (r *rows) Get(_ context.Context, table, key string) (lavplatform.Row, error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	row, ok := r.table[key]
+	if !ok {
+		return row, lavplatform.ErrRowNotExist{Table: table, Key: key}
+	}
+	return row, nil
+}
+
+func (r *rows) Scan(context.Context, string, string, int) ([]lavplatform.Row, error) {
+	return nil, nil
+}
+
+// configs holds a configuration that a test can change.
+type configs struct {
+	mu       sync.Mutex
+	document *lavconfig.Document
+	// fetched takes the place of the document when news is asked for.
+	fetched *lavconfig.Document
+}
+
+func (c *configs) InForce(time.Time) *lavconfig.Document {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.document
+}
+
+func (c *configs) CatchUp(context.Context, lavid.HostID, lavid.ConfigNumber) bool {
+	if c.fetched != nil {
+		c.set(c.fetched)
+	}
+	return c.fetched != nil
+}
+
+func (c *configs) set(document *lavconfig.Document) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.document = document
+}
+
+func document(state lavconfig.VersionState) *lavconfig.Document {
+	return &lavconfig.Document{
+		Number:      1,
+		DataCentres: map[lavid.DataCentreID]lavconfig.DataCentre{"dc": {State: lavconfig.InService}},
+		Versions:    map[lavid.VersionID]lavconfig.Version{"v": {State: state}},
+		Services: map[lavid.ServiceID]lavconfig.Service{"s": {Calls: map[lavid.CallID]lavconfig.Call{
+			"submit": {Method: "POST", Path: "/submit"}, "look": {Method: "POST", Path: "/look", Idempotent: true},
+		}}},
+		ClientAccounts: map[lavid.AccountID]lavconfig.ClientAccount{
+			"a": {AllowedVersions: []lavid.VersionID{"v"}, AllowedServices: []lavid.ServiceID{"s"}},
+		},
+		BackendServers: map[lavid.BackendServerID]lavconfig.BackendServer{
+			"engine": {DataCentre: "dc", State: lavconfig.InService, MaxRunning: 8},
+			"s1":     {DataCentre: "dc", State: lavconfig.InService, Service: "s", MaxRunning: 8},
+		},
+	}
+}
+
+// side is one side process without its listener's process.
+type side struct {
+	t          *testing.T
+	dispatcher *lavdispatch.Dispatcher
+	outbox     *lavledger.Outbox
+	server     *httptest.Server
+	configs    *configs
+}
+
+func newSide(t *testing.T, server lavid.BackendServerID, backend http.Handler, rows *rows) *side {
+	behind := httptest.NewServer(backend)
+	t.Cleanup(behind.Close)
+	return newSideAt(t, server, behind.URL, rows)
+}
+
+func newSideAt(t *testing.T, id lavid.BackendServerID, backend string, rows *rows) *side {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	s := &side{t: t, configs: &configs{document: document(lavconfig.VersionServing)}}
+	router := &Router{Heartbeat: 20 * time.Millisecond}
+	s.server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { router.Routes().ServeHTTP(w, r) }))
+	t.Cleanup(s.server.Close)
+	ledger := lavledger.NewLimited(rows, lavledger.Limits{GiveUpAfter: 50 * time.Millisecond, Pause: 5 * time.Millisecond})
+	s.outbox = lavledger.NewOutbox(ledger, 1<<20)
+	s.dispatcher = lavdispatch.New(lavdispatch.Options{
+		Server: id, Holder: s.server.Listener.Addr().String(), Process: lavledger.ProcessID(s.server.URL),
+		Configs: s.configs, Backend: lavbackend.NewClient(backend), Ledger: ledger, Outbox: s.outbox,
+		Holders: lavholder.New("http://", &http.Transport{}), Bills: lavbill.NewPending(10),
+		Budget: lavanswer.NewBudget(1 << 20), Metrics: lavmetric.NewSet(), Log: log,
+		Limits: lavdispatch.Limits{
+			KeepAnswers: time.Minute, KeepAttempts: time.Hour, AnswerWindow: 1 << 20, MaxAnswerBytes: 1 << 20,
+			SilenceTimeout: silence, CallTimeout: silence, OutcomeTimeout: time.Second, OrphanTimeout: 2 * silence,
+			ConfirmAfter: 100 * time.Millisecond,
+		},
+	}, time.Now())
+	router.Dispatcher = s.dispatcher
+	s.dispatcher.Refresh(t.Context())
+	s.dispatcher.Tick(time.Now())
+	return s
+}
+
+// result is what a reader got: a whole body or a refusal.
+type result struct {
+	head    *lavwire.Head
+	body    []byte
+	end     *lavwire.End
+	refusal *lavwire.Refusal
+}
+
+func (s *side) post(path string, message proto.Message) result {
+	is := is.New(s.t)
+	data, err := proto.Marshal(message)
+	is.NoErr(err)
+	response, err := http.Post(s.server.URL+path, "application/protobuf", bytes.NewReader(data))
+	is.NoErr(err)
+	defer response.Body.Close()
+	var got result
+	frames := lavframe.NewReader(response.Body)
+	for got.end == nil && got.refusal == nil {
+		frame, err := frames.Read()
+		is.NoErr(err)
+		if frame.GetHead() != nil {
+			got.head = frame.GetHead()
+		}
+		got.body = append(got.body, frame.GetChunk().GetData()...)
+		got.end, got.refusal = frame.GetEnd(), frame.GetRefusal()
+	}
+	if got.end != nil && path == "/attempt" {
+		is.Equal(got.end.GetLength(), uint64(len(got.body)))
+		is.Equal(got.end.GetChecksum(), xxhash.Sum64(got.body))
+	}
+	return got
+}
+
+func (s *side) send(attempt *lavwire.Attempt) result { return s.post("/attempt", attempt) }
+
+func chat(id string) *lavwire.Attempt {
+	return &lavwire.Attempt{
+		AttemptId: id, RequestId: "r", AccountId: "a", BackendServerId: "engine", ConfigNumber: 1, TimeoutMillis: 5000,
+		VersionId: "v", Idempotent: true, Stream: true, Method: "POST", Path: "/v1/chat/completions",
+	}
+}
+
+func submit(id string) *lavwire.Attempt {
+	return &lavwire.Attempt{
+		AttemptId: id, RequestId: "r", AccountId: "a", BackendServerId: "s1", ConfigNumber: 1, TimeoutMillis: 2000,
+		ServiceId: "s", CallId: "submit", Method: "POST", Path: "/submit", Fingerprint: 1,
+	}
+}
+
+// service counts the runs of each request and answers with the count.
+type service struct {
+	mu     sync.Mutex
+	runs   int
+	status int
+	// during is called while a call runs.
+	during func()
+}
+
+func (s *service) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path == "/state" {
+		_, _ = w.Write([]byte("{}"))
+		return
+	}
+	s.mu.Lock()
+	s.runs++
+	s.mu.Unlock()
+	if s.during != nil {
+		s.during()
+	}
+	if s.status != 0 {
+		w.WriteHeader(s.status)
+	}
+	_, _ = w.Write([]byte("receipt"))
+}
+
+func (s *service) count() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.runs
+}
+
+const wholeStream = "data: {\"n\":1}\n\ndata: {\"usage\":{\"prompt_tokens\":3,\"completion_tokens\":5}}\n\ndata: [DONE]\n\n"
+
+// engine streams wholeStream; the test decides what the first connection does after half of it.
+type engine struct {
+	version string
+	half    func(w http.ResponseWriter, r *http.Request)
+	// unknown makes the engine forget its streams.
+	unknown   bool
+	mu        sync.Mutex
+	runs      int
+	cancelled int
+}
+
+func (e *engine) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	w.Header().Set(lavbackend.HeaderVersion, e.version)
+	switch {
+	case r.URL.Path == "/state" && e.unknown:
+		_, _ = w.Write([]byte(`{"LoadedVersions":["v"]}`))
+	case r.URL.Path == "/state":
+		_, _ = w.Write([]byte(`{"LoadedVersions":["v"],"Streams":["1","5"]}`))
+	case strings.HasSuffix(r.URL.Path, "/cancel"):
+		e.add(&e.cancelled)
+	case strings.HasPrefix(r.URL.Path, "/streams/") && e.unknown:
+		w.WriteHeader(http.StatusNotFound)
+	case strings.HasPrefix(r.URL.Path, "/streams/"):
+		e.resume(w, r)
+	default:
+		e.chat(w, r)
+	}
+}
+
+func (e *engine) add(counter *int) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	*counter++
+}
+
+func (e *engine) value(counter *int) int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return *counter
+}
+
+func (e *engine) resume(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path == "/streams/5" {
+		<-r.Context().Done()
+		return
+	}
+	from := 0
+	for _, digit := range r.URL.Query().Get("from") {
+		from = 10*from + int(digit-'0')
+	}
+	_, _ = w.Write([]byte(wholeStream[from:]))
+}
+
+func (e *engine) chat(w http.ResponseWriter, r *http.Request) {
+	e.add(&e.runs)
+	if e.half == nil {
+		_, _ = w.Write([]byte(wholeStream))
+		return
+	}
+	_, _ = w.Write([]byte(wholeStream[:len(wholeStream)/2]))
+	_ = http.NewResponseController(w).Flush()
+	e.half(w, r)
+}
--- /dev/null
+++ b/side/routers/lavattempt/once_test.go
@@ -0,0 +1,210 @@
+package lavattempt
+
+import (
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"lavenderswitch/core/models/lavconfig"
+	"lavenderswitch/core/modules/lavplatform"
+	"lavenderswitch/core/services/lavledger"
+	"lavenderswitch/wire/lavwire"
+)
+
+var errLost = lavplatform.ErrStoreUnavailable{Reason: "reply lost"}
+
+func intentOf(write lavplatform.Insert, attempt string) bool {
+	return strings.HasPrefix(write.Writer, attempt+"/") && strings.HasSuffix(write.Writer, "/Intent")
+}
+
+func TestRepeatGetsTheStoredAnswer(t *testing.T) {
+	is := is.New(t)
+	backend, table := &service{}, newRows()
+	first, second := newSide(t, "s1", backend, table), newSide(t, "s1", backend, table)
+	is.Equal(string(first.send(submit("1")).body), "receipt")
+	first.outbox.Flush(t.Context())
+	repeat := second.send(submit("2"))
+	is.Equal(string(repeat.body), "receipt")
+	is.True(repeat.head.GetStored())
+	other := submit("3")
+	other.Fingerprint = 2
+	refusal := second.send(other).refusal
+	is.Equal(refusal.GetKind(), lavwire.RefusalKind_REFUSAL_KIND_REQUEST_MISMATCH)
+	is.Equal(refusal.GetRunState(), lavwire.RunState_RUN_STATE_NOT_RUN)
+	is.Equal(backend.count(), 1)
+}
+
+// TestLateIntentIsNeverDispatched loses the claim of the first attempt, lets it take effect late, and repeats elsewhere.
+func TestLateIntentIsNeverDispatched(t *testing.T) {
+	is := is.New(t)
+	backend, table := &service{}, newRows()
+	first, second := newSide(t, "s1", backend, table), newSide(t, "s1", backend, table)
+	var late []lavplatform.Insert
+	table.before = func(write lavplatform.Insert) error {
+		if !strings.HasPrefix(write.Writer, "1/") {
+			return nil
+		}
+		late = append(late, write)
+		return errLost
+	}
+	began := time.Now()
+	refusal := first.send(submit("1")).refusal
+	is.Equal(refusal.GetKind(), lavwire.RefusalKind_REFUSAL_KIND_STORE_UNAVAILABLE)
+	is.Equal(refusal.GetRunState(), lavwire.RunState_RUN_STATE_NOT_RUN)
+	is.True(time.Since(began) < time.Second)
+	table.apply(late[0], 0)
+	is.Equal(first.send(submit("1")).refusal.GetRunState(), lavwire.RunState_RUN_STATE_NOT_RUN) // the attempt stays given up
+	is.Equal(string(second.send(submit("2")).body), "receipt")                                  // its holder's word lets another one take over
+	is.Equal(backend.count(), 1)
+}
+
+func TestHolderGoneIsInDoubt(t *testing.T) {
+	is := is.New(t)
+	backend, table := &service{}, newRows()
+	first, second := newSide(t, "s1", backend, table), newSide(t, "s1", backend, table)
+	first.send(submit("1"))
+	first.server.Close()
+	refusal := second.send(submit("2")).refusal
+	is.Equal(refusal.GetKind(), lavwire.RefusalKind_REFUSAL_KIND_REQUEST_IN_DOUBT)
+	is.Equal(refusal.GetRunState(), lavwire.RunState_RUN_STATE_IN_DOUBT)
+	is.Equal(backend.count(), 1)
+}
+
+func TestRunningCallRefersToItsHolder(t *testing.T) {
+	is := is.New(t)
+	started, goOn := make(chan struct{}), make(chan struct{})
+	backend, table := &service{during: func() { close(started); <-goOn }}, newRows()
+	first, second := newSide(t, "s1", backend, table), newSide(t, "s1", backend, table)
+	answered := make(chan result, 1)
+	go func() { answered <- first.send(submit("1")) }()
+	<-started
+	refusal := second.send(submit("2")).refusal
+	is.Equal(refusal.GetKind(), lavwire.RefusalKind_REFUSAL_KIND_REQUEST_RUNNING)
+	is.Equal(refusal.GetHolderAddress(), first.server.Listener.Addr().String())
+	close(goOn)
+	attached := first.post("/attach", &lavwire.Attach{AttemptId: refusal.GetHolderAttemptId()})
+	is.Equal(string(attached.body), "receipt")
+	is.Equal(string((<-answered).body), "receipt")
+	is.Equal(backend.count(), 1)
+}
+
+// TestPauseBetweenClaimAndDispatch stops the process after its claim stands, until the deadline or until an operator has fenced the call.
+func TestPauseBetweenClaimAndDispatch(t *testing.T) {
+	cases := []struct {
+		name   string
+		pause  time.Duration
+		fenced bool
+		kind   lavwire.RefusalKind
+	}{
+		{"past the deadline", 300 * time.Millisecond, false, lavwire.RefusalKind_REFUSAL_KIND_TIMEOUT},
+		{"fenced meanwhile", 150 * time.Millisecond, true, lavwire.RefusalKind_REFUSAL_KIND_SEALED},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			backend, table := &service{}, newRows()
+			s := newSide(t, "s1", backend, table)
+			operator := lavledger.New(table)
+			table.after = func(write lavplatform.Insert) error {
+				if !intentOf(write, "1") {
+					return nil
+				}
+				if c.fenced {
+					_, _ = operator.Settle(t.Context(), lavledger.Settlement{Account: "a", Request: "r", Attempt: "1"}, time.Now())
+				}
+				time.Sleep(c.pause)
+				return nil
+			}
+			attempt := submit("1")
+			attempt.TimeoutMillis = 250
+			refusal := s.send(attempt).refusal
+			is.Equal(refusal.GetKind(), c.kind)
+			is.Equal(refusal.GetRunState(), lavwire.RunState_RUN_STATE_NOT_RUN)
+			is.Equal(backend.count(), 0)
+		})
+	}
+}
+
+// TestServiceTakenOutDuringTheClaim changes the configuration while the claim is written.
+func TestServiceTakenOutDuringTheClaim(t *testing.T) {
+	is := is.New(t)
+	backend, table := &service{}, newRows()
+	s := newSide(t, "s1", backend, table)
+	out := document(lavconfig.VersionServing)
+	out.DataCentres["dc"] = lavconfig.DataCentre{State: lavconfig.OutOfService}
+	table.after = func(lavplatform.Insert) error {
+		s.configs.set(out)
+		return nil
+	}
+	refusal := s.send(submit("1")).refusal
+	is.Equal(refusal.GetKind(), lavwire.RefusalKind_REFUSAL_KIND_DATA_CENTRE_OUT)
+	is.Equal(backend.count(), 0)
+	s.outbox.Flush(t.Context())
+	next := newSide(t, "s1", backend, table)
+	table.after = func(lavplatform.Insert) error { return nil }
+	s.server.Close()
+	is.Equal(string(next.send(submit("2")).body), "receipt") // the claim was given back, so nobody need be asked
+}
+
+func TestServiceThatTakesNoConnectionDidNotRun(t *testing.T) {
+	is := is.New(t)
+	table := newRows()
+	s := newSideAt(t, "s1", "http://127.0.0.1:1", table)
+	refusal := s.send(submit("1")).refusal
+	is.Equal(refusal.GetKind(), lavwire.RefusalKind_REFUSAL_KIND_BACKEND_FAILED)
+	is.Equal(refusal.GetRunState(), lavwire.RunState_RUN_STATE_NOT_RUN)
+	s.outbox.Flush(t.Context())
+	s.server.Close()
+	is.Equal(string(newSide(t, "s1", &service{}, table).send(submit("2")).body), "receipt")
+}
+
+func TestErrorOfACallIsItsAnswer(t *testing.T) {
+	is := is.New(t)
+	backend := &service{status: http.StatusServiceUnavailable}
+	s := newSide(t, "s1", backend, newRows())
+	is.Equal(s.send(submit("1")).head.GetStatusCode(), int32(http.StatusServiceUnavailable))
+	look := submit("2")
+	look.RequestId, look.CallId, look.Path, look.Idempotent = "q", "look", "/look", true
+	is.Equal(s.send(look).refusal.GetKind(), lavwire.RefusalKind_REFUSAL_KIND_BACKEND_FAILED)
+}
+
+// TestSeal seals before the attempt arrives, and after a dispatch that only an earlier process knows of.
+func TestSeal(t *testing.T) {
+	is := is.New(t)
+	backend, table := &service{}, newRows()
+	s := newSide(t, "s1", backend, table)
+	seal := func(on *side, attempt string, age time.Duration) lavwire.RunState {
+		return on.dispatcher.Seal(t.Context(), &lavwire.SealRequest{
+			AttemptId: attempt, RequestId: "r", AccountId: "a", SentAgeMillis: age.Milliseconds(),
+		}, time.Now()).GetRunState()
+	}
+	is.Equal(seal(s, "0", 0), lavwire.RunState_RUN_STATE_NOT_RUN)
+	is.Equal(s.send(submit("0")).refusal.GetKind(), lavwire.RefusalKind_REFUSAL_KIND_SEALED)
+	is.Equal(string(s.send(submit("1")).body), "receipt")
+	is.Equal(seal(s, "1", 0), lavwire.RunState_RUN_STATE_RAN)
+	restarted := newSide(t, "s1", backend, table)
+	is.Equal(seal(restarted, "1", time.Minute), lavwire.RunState_RUN_STATE_IN_DOUBT)
+	is.Equal(seal(restarted, "2", time.Minute), lavwire.RunState_RUN_STATE_NOT_RUN) // the row of attempt 1 now forbids it
+	is.Equal(restarted.send(submit("2")).refusal.GetKind(), lavwire.RefusalKind_REFUSAL_KIND_SEALED)
+	is.Equal(backend.count(), 1)
+}
+
+// TestOutcomeIsStoredAfterAnOutage keeps the store down while the call ends.
+func TestOutcomeIsStoredAfterAnOutage(t *testing.T) {
+	is := is.New(t)
+	backend, table := &service{}, newRows()
+	s := newSide(t, "s1", backend, table)
+	down := func(lavplatform.Insert) error { return errLost }
+	backend.during = func() { table.before = down }
+	is.Equal(string(s.send(submit("1")).body), "receipt")
+	s.outbox.Flush(t.Context())
+	is.Equal(s.outbox.Len(), 1)
+	table.before = func(lavplatform.Insert) error { return nil }
+	s.outbox.Flush(t.Context())
+	is.Equal(s.outbox.Len(), 0)
+	s.server.Close()
+	is.True(newSide(t, "s1", backend, table).send(submit("2")).head.GetStored())
+}
--- a/side/services/lavdispatch/dispatcher.go
+++ b/side/services/lavdispatch/dispatcher.go
@@ -50,6 +50,8 @@
 	CallTimeout time.Duration
 	// OutcomeTimeout is how long the outcome of a call that may not be repeated is awaited after its caller's deadline.
 	OutcomeTimeout time.Duration
+	// ConfirmAfter is how old the reading of a ledger row may be at dispatch; it is less than lavledger.SettleDelay.
+	ConfirmAfter time.Duration
 	// OrphanTimeout is how long an attempt that may be repeated goes on without a reader.
 	OrphanTimeout time.Duration
 }
--- a/side/services/lavdispatch/perform.go
+++ b/side/services/lavdispatch/perform.go
@@ -11,12 +11,8 @@
 	"lavenderswitch/wire/lavwire"
 )
 
-const (
-	// maxPause is how old the reading of a ledger row may be at dispatch; it is less than lavledger.SettleDelay.
-	maxPause = 3 * time.Second
-	// maxDecisions bounds how often it is taken again before the attempt is given up.
-	maxDecisions = 4
-)
+// maxDecisions bounds how often a decision that has grown old is taken again before the attempt is given up.
+const maxDecisions = 4
 
 // perform takes an attempt from its arrival to its answer or refusal.
 func (d *Dispatcher) perform(ctx context.Context, run *Run) {
@@ -71,7 +67,7 @@
 		if refusal := d.decide(run, now); refusal != nil {
 			return refusal
 		}
-		if time.Since(known) > maxPause {
+		if time.Since(known) > d.Limits.ConfirmAfter {
 			d.Metrics.Count("Pauses", 1)
 			continue
 		}
