--- a/core/services/lavorder/keeper.go
+++ b/core/services/lavorder/keeper.go
@@ -103,9 +103,6 @@
 	if err != nil {
 		return none, err
 	}
-	if epoch < obeyed {
-		return none, k.Fence.Raise(ctx, obeyed)
-	}
 	if time.Since(asked) > maxOrderAge {
 		return none, errors.New("the epoch was read too long ago; ordering again at the next tick")
 	}
