--- /dev/null
+++ b/core/modules/lavframe/frame_test.go
@@ -0,0 +1,68 @@
+package lavframe
+
+import (
+	"bytes"
+	"io"
+	"testing"
+
+	"github.com/matryer/is"
+	"google.golang.org/protobuf/proto"
+
+	"lavenderswitch/wire/lavwire"
+)
+
+func frames() []*lavwire.Frame {
+	return []*lavwire.Frame{
+		{Sequence: 1, Kind: &lavwire.Frame_Heartbeat{Heartbeat: &lavwire.Heartbeat{}}, Load: &lavwire.Load{Limit: 3}},
+		{Sequence: 2, Kind: &lavwire.Frame_Head{Head: &lavwire.Head{StatusCode: 200}}},
+		{Sequence: 3, Kind: &lavwire.Frame_Chunk{Chunk: &lavwire.Chunk{Offset: 7, Data: []byte("data")}}},
+		{Sequence: 4, Kind: &lavwire.Frame_End{End: &lavwire.End{Length: 11}}},
+	}
+}
+
+func encoded() []byte {
+	var buffer bytes.Buffer
+	for _, frame := range frames() {
+		_ = Write(&buffer, frame)
+	}
+	return buffer.Bytes()
+}
+
+func TestFramesRoundTripAndCutsAreErrors(t *testing.T) {
+	is := is.New(t)
+	whole := encoded()
+	reader := NewReader(bytes.NewReader(whole))
+	for _, want := range frames() {
+		got, err := reader.Read()
+		is.NoErr(err)
+		is.True(proto.Equal(got, want))
+	}
+	_, err := reader.Read()
+	is.Equal(err, io.EOF)
+	reader = NewReader(bytes.NewReader(whole[:len(whole)-1]))
+	for err = nil; err == nil; {
+		_, err = reader.Read()
+	}
+	is.Equal(err, io.ErrUnexpectedEOF)
+}
+
+// FuzzReader reads arbitrary bytes; it may fail but never takes more than a frame's bound or loops.
+func FuzzReader(f *testing.F) {
+	whole := encoded()
+	f.Add(whole)
+	f.Add(whole[:len(whole)/2])
+	f.Add([]byte{0xff, 0xff, 0xff, 0xff, 0x7f})
+	f.Fuzz(func(t *testing.T, data []byte) {
+		reader := NewReader(bytes.NewReader(data))
+		for range len(data) + 1 {
+			frame, err := reader.Read()
+			if err != nil {
+				return
+			}
+			if proto.Size(frame) > MaxFrameBytes {
+				t.Fatal("frame is larger than the bound")
+			}
+		}
+		t.Fatal("reader gave more frames than bytes")
+	})
+}
--- a/core/services/lavledger/holdings.go
+++ b/core/services/lavledger/holdings.go
@@ -37,6 +37,10 @@
 	changed time.Time
 }
 
+func (h holding) final() bool {
+	return h.phase != PhaseClaiming && h.phase != PhaseDispatched
+}
+
 // NewHoldings returns holdings without attempts.
 func NewHoldings() *Holdings {
 	return &Holdings{rows: make(map[lavid.AttemptID]holding)}
@@ -93,13 +97,21 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	for attempt, row := range h.rows {
-		final := row.phase != PhaseClaiming && row.phase != PhaseDispatched
-		if final && now.Sub(row.changed) > keep {
+		if row.final() && now.Sub(row.changed) > keep {
 			delete(h.rows, attempt)
 		}
 	}
 }
 
+// Forget drops a final attempt before its time, as of work that may be repeated.
+func (h *Holdings) Forget(attempt lavid.AttemptID) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.rows[attempt].final() {
+		delete(h.rows, attempt)
+	}
+}
+
 // Len returns the number of attempts that are remembered.
 func (h *Holdings) Len() int {
 	h.mu.Lock()
--- a/side/cmd/parts.go
+++ b/side/cmd/parts.go
@@ -45,7 +45,7 @@
 // follow reads the backend server's state and sends the order that it calls for.
 func (h *host) follow(now time.Time) {
 	state, ok := h.dispatcher.Refresh(h.background)
-	if !ok {
+	if !ok || h.dispatcher.Leaving() {
 		return
 	}
 	if _, err := h.keeper.Step(h.background, h.seen(state, now), now); err != nil {
--- a/side/services/lavbackend/client.go
+++ b/side/services/lavbackend/client.go
@@ -60,16 +60,15 @@
 	return &Client{base: base, kept: &http.Client{Transport: kept}, fresh: &http.Client{Transport: fresh}}
 }
 
-// Dispatch starts the work of an attempt; the caller closes the body of the response.
+// Dispatch starts the work of an attempt with its body; the caller closes the body of the response.
 //
 // ErrNotSent says that the work did not reach the backend server and cannot any more.
-func (c *Client) Dispatch(ctx context.Context, attempt *lavwire.Attempt) (*http.Response, error) {
+func (c *Client) Dispatch(ctx context.Context, attempt *lavwire.Attempt, body []byte) (*http.Response, error) {
 	connected := &atomic.Bool{}
 	traced := httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
 		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
 	})
-	body := bytes.NewReader(attempt.GetBody())
-	request, err := http.NewRequestWithContext(traced, attempt.GetMethod(), c.base+attempt.GetPath(), body)
+	request, err := http.NewRequestWithContext(traced, attempt.GetMethod(), c.base+attempt.GetPath(), bytes.NewReader(body))
 	if err != nil {
 		return nil, ErrNotSent
 	}
--- a/side/services/lavdispatch/dispatcher.go
+++ b/side/services/lavdispatch/dispatcher.go
@@ -134,7 +134,9 @@
 
 func (d *Dispatcher) newRun(attempt *lavwire.Attempt, now time.Time) *Run {
 	options := lavanswer.Options{Budget: d.Budget, Window: d.Limits.AnswerWindow, Whole: !attempt.GetIdempotent()}
-	return &Run{Attempt: attempt, Buffer: lavanswer.New(options), arrived: now, alone: now}
+	run := &Run{Attempt: attempt, Buffer: lavanswer.New(options), arrived: now, alone: now, body: attempt.GetBody()}
+	attempt.Body = nil
+	return run
 }
 
 // forgotten answers a repeat of an attempt whose run is no longer held.
@@ -162,6 +164,7 @@
 }
 
 func (d *Dispatcher) release(run *Run, now time.Time) {
+	run.body = nil
 	run.end(now)
 	d.count(-1)
 	if permit := run.held(); permit != nil {
--- a/side/services/lavdispatch/load.go
+++ b/side/services/lavdispatch/load.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
+	"lavenderswitch/core/models/lavid"
 	"lavenderswitch/core/modules/lavlog"
 	"lavenderswitch/core/modules/lavplatform"
 	"lavenderswitch/core/services/lavlimit"
@@ -53,13 +55,18 @@
 func (d *Dispatcher) takeState(state lavbackend.State, now time.Time) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if d.stateRead.IsZero() {
+	if d.stateRead.IsZero() || lostVersion(d.state.LoadedVersions, state.LoadedVersions) {
 		d.limiter.Restart(now)
 	}
 	d.state = state
 	d.stateRead = now
 }
 
+// lostVersion tells whether the backend server holds less than before, as after a restart that no read has met.
+func lostVersion(before, now []lavid.VersionID) bool {
+	return slices.ContainsFunc(before, func(version lavid.VersionID) bool { return !slices.Contains(now, version) })
+}
+
 func (d *Dispatcher) missState(now time.Time) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/side/services/lavdispatch/receive.go
+++ b/side/services/lavdispatch/receive.go
@@ -44,7 +44,8 @@
 // receive dispatches a committed attempt and fills its buffer; it returns false when the backend server was given nothing.
 func (d *Dispatcher) receive(ctx context.Context, run *Run) bool {
 	r := &reception{d: d, run: run, sent: time.Now(), silence: d.Limits.SilenceTimeout}
-	r.source = d.open(ctx, func(ctx context.Context) (*http.Response, error) { return d.Backend.Dispatch(ctx, run.Attempt) })
+	body := run.body
+	r.source = d.open(ctx, func(ctx context.Context) (*http.Response, error) { return d.Backend.Dispatch(ctx, run.Attempt, body) })
 	r.expectFirstToken()
 	r.loop(ctx)
 	return !r.notSent
--- a/side/services/lavdispatch/refusal.go
+++ b/side/services/lavdispatch/refusal.go
@@ -2,8 +2,11 @@
 
 import (
 	"net/http"
+	"net/url"
+	"slices"
 	"strings"
 	"time"
+	"unicode"
 
 	"lavenderswitch/wire/lavwire"
 )
@@ -51,8 +54,8 @@
 // wellFormed tells whether an attempt can be worked with, or the remedy.
 func wellFormed(attempt *lavwire.Attempt) (string, bool) {
 	for _, id := range []string{attempt.GetAttemptId(), attempt.GetRequestId(), attempt.GetAccountId()} {
-		if id == "" || len(id) > maxIDBytes {
-			return "give attempt, request and account ids of 1 to 512 bytes", false
+		if id == "" || len(id) > maxIDBytes || !printable(id) {
+			return "give attempt, request and account ids of 1 to 512 bytes without control characters", false
 		}
 	}
 	if (attempt.GetVersionId() == "") == (attempt.GetServiceId() == "") {
@@ -61,14 +64,27 @@
 	if attempt.GetTimeoutMillis() <= 0 || attempt.GetTimeoutMillis() > maxTimeoutMillis {
 		return "give a timeout above zero and of at most an hour", false
 	}
-	if attempt.GetMethod() == "" || strings.ContainsAny(attempt.GetMethod(), " \r\n\t") {
-		return "give an HTTP method", false
-	}
-	if !strings.HasPrefix(attempt.GetPath(), "/") {
-		return "give a path that begins with a slash", false
-	}
 	if attempt.GetVersionId() != "" && attempt.GetMethod() != http.MethodPost {
 		return "send chat completions with POST", false
 	}
+	return wellFormedCall(attempt)
+}
+
+func wellFormedCall(attempt *lavwire.Attempt) (string, bool) {
+	if !slices.Contains(methods, attempt.GetMethod()) {
+		return "give one of the methods " + strings.Join(methods, ", "), false
+	}
+	if _, err := url.ParseRequestURI(attempt.GetPath()); err != nil || !strings.HasPrefix(attempt.GetPath(), "/") {
+		return "give a path that begins with a slash and is escaped", false
+	}
+	if !printable(attempt.GetContentType()) {
+		return "give a content type without control characters", false
+	}
 	return "", true
 }
+
+var methods = []string{http.MethodGet, http.MethodHead, http.MethodPost, http.MethodPut, http.MethodPatch, http.MethodDelete}
+
+func printable(text string) bool {
+	return !strings.ContainsFunc(text, unicode.IsControl)
+}
--- a/side/services/lavdispatch/run.go
+++ b/side/services/lavdispatch/run.go
@@ -19,6 +19,8 @@
 	arrived time.Time
 	// document is the configuration under which the attempt was last admitted; only the attempt's own goroutine uses it.
 	document *lavconfig.Document
+	// body is taken out of the attempt, so that it is not kept with the answer; only the attempt's own goroutine uses it.
+	body []byte
 
 	mu       sync.Mutex
 	readers  int
--- a/side/services/lavdispatch/tick.go
+++ b/side/services/lavdispatch/tick.go
@@ -4,6 +4,8 @@
 	"cmp"
 	"slices"
 	"time"
+
+	"lavenderswitch/core/services/lavledger"
 )
 
 // Tick moves the limit, forgets what is old, and stops attempts whose answers nobody wants.
@@ -14,7 +16,7 @@
 	idle := d.idleRuns(now)
 	for _, run := range idle {
 		since, _ := run.idleSince()
-		if now.Sub(since) > d.Limits.KeepAnswers || d.Budget.Pressed() {
+		if now.Sub(since) > d.Limits.KeepAnswers || d.Budget.Pressed() || d.holdings.Phase(run.id()) == lavledger.PhaseAbandoned {
 			d.forget(run)
 		}
 	}
@@ -47,4 +49,7 @@
 func (d *Dispatcher) forget(run *Run) {
 	d.runs.Delete(run.Attempt.GetAttemptId())
 	run.Buffer.Free()
+	if run.Attempt.GetIdempotent() {
+		d.holdings.Forget(run.id())
+	}
 }
