Measure the slopes of state, messages, processor time and memory

Ruled out: one process per host, which this machine can't carry in hundreds; hosts of the exchange share one process and speak over loopback.

--- /dev/null
+++ b/tests/cmd/lavcapacity/config.go
@@ -0,0 +1,112 @@
+package main
+
+import (
+	"bytes"
+	"compress/gzip"
+	"encoding/json"
+	"runtime"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"lavenderswitch/core/models/lavconfig"
+	"lavenderswitch/core/services/lavplacement"
+	"lavenderswitch/core/services/lavspread"
+)
+
+const repeats = 5
+
+// measureConfig measures the configuration document against its tables.
+func measureConfig(r *report) error {
+	grow := []struct {
+		size  string
+		build func(n int) *lavconfig.Document
+		sizes []int
+	}{
+		{"backend server", func(n int) *lavconfig.Document { return document(n, planAccounts, planVersions) }, []int{150, 300, 600, 1200}},
+		{"client account", func(n int) *lavconfig.Document { return document(planServers, n, planVersions) }, []int{20, 60, 200, 600}},
+		{"version", func(n int) *lavconfig.Document { return document(planServers, planAccounts, n) }, []int{5, 15, 30}},
+	}
+	for _, g := range grow {
+		plain := r.series("document", "bytes", g.size)
+		packed := r.series("document compressed", "bytes", g.size)
+		adopt := r.series("adopt from patch", "ms", g.size)
+		heap := r.series("document in memory", "bytes", g.size)
+		for _, n := range g.sizes {
+			built := g.build(n)
+			data, compressed, err := encode(built)
+			if err != nil {
+				return err
+			}
+			plain.add(float64(n), float64(data))
+			packed.add(float64(n), float64(compressed))
+			took, err := adoptTime(built)
+			if err != nil {
+				return err
+			}
+			adopt.add(float64(n), took.Seconds()*1000)
+			heap.add(float64(n), heapOf(func() any { return g.build(n) }))
+		}
+	}
+	return measurePlacement(r)
+}
+
+func measurePlacement(r *report) error {
+	assign := r.series("placement of the fleet", "ms", "backend server")
+	for _, n := range []int{150, 300, 600, 1200} {
+		built := document(n, 1, planVersions)
+		live := serverIDs(built)
+		began := time.Now()
+		for range repeats {
+			lavplacement.Assign(built, live)
+		}
+		assign.add(float64(n), time.Since(began).Seconds()*1000/repeats)
+	}
+	return nil
+}
+
+func encode(built *lavconfig.Document) (plain, compressed int, err error) {
+	data, err := json.Marshal(built)
+	if err != nil {
+		return 0, 0, errors.Wrap(err, "encode")
+	}
+	var buffer bytes.Buffer
+	writer := gzip.NewWriter(&buffer)
+	if _, err := writer.Write(data); err != nil {
+		return 0, 0, errors.Wrap(err, "compress")
+	}
+	err = writer.Close()
+	return len(data), buffer.Len(), errors.Wrap(err, "compress")
+}
+
+// adoptTime is the time to apply a patch of one server to a document, as a host does at each change.
+func adoptTime(built *lavconfig.Document) (time.Duration, error) {
+	patch := lavspread.Patch{
+		ID: "patch", Base: built.Number,
+		Operations: json.RawMessage(`[{"op":"replace","path":"/BackendServers/engine-0001/State","value":"OutOfService"}]`),
+	}
+	began := time.Now()
+	for range repeats {
+		if _, err := lavspread.Build(built, patch); err != nil {
+			return 0, err
+		}
+	}
+	return time.Since(began) / repeats, nil
+}
+
+// heapOf returns the bytes of heap that a value keeps.
+func heapOf(build func() any) float64 {
+	before := heapInUse()
+	value := build()
+	after := heapInUse()
+	runtime.KeepAlive(value)
+	return float64(after) - float64(before)
+}
+
+func heapInUse() uint64 {
+	runtime.GC()
+	runtime.GC()
+	var stats runtime.MemStats
+	runtime.ReadMemStats(&stats)
+	return stats.HeapAlloc
+}
--- /dev/null
+++ b/tests/cmd/lavcapacity/exchange.go
@@ -0,0 +1,226 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http/httptest"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
+	"github.com/sourcegraph/conc"
+
+	"lavenderswitch/core/models/lavid"
+	"lavenderswitch/core/modules/lavplatform"
+	"lavenderswitch/core/services/lavmembership"
+	"lavenderswitch/core/services/lavspread"
+)
+
+// countingListener counts the bytes of all its connections.
+type countingListener struct {
+	net.Listener
+	bytes *atomic.Int64
+}
+
+// Accept returns a connection whose bytes are counted.
+func (l countingListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return countingConn{conn, l.bytes}, nil
+}
+
+type countingConn struct {
+	net.Conn
+	bytes *atomic.Int64
+}
+
+// Read counts what it reads.
+func (c countingConn) Read(data []byte) (int, error) {
+	n, err := c.Conn.Read(data)
+	c.bytes.Add(int64(n))
+	return n, err
+}
+
+// Write counts what it writes.
+func (c countingConn) Write(data []byte) (int, error) {
+	n, err := c.Conn.Write(data)
+	c.bytes.Add(int64(n))
+	return n, err
+}
+
+// node is one host of the exchange.
+type node struct {
+	spreader *lavspread.Spreader
+	current  *lavspread.Current
+	server   *httptest.Server
+	hosts    *lavmembership.Table
+}
+
+// network is a set of hosts in this process that exchange configurations over loopback.
+type network struct {
+	nodes []*node
+	rows  *memoryRows
+	bytes atomic.Int64
+	stop  context.CancelFunc
+	parts conc.WaitGroup
+}
+
+func startNetwork(count int) (*network, error) {
+	n := &network{rows: newMemoryRows()}
+	first := document(planServers, planAccounts, planVersions)
+	if err := n.rows.seed(first); err != nil {
+		return nil, err
+	}
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	var hosts []lavplatform.Host
+	for i := range count {
+		server := httptest.NewUnstartedServer(nil)
+		server.Listener = countingListener{server.Listener, &n.bytes}
+		host := lavplatform.Host{ID: lavid.HostID(fmt.Sprint("entry-host-", i)), Role: lavplatform.RoleEntry, Address: server.Listener.Addr().String(), DataCentre: centre(i)}
+		table := lavmembership.New(lavmembership.Member{ID: host.ID, Role: host.Role, Address: host.Address, DataCentre: host.DataCentre})
+		current := lavspread.NewCurrent()
+		spreader := lavspread.New(lavspread.Options{Rows: n.rows, Peers: table, Current: current, Client: lavspread.NewHTTPClient(nil), Scheme: "http://", Log: log})
+		server.Config.Handler = spreader.Handler()
+		hosts = append(hosts, host)
+		n.nodes = append(n.nodes, &node{spreader, current, server, table})
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	n.stop = stop
+	for _, one := range n.nodes {
+		one.hosts.Merge(hosts, time.Now())
+		one.server.Start()
+		n.parts.Go(func() { one.spreader.Run(ctx) })
+	}
+	return n, n.await(first.Number)
+}
+
+func (n *network) close() {
+	n.stop()
+	n.parts.Wait()
+	for _, one := range n.nodes {
+		one.server.Close()
+	}
+}
+
+const (
+	settleTime  = 20 * time.Second
+	pollPause   = 5 * time.Millisecond
+	quietTime   = 3 * time.Second
+	changeCount = 3
+	changePause = 800 * time.Millisecond
+)
+
+// await returns when every node has a number in force.
+func (n *network) await(number lavid.ConfigNumber) error {
+	for deadline := time.Now().Add(settleTime); time.Now().Before(deadline); time.Sleep(pollPause) {
+		if n.inForce(number) {
+			return nil
+		}
+	}
+	return errors.Errorf("configuration %d is not in force everywhere after %s", number, settleTime)
+}
+
+func (n *network) inForce(number lavid.ConfigNumber) bool {
+	for _, one := range n.nodes {
+		current := one.current.InForce(time.Now())
+		if current == nil || current.Number < number {
+			return false
+		}
+	}
+	return true
+}
+
+// measureExchange measures what keeping and changing the configuration costs a host.
+func measureExchange(r *report) error {
+	quietBytes := r.series("exchange without changes", "bytes/s per host, sent and received", "host")
+	quietTimes := r.series("exchange without changes", "ms of processor/s per host", "host")
+	reads := r.series("store reads of all hosts", "reads/s", "host")
+	changeBytes := r.series("one change", "bytes per host, sent and received", "host")
+	changeTimes := r.series("one change", "ms of processor per host", "host")
+	spread := r.series("one change in force everywhere", "ms, slowest of 3", "host")
+	for _, count := range []int{10, 40, 80, 160, 320} {
+		n, err := startNetwork(count)
+		if err != nil {
+			return err
+		}
+		time.Sleep(time.Second)
+		quiet := n.observe(func() { time.Sleep(quietTime) })
+		x := float64(count)
+		quietBytes.add(x, 2*quiet.bytes/x/quiet.seconds)
+		quietTimes.add(x, quiet.processor/x/quiet.seconds)
+		reads.add(x, quiet.reads/quiet.seconds)
+		var slowest time.Duration
+		changes := n.observe(func() { slowest, err = n.change() })
+		n.close()
+		if err != nil {
+			return err
+		}
+		changeBytes.add(x, (2*changes.bytes/x-2*quiet.bytes/x*changes.seconds/quiet.seconds)/changeCount)
+		changeTimes.add(x, (changes.processor/x-quiet.processor/x*changes.seconds/quiet.seconds)/changeCount)
+		spread.add(x, slowest.Seconds()*1000)
+	}
+	return nil
+}
+
+// change submits changes one after another and returns the slowest time until one is in force everywhere.
+func (n *network) change() (time.Duration, error) {
+	slowest := time.Duration(0)
+	for i := range changeCount {
+		base := n.nodes[0].current.Number()
+		state := `"OutOfService"`
+		if i%2 == 1 {
+			state = `"InService"`
+		}
+		patch := lavspread.Patch{
+			ID: lavid.PatchID(fmt.Sprint("change-", i)), Base: base,
+			Operations: json.RawMessage(`[{"op":"replace","path":"/BackendServers/engine-0001/State","value":` + state + `}]`),
+		}
+		began := time.Now()
+		receipt, err := n.nodes[0].spreader.Submit(context.Background(), patch)
+		if err != nil {
+			return 0, err
+		}
+		if err := n.await(receipt.Number); err != nil {
+			return 0, err
+		}
+		slowest = max(slowest, time.Since(began))
+		time.Sleep(changePause)
+	}
+	return slowest, nil
+}
+
+// observation is what all hosts together used.
+type observation struct {
+	bytes, reads float64
+	// processor is in milliseconds.
+	processor float64
+	seconds   float64
+}
+
+func (n *network) observe(work func()) observation {
+	bytes, reads, processor, began := n.bytes.Load(), n.rows.reads.Load(), processorMillis(), time.Now()
+	work()
+	return observation{
+		bytes:     float64(n.bytes.Load() - bytes),
+		reads:     float64(n.rows.reads.Load() - reads),
+		processor: processorMillis() - processor,
+		seconds:   time.Since(began).Seconds(),
+	}
+}
+
+func processorMillis() float64 {
+	var usage syscall.Rusage
+	if syscall.Getrusage(syscall.RUSAGE_SELF, &usage) != nil {
+		return 0
+	}
+	micros := (usage.Utime.Sec+usage.Stime.Sec)*1e6 + usage.Utime.Usec + usage.Stime.Usec
+	return float64(micros) / 1000
+}
--- a/tests/measures/lavload/overhead.go
+++ b/tests/measures/lavload/overhead.go
@@ -49,14 +49,6 @@
 	return samples
 }
 
-func (b *burst) first() []time.Duration {
-	samples := make([]time.Duration, 0, len(b.answers))
-	for _, answer := range b.answers {
-		samples = append(samples, answer.First)
-	}
-	return samples
-}
-
 // sendClosed lets callers send one request after another for a time.
 func sendClosed(address string, callers int, stream bool, length time.Duration) *burst {
 	caller := lavprocess.NewCaller(address)
--- a/tests/measures/lavprocess/fleet.go
+++ b/tests/measures/lavprocess/fleet.go
@@ -38,6 +38,7 @@
 	programs  string
 	directory string
 	platform  *Process
+	front     string
 	operators []string
 	document  lavconfig.Document
 	hosts     []host
@@ -69,6 +70,7 @@
 	if err != nil {
 		return nil, err
 	}
+	f.front = address
 	f.platform, err = f.start("platform", address, "lavenderfake", "platform", "--address", address)
 	if err != nil {
 		return nil, err
@@ -76,6 +78,16 @@
 	return f, f.await("http://" + address + "/hosts")
 }
 
+// Platform returns the address of the platform.
+func (f *Fleet) Platform() string {
+	return f.platform.Address
+}
+
+// Front makes programs that start later reach the platform at another address.
+func (f *Fleet) Front(address string) {
+	f.front = address
+}
+
 func (f *Fleet) start(name, address, program string, arguments ...string) (*Process, error) {
 	return start(f.directory, name, address, filepath.Join(f.programs, program), arguments...)
 }
@@ -104,7 +116,7 @@
 	}
 	settings := map[string]string{
 		"HostID": "side-" + name, "DataCentre": string(dataCentre), "BackendServer": name, "Address": address,
-		"BackendAddress": "http://" + backend, "PlatformAddress": "http://" + f.platform.Address, "LogLevel": "warning",
+		"BackendAddress": "http://" + backend, "PlatformAddress": "http://" + f.front, "LogLevel": "warning",
 	}
 	f.hosts = append(f.hosts, host{ID: "side-" + name, Role: "Side", Address: address, DataCentre: string(dataCentre), BackendServer: name})
 	side, err := f.run("side-"+name, address, "lavenderswitch-side", settings)
@@ -125,7 +137,7 @@
 	}
 	settings := map[string]any{
 		"HostID": name, "DataCentre": dataCentre, "CallerAddress": addresses[0], "OperatorAddress": addresses[1],
-		"PeerAddress": addresses[2], "PlatformAddress": "http://" + f.platform.Address,
+		"PeerAddress": addresses[2], "PlatformAddress": "http://" + f.front,
 		"OperatorKeyHashes": []string{hash(operatorKey)}, "LogLevel": "warning",
 	}
 	f.hosts = append(f.hosts, host{ID: name, Role: "Entry", Address: addresses[2], DataCentre: string(dataCentre)})
--- a/tests/measures/lavprocess/process.go
+++ b/tests/measures/lavprocess/process.go
@@ -24,7 +24,7 @@
 const stopTime = 5 * time.Second
 
 func start(directory, name, address, program string, arguments ...string) (*Process, error) {
-	log, err := os.Create(filepath.Join(directory, filepath.Base(name)+".log"))
+	log, err := os.Create(filepath.Join(directory, filepath.Base(name)+".log")) //nolint:gosec // the directory is the measurement's own
 	if err != nil {
 		return nil, errors.Wrap(err, "create log")
 	}
@@ -63,13 +63,13 @@
 // Usage reads the processor time and the memory of the process.
 func (p *Process) Usage() (Usage, error) {
 	directory := filepath.Join("/proc", strconv.Itoa(p.command.Process.Pid))
-	stat, err := os.ReadFile(filepath.Join(directory, "stat"))
+	stat, err := os.ReadFile(filepath.Join(directory, "stat")) //nolint:gosec // the path holds a process id only
 	if err != nil {
 		return Usage{}, errors.Wrap(err, "read process")
 	}
 	_, rest, _ := strings.Cut(string(stat), ") ")
 	fields := strings.Fields(rest)
-	memory, err := os.ReadFile(filepath.Join(directory, "statm"))
+	memory, err := os.ReadFile(filepath.Join(directory, "statm")) //nolint:gosec // the path holds a process id only
 	if err != nil {
 		return Usage{}, errors.Wrap(err, "read process memory")
 	}
