Follow the changed messages and buffers in the capacity command

Cause: evidence counts its cost in billionths and answer buffers are bounded. Ruled out: nothing else. Conclusion: none.

--- a/tests/cmd/lavcapacity/messages.go
+++ b/tests/cmd/lavcapacity/messages.go
@@ -91,7 +91,7 @@
 		report := &lavwire.EvidenceReport{SenderId: hostName, ReportNumber: 100000}
 		batch := &lavwire.BillBatch{SenderId: hostName}
 		for range n {
-			report.Counts = append(report.Counts, &lavwire.EvidenceCount{VersionId: version, TaskClass: "short", Answers: 10, Rated: 3, Accepted: 2, Cost: 12345})
+			report.Counts = append(report.Counts, &lavwire.EvidenceCount{VersionId: version, TaskClass: "short", Answers: 10, Rated: 3, Accepted: 2, CostNanos: 12345})
 			batch.Bills = append(batch.Bills, &lavwire.Bill{
 				AccountId: account, RequestId: requestID, VersionId: version, CostNanos: 1 << 40, Stages: 1,
 				Usage: &lavwire.Usage{InputTokens: 800, OutputTokens: 200}, FinishedUnixMillis: 1 << 40,
--- a/tests/cmd/lavcapacity/state.go
+++ b/tests/cmd/lavcapacity/state.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"context"
 	"fmt"
 	"time"
 
@@ -68,7 +69,9 @@
 	for range n {
 		buffer := lavanswer.NewBuffer()
 		for range answerBytes / len(event) {
-			buffer.Append(event)
+			if buffer.Append(context.Background(), event) != nil {
+				return nil
+			}
 		}
 		all = append(all, buffer)
 	}
--- a/tests/measures/lavprocess/process.go
+++ b/tests/measures/lavprocess/process.go
@@ -32,6 +32,7 @@
 	command := exec.Command(program, arguments...) //nolint:gosec,noctx // a measurement starts the project's own programs and ends them by id
 	command.Stdout = log
 	command.Stderr = log
+	command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	if err := command.Start(); err != nil {
 		return nil, errors.Wrap(err, "start "+program+"; run make build first")
 	}
