--- a/tests/measures/lavload/measures.go
+++ b/tests/measures/lavload/measures.go
@@ -10,5 +10,6 @@
 		{Name: "data centre", Run: DataCentre},
 		{Name: "fairness", Run: Fairness},
 		{Name: "overhead", Run: Overhead},
+		{Name: "surge", Run: Surge},
 	}
 }
--- /dev/null
+++ b/tests/measures/lavload/surge.go
@@ -0,0 +1,228 @@
+package lavload
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync/atomic"
+	"time"
+
+	"github.com/sourcegraph/conc"
+
+	"lavenderswitch/core/models/lavid"
+	"lavenderswitch/tests/measures/lavprocess"
+	"lavenderswitch/tests/measures/lavreport"
+)
+
+// The engines of the surge on processes; the second half of them is slower.
+const (
+	surgeEngines   = 4
+	surgeEntries   = 2
+	surgeBears     = 16
+	surgeSlope     = 0.03
+	surgeTokens    = 40
+	surgeFirst     = 100 * time.Millisecond
+	fastBetween    = 15 * time.Millisecond
+	slowBetween    = 22 * time.Millisecond
+	surgeCalm      = 3 * time.Second
+	surgeWarm      = 8 * time.Second
+	surgeMeasured  = 8 * time.Second
+	surgeEnd       = 20 * time.Second
+	promptVariants = 200
+)
+
+// engineRate is how many requests a second an engine carries with as many running as it bears.
+func engineRate(between time.Duration) float64 {
+	slow := 1 + surgeSlope*(surgeBears-1)
+	whole := slow * (surgeFirst + surgeTokens*between).Seconds()
+	return surgeBears / whole
+}
+
+func surgeCapacity() float64 {
+	return surgeEngines / 2 * (engineRate(fastBetween) + engineRate(slowBetween))
+}
+
+func surgeFleet(routed bool) (*lavprocess.Fleet, error) {
+	f, err := lavprocess.New(programs)
+	if err != nil {
+		return nil, err
+	}
+	for i := range surgeEngines {
+		between := fastBetween
+		if i >= surgeEngines/2 {
+			between = slowBetween
+		}
+		err = firstError(err, f.AddServer(lavid.DataCentreID(fmt.Sprint("dc-", i%2)), 4*surgeBears,
+			"--capacity", fmt.Sprint(surgeBears), "--batch-slope", fmt.Sprint(surgeSlope),
+			"--first-token", surgeFirst.String(), "--between-tokens", between.String(), "--tokens", fmt.Sprint(surgeTokens)))
+	}
+	for i := range surgeEntries {
+		if err == nil && routed {
+			err = f.AddEntry(lavid.DataCentreID(fmt.Sprint("dc-", i%2)))
+		}
+	}
+	if err == nil && routed {
+		err = f.Ready()
+	}
+	if err != nil {
+		f.Stop()
+		return nil, err
+	}
+	return f, nil
+}
+
+// target sends one request to where a policy wants it.
+type target struct {
+	callers []*lavprocess.Caller
+	running []atomic.Int64
+	next    atomic.Int64
+	choice  choiceKind
+}
+
+func newTarget(f *lavprocess.Fleet, choice choiceKind) *target {
+	processes := f.Engines
+	if choice == chooseTwo {
+		processes = f.Entries
+	}
+	t := &target{choice: choice, running: make([]atomic.Int64, len(processes))}
+	for _, process := range processes {
+		t.callers = append(t.callers, lavprocess.NewCaller(process.Address))
+	}
+	return t
+}
+
+func (t *target) pick(random *rand.Rand) int {
+	switch t.choice {
+	case chooseRandom:
+		return random.IntN(len(t.callers))
+	case chooseLeast:
+		best := 0
+		for i := range t.running {
+			if t.running[i].Load() < t.running[best].Load() {
+				best = i
+			}
+		}
+		return best
+	default:
+		return int(t.next.Add(1)) % len(t.callers)
+	}
+}
+
+func (t *target) send(ctx context.Context, index int, text string) (lavprocess.Answer, error) {
+	t.running[index].Add(1)
+	defer t.running[index].Add(-1)
+	return t.callers[index].Send(ctx, true, text)
+}
+
+// sendOpen sends requests at random times of a rate, whatever becomes of them, and returns those of the measured part.
+func sendOpen(t *target, calm, surge float64, seed uint64) (*burst, int) {
+	random := rand.New(rand.NewPCG(seed, 5))
+	result := &burst{}
+	offered := 0
+	ctx, cancel := context.WithTimeout(context.Background(), surgeCalm+surgeWarm+surgeMeasured+surgeEnd)
+	defer cancel()
+	began := time.Now()
+	var group conc.WaitGroup
+	next := time.Duration(0)
+	for next < surgeCalm+surgeWarm+surgeMeasured {
+		rate := surge
+		if next < surgeCalm {
+			rate = calm
+		}
+		next += time.Duration(random.ExpFloat64() / rate * float64(time.Second))
+		time.Sleep(time.Until(began.Add(next)))
+		measured := next >= surgeCalm+surgeWarm
+		if measured {
+			offered++
+		}
+		index := t.pick(random)
+		text := fmt.Sprint("prompt ", random.IntN(promptVariants))
+		group.Go(func() {
+			answer, err := t.send(ctx, index, text)
+			if measured {
+				result.add(answer, err)
+			}
+		})
+	}
+	group.Wait()
+	return result, offered
+}
+
+// Surge measures unlike engines as processes, called directly by simple balancers or through the router.
+func Surge(options lavreport.Options) ([]lavreport.Row, error) {
+	choices := []choiceKind{chooseRandom, chooseRobin, chooseLeast, chooseTwo}
+	var rows []lavreport.Row
+	goodAtOne := 0.0
+	for _, load := range []float64{0.8, 1.0, 1.5} {
+		measured := make([]lavreport.Row, len(choices))
+		goods := make([]float64, len(choices))
+		errs := make([]error, len(choices))
+		var group conc.WaitGroup
+		for i, choice := range choices {
+			group.Go(func() { measured[i], goods[i], errs[i] = surgeRow(choice, load, options.Seed) })
+		}
+		group.Wait()
+		if err := firstError(errs...); err != nil {
+			return nil, err
+		}
+		last := &measured[len(choices)-1]
+		if load == 1.0 {
+			goodAtOne = goods[len(choices)-1]
+		}
+		judgeSurge(last, load, goods[len(choices)-1], goodAtOne)
+		rows = append(rows, measured...)
+	}
+	return rows, nil
+}
+
+// surgeRow returns the row of one policy and its goodput.
+func surgeRow(choice choiceKind, load float64, seed uint64) (lavreport.Row, float64, error) {
+	row := lavreport.Row{
+		Measure: "latency (processes)", Case: fmt.Sprintf("4 unlike engines, surge to %.1fx", load), Policy: string(choice) + ", direct",
+		Seed: seed, Verdict: lavreport.Baseline,
+	}
+	if choice == chooseTwo {
+		row.Policy = string(choice)
+	}
+	f, err := surgeFleet(choice == chooseTwo)
+	if err != nil {
+		return row, 0, err
+	}
+	defer f.Stop()
+	time.Sleep(time.Second)
+	rate := surgeCapacity()
+	b, offered := sendOpen(newTarget(f, choice), calmLoad*rate, load*rate, seed)
+	good := 0
+	var first, between []time.Duration
+	for _, answer := range b.answers {
+		first = append(first, answer.First)
+		between = append(between, answer.Between())
+		if answer.First <= firstTokenTarget && answer.Between() <= betweenTokensTarget {
+			good++
+		}
+	}
+	goodput := float64(good) / surgeMeasured.Seconds()
+	row.Figures = []lavreport.Figure{
+		lavreport.Number("first p50 ms", millis(quantile(first, middle)), 0),
+		lavreport.Number("first p95 ms", millis(quantile(first, tail)), 0),
+		lavreport.Number("between p95 ms", millis(quantile(between, tail)), 1),
+		lavreport.Number("not answered %", percent(b.failed, offered), 1),
+		lavreport.Number("goodput/s", goodput, 1),
+	}
+	if choice == chooseTwo && load <= 1 {
+		met := quantile(first, tail) <= firstTokenTarget && quantile(between, tail) <= betweenTokensTarget
+		row.Aim = "p95 within 1.7 s and 48 ms"
+		row.Verdict = lavreport.Judge(met)
+	}
+	return row, goodput, nil
+}
+
+// judgeSurge compares the goodput of an overloaded fleet with that of a full one.
+func judgeSurge(row *lavreport.Row, load, goodput, atOne float64) {
+	if load <= 1 {
+		return
+	}
+	row.Aim = "goodput at least 0.95 of 1.0x"
+	row.Figures = append(row.Figures, lavreport.Number("of 1.0x", goodput/max(atOne, 0.1), 3))
+	row.Verdict = lavreport.Judge(goodput >= 0.95*atOne)
+}
