--- a/core/services/lavplan/balance.go
+++ b/core/services/lavplan/balance.go
@@ -26,6 +26,8 @@
 	// delivered and good sum delivered answers and their expected quality.
 	delivered float64
 	good      float64
+	// unchecked is the multiplier that would hold if no answer could be rated before delivery.
+	unchecked float64
 	habits    habits
 	solved    bool
 	updated   time.Time
@@ -87,28 +89,40 @@
 
 // solve finds the lowest multiplier at which the mix of requests is expected to come to the aim.
 func (s *State) solve(document *lavconfig.Document, account lavid.AccountID, found *balance, now time.Time) {
+	aim := s.aim(float64(document.ClientAccounts[account].QualityTarget), found)
+	steps, missing := s.steps(document, account, found, now, false)
+	found.multiplier, found.fraction = price(steps, aim, missing)
+	steps, missing = s.steps(document, account, found, now, true)
+	found.unchecked, _ = price(steps, aim, missing)
+	found.solved = true
+}
+
+// cheapest is the quality of a mix when every request takes its cheapest plan.
+type cheapest struct {
+	weight  float64
+	quality float64
+}
+
+// steps returns the steps of the frontiers of a mix and where they start from.
+func (s *State) steps(document *lavconfig.Document, account lavid.AccountID, found *balance, now time.Time, unchecked bool) ([]segment, cheapest) {
 	var steps []segment
-	total, quality := 0.0, 0.0
+	var from cheapest
 	for _, key := range found.shapes() {
 		query := key.query(account)
+		query.CanCheck = query.CanCheck && !unchecked
 		open := s.open(document, query)
 		if len(open.serving) == 0 {
 			continue
 		}
 		plans := s.frontier(document, query, open, now)
 		weight := found.mix[key]
-		total += weight
-		quality += weight * plans.hull[0].quality
+		from.weight += weight
+		from.quality += weight * plans.hull[0].quality
 		for _, step := range plans.segments() {
 			steps = append(steps, segment{price: step.price, quality: step.quality * weight})
 		}
 	}
-	if total == 0 {
-		return
-	}
-	target := float64(document.ClientAccounts[account].QualityTarget)
-	found.multiplier, found.fraction = price(steps, s.aim(target, found)*total-quality)
-	found.solved = true
+	return steps, from
 }
 
 // shapes returns the shapes of the mix in a fixed order, so that sums do not depend on the order of a map.
@@ -135,7 +149,8 @@
 }
 
 // price returns the price of the last step needed to gain the missing quality, and the part of it that is needed.
-func price(steps []segment, missing float64) (multiplier, fraction float64) {
+func price(steps []segment, aim float64, from cheapest) (multiplier, fraction float64) {
+	missing := aim*from.weight - from.quality
 	if missing <= 0 {
 		return 0, 0
 	}
--- a/core/services/lavplan/choose.go
+++ b/core/services/lavplan/choose.go
@@ -10,6 +10,9 @@
 // optimism is how many deviations above its estimate a plan may turn out, for it to be worth exploring.
 const optimism = 2
 
+// uncheckedPart is the part of exploration that prepares for a rating service that is down.
+const uncheckedPart = 0.5
+
 // choosePoint picks a plan by the account's multiplier.
 func (s *State) choosePoint(document *lavconfig.Document, query Query, found frontier, random *rand.Rand, now time.Time) Plan {
 	account := s.balance(query.Account, now)
@@ -18,7 +21,7 @@
 		s.solve(document, query.Account, account, now)
 	}
 	if drawn(random, float64(s.settings.ExploreShare)) {
-		if explored, ok := s.explore(found, account, random); ok {
+		if explored, ok := s.explore(document, query, found, random, now); ok {
 			return explored.plan(ReasonExplored)
 		}
 	}
@@ -45,8 +48,18 @@
 }
 
 // explore picks one of the plans that are too little known to rule out that they are better.
-func (s *State) explore(found frontier, account *balance, random *rand.Rand) (point, bool) {
-	price := min(account.multiplier, found.highestPrice())
+//
+// Every other time it looks at the plans that remain when no answer can be
+// rated before delivery, since nothing can be learned once that is so.
+func (s *State) explore(document *lavconfig.Document, query Query, found frontier, random *rand.Rand, now time.Time) (point, bool) {
+	account := s.balance(query.Account, now)
+	price := account.multiplier
+	if query.CanCheck && drawn(random, uncheckedPart) {
+		query.CanCheck = false
+		found = s.frontier(document, query, s.open(document, query), now)
+		price = account.unchecked
+	}
+	price = min(price, found.highestPrice())
 	best := value(found.hull[0], price, 0)
 	for _, known := range found.hull {
 		best = max(best, value(known, price, 0))
