--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -2,16 +2,16 @@
 # Shows the whole path on a small fleet of separate processes, then stops it.
 set -euo pipefail
 cd "$(dirname "$0")/.."
-operators=http://127.0.0.1:17401
-other_operators=http://127.0.0.1:17402
-callers=http://127.0.0.1:17301
-other_callers=http://127.0.0.1:17302
+operators=http://127.0.0.1:7401
+other_operators=http://127.0.0.1:7402
+callers=http://127.0.0.1:7301
+other_callers=http://127.0.0.1:7302
 export LAVENDERCTL_ADDRESS=$operators LAVENDERCTL_KEY=operator-key
 
 trap 'scripts/fleet.sh down' EXIT
 title() { printf '\n== %s\n' "$*"; }
 call() { curl -sS -m 20 -H 'Authorization: Bearer caller-key' "$@"; }
-number() { bin/lavenderctl --address "${1:-$operators}" config get --json | python3 -c 'import json,sys; print(json.load(sys.stdin)["Number"])'; }
+number() { bin/lavenderctl --address "${1:-$operators}" config get --json | sed -n 's|.*"Number": *\([0-9]*\).*|\1|p' | head -1; }
 
 title "starting the fleet"
 scripts/fleet.sh up
@@ -44,6 +44,10 @@
 title "a patch against an old number is refused"
 echo '[{"op":"replace","path":"/Versions/large-1/State","value":"Serving"}]' | bin/lavenderctl config patch --base "$base" || echo "exit code $?"
 
+title "hosts, backend servers and versions as an operator sees them"
+bin/lavenderctl fleet
+bin/lavenderctl rollout list
+
 title "stopping the fleet"
 scripts/fleet.sh down
 trap - EXIT
--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -5,7 +5,7 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 run=.run
-platform=127.0.0.1:17000
+platform=127.0.0.1:7000
 operator_key=operator-key
 caller_key=caller-key
 
@@ -39,9 +39,9 @@
 {
   "HostID": "entry-$number",
   "DataCentre": "$centre",
-  "CallerAddress": "127.0.0.1:1730$number",
-  "OperatorAddress": "127.0.0.1:1740$number",
-  "PeerAddress": "127.0.0.1:1750$number",
+  "CallerAddress": "127.0.0.1:730$number",
+  "OperatorAddress": "127.0.0.1:740$number",
+  "PeerAddress": "127.0.0.1:750$number",
   "PlatformAddress": "http://$platform",
   "OperatorKeyHashes": ["$(hash_of $operator_key)"]
 }
@@ -52,13 +52,13 @@
 list_hosts() {
   cat <<JSON
 {"Hosts": [
-  {"ID": "entry-1", "Role": "Entry", "Address": "127.0.0.1:17501", "DataCentre": "centre-a"},
-  {"ID": "entry-2", "Role": "Entry", "Address": "127.0.0.1:17502", "DataCentre": "centre-b"},
-  {"ID": "side-engine-1", "Role": "Side", "Address": "127.0.0.1:17201", "DataCentre": "centre-a", "BackendServer": "engine-1"},
-  {"ID": "side-engine-2", "Role": "Side", "Address": "127.0.0.1:17202", "DataCentre": "centre-b", "BackendServer": "engine-2"},
-  {"ID": "side-engine-3", "Role": "Side", "Address": "127.0.0.1:17203", "DataCentre": "centre-a", "BackendServer": "engine-3"},
-  {"ID": "side-claims-1", "Role": "Side", "Address": "127.0.0.1:17204", "DataCentre": "centre-a", "BackendServer": "claims-1"},
-  {"ID": "side-claims-2", "Role": "Side", "Address": "127.0.0.1:17205", "DataCentre": "centre-b", "BackendServer": "claims-2"}
+  {"ID": "entry-1", "Role": "Entry", "Address": "127.0.0.1:7501", "DataCentre": "centre-a"},
+  {"ID": "entry-2", "Role": "Entry", "Address": "127.0.0.1:7502", "DataCentre": "centre-b"},
+  {"ID": "side-engine-1", "Role": "Side", "Address": "127.0.0.1:7201", "DataCentre": "centre-a", "BackendServer": "engine-1"},
+  {"ID": "side-engine-2", "Role": "Side", "Address": "127.0.0.1:7202", "DataCentre": "centre-b", "BackendServer": "engine-2"},
+  {"ID": "side-engine-3", "Role": "Side", "Address": "127.0.0.1:7203", "DataCentre": "centre-a", "BackendServer": "engine-3"},
+  {"ID": "side-claims-1", "Role": "Side", "Address": "127.0.0.1:7204", "DataCentre": "centre-a", "BackendServer": "claims-1"},
+  {"ID": "side-claims-2", "Role": "Side", "Address": "127.0.0.1:7205", "DataCentre": "centre-b", "BackendServer": "claims-2"}
 ]}
 JSON
 }
@@ -78,11 +78,11 @@
     "AllowedVersions": ["small-1", "large-1"],
     "AllowedServices": ["claims"],
     "QualityTarget": 0.9, "Weight": 1, "MaxConcurrent": 200}},
-  {"op": "add", "path": "/BackendServers/engine-1", "value": {"DataCentre": "centre-a", "SideAddress": "127.0.0.1:17201", "State": "InService", "Versions": ["small-1"], "MemoryVersions": 2, "MaxRunning": 32}},
-  {"op": "add", "path": "/BackendServers/engine-2", "value": {"DataCentre": "centre-b", "SideAddress": "127.0.0.1:17202", "State": "InService", "Versions": ["small-1", "large-1"], "MemoryVersions": 2, "MaxRunning": 32}},
-  {"op": "add", "path": "/BackendServers/engine-3", "value": {"DataCentre": "centre-a", "SideAddress": "127.0.0.1:17203", "State": "InService", "Versions": ["large-1"], "MemoryVersions": 2, "MaxRunning": 32}},
-  {"op": "add", "path": "/BackendServers/claims-1", "value": {"DataCentre": "centre-a", "SideAddress": "127.0.0.1:17204", "State": "InService", "Service": "claims", "MaxRunning": 32}},
-  {"op": "add", "path": "/BackendServers/claims-2", "value": {"DataCentre": "centre-b", "SideAddress": "127.0.0.1:17205", "State": "InService", "Service": "claims", "MaxRunning": 32}}
+  {"op": "add", "path": "/BackendServers/engine-1", "value": {"DataCentre": "centre-a", "SideAddress": "127.0.0.1:7201", "State": "InService", "Versions": ["small-1"], "MemoryVersions": 2, "MaxRunning": 32}},
+  {"op": "add", "path": "/BackendServers/engine-2", "value": {"DataCentre": "centre-b", "SideAddress": "127.0.0.1:7202", "State": "InService", "Versions": ["small-1", "large-1"], "MemoryVersions": 2, "MaxRunning": 32}},
+  {"op": "add", "path": "/BackendServers/engine-3", "value": {"DataCentre": "centre-a", "SideAddress": "127.0.0.1:7203", "State": "InService", "Versions": ["large-1"], "MemoryVersions": 2, "MaxRunning": 32}},
+  {"op": "add", "path": "/BackendServers/claims-1", "value": {"DataCentre": "centre-a", "SideAddress": "127.0.0.1:7204", "State": "InService", "Service": "claims", "MaxRunning": 32}},
+  {"op": "add", "path": "/BackendServers/claims-2", "value": {"DataCentre": "centre-b", "SideAddress": "127.0.0.1:7205", "State": "InService", "Service": "claims", "MaxRunning": 32}}
 ]
 JSON
 }
@@ -98,15 +98,15 @@
   exit 1
 }
 
-ready() { curl -fsS -m 1 "http://127.0.0.1:1730$1/ready"; }
+ready() { curl -fsS -m 1 "http://127.0.0.1:730$1/ready"; }
 
 # answers succeeds once the whole path takes a request.
 answers() {
-  curl -fsS -m 2 -H "Authorization: Bearer $caller_key" -d '{"model":"auto","messages":[{"role":"user","content":"are you there"}]}' "http://127.0.0.1:1730$1/v1/chat/completions"
+  curl -fsS -m 2 -H "Authorization: Bearer $caller_key" -d '{"model":"auto","messages":[{"role":"user","content":"are you there"}]}' "http://127.0.0.1:730$1/v1/chat/completions"
 }
 
 up() {
-  trap down ERR
+  trap down EXIT
   if [ -s "$run/pids" ]; then
     echo "a fleet is already running; stop it with: make down" >&2
     exit 1
@@ -114,27 +114,28 @@
   mkdir -p "$run"
   start platform bin/lavenderfake platform --address $platform --rating-delay 20ms
   for number in 1 2 3; do
-    start "engine-$number" bin/lavenderfake engine --address "127.0.0.1:1710$number" --version small-1 --version large-1 \
+    start "engine-$number" bin/lavenderfake engine --address "127.0.0.1:710$number" --version small-1 --version large-1 \
       --quality small-1=0.85 --quality large-1=0.97
   done
-  start claims-1 bin/lavenderfake service --address 127.0.0.1:17104
-  start claims-2 bin/lavenderfake service --address 127.0.0.1:17105
+  start claims-1 bin/lavenderfake service --address 127.0.0.1:7104
+  start claims-2 bin/lavenderfake service --address 127.0.0.1:7105
   wait_until platform curl -fsS -m 1 "http://$platform/hosts"
   list_hosts | curl -fsS -X PUT --data @- "http://$platform/hosts" >/dev/null
-  start_side engine-1 17201 127.0.0.1:17101 centre-a
-  start_side engine-2 17202 127.0.0.1:17102 centre-b
-  start_side engine-3 17203 127.0.0.1:17103 centre-a
-  start_side claims-1 17204 127.0.0.1:17104 centre-a
-  start_side claims-2 17205 127.0.0.1:17105 centre-b
+  start_side engine-1 7201 127.0.0.1:7101 centre-a
+  start_side engine-2 7202 127.0.0.1:7102 centre-b
+  start_side engine-3 7203 127.0.0.1:7103 centre-a
+  start_side claims-1 7204 127.0.0.1:7104 centre-a
+  start_side claims-2 7205 127.0.0.1:7105 centre-b
   start_entry 1 centre-a
   start_entry 2 centre-b
-  wait_until "operators' listener" curl -fsS -m 1 -H "Authorization: Bearer $operator_key" http://127.0.0.1:17401/config
-  first_configuration | bin/lavenderctl --address http://127.0.0.1:17401 --key $operator_key config patch --base 0
+  wait_until "operators' listener" curl -fsS -m 1 -H "Authorization: Bearer $operator_key" http://127.0.0.1:7401/config
+  first_configuration | bin/lavenderctl --address http://127.0.0.1:7401 --key $operator_key config patch --base 0
   wait_until entry-1 ready 1
   wait_until entry-2 ready 2
   wait_until "whole path at entry-1" answers 1
   wait_until "whole path at entry-2" answers 2
-  echo "fleet is up: callers http://127.0.0.1:17301 and :17302 (key $caller_key), operators http://127.0.0.1:17401 and :17402 (key $operator_key)"
+  trap - EXIT
+  echo "fleet is up: callers http://127.0.0.1:7301 and :7302 (key $caller_key), operators http://127.0.0.1:7401 and :7402 (key $operator_key)"
 }
 
 # alive tells whether a process runs; one that has ended but was not reaped does not.
