Entry: TLS from settings on every listener and call

Cause: keys and answers went in clear text between hosts.

Change: callers' and operators' listeners take a certificate, the peers' listener asks for one of the authority, and calls to peers and side processes carry this host's. Without TLS every address has to be on the loopback.

--- a/entry/cmd/host.go
+++ b/entry/cmd/host.go
@@ -39,30 +39,32 @@
 	attachTimeout = 3 * time.Second
 	sessionPins   = 200_000
 	recentTraces  = 500
-	scheme        = "http://"
 )
 
 // host holds the parts of an entry host.
 type host struct {
-	settings   lavsetting.Settings
-	log        *logrus.Logger
-	platform   *lavplatform.Client
-	current    *lavspread.Current
-	members    *lavmembership.Table
-	spreader   *lavspread.Spreader
-	fleet      *lavfleet.Fleet
-	gate       *lavgate.Gate
-	retries    *lavretry.Budget
-	bills      *lavbill.Writer
-	owner      *lavexposure.Owner
-	reporter   *lavexposure.Reporter
-	rater      *lavrate.Rater
-	pins       *lavpin.Owner
-	resolver   *lavpin.Resolver
-	service    *lavserve.Service
-	traces     *lavtrace.Ring
-	metrics    *lavmetric.Set
-	dump       *lavdump.Registry
+	settings lavsetting.Settings
+	log      *logrus.Logger
+	platform *lavplatform.Client
+	current  *lavspread.Current
+	members  *lavmembership.Table
+	spreader *lavspread.Spreader
+	fleet    *lavfleet.Fleet
+	gate     *lavgate.Gate
+	retries  *lavretry.Budget
+	bills    *lavbill.Writer
+	owner    *lavexposure.Owner
+	reporter *lavexposure.Reporter
+	rater    *lavrate.Rater
+	pins     *lavpin.Owner
+	resolver *lavpin.Resolver
+	service  *lavserve.Service
+	traces   *lavtrace.Ring
+	metrics  *lavmetric.Set
+	dump     *lavdump.Registry
+	// transport carries calls to peers and side processes, with the scheme before their addresses.
+	transport  *http.Transport
+	scheme     string
 	peerClient *http.Client
 	router     *lavcaller.Router
 	callers    *lavhttp.Server
@@ -86,7 +88,14 @@
 		dump:     lavdump.NewRegistry(),
 	}
 	h.gate = lavgate.New(h.current, h.fleet)
-	h.peerClient = &http.Client{Transport: lavattempt.NewTransport()}
+	client, err := settings.TLS.Client()
+	if err != nil {
+		return nil, err
+	}
+	h.scheme = settings.TLS.Scheme()
+	h.transport = lavattempt.NewTransport()
+	h.transport.TLSClientConfig = client
+	h.peerClient = &http.Client{Transport: h.transport}
 	h.addSpread()
 	h.bills = &lavbill.Writer{Pending: lavbill.NewPending(lavbill.MaxPending), Rows: h.platform, Log: log}
 	if err := h.addSessions(); err != nil {
@@ -116,8 +125,8 @@
 		Rows:    h.platform,
 		Peers:   h.members,
 		Current: h.current,
-		Client:  lavspread.NewHTTPClient(nil),
-		Scheme:  scheme,
+		Client:  lavspread.NewHTTPClient(h.transport.TLSClientConfig),
+		Scheme:  h.scheme,
 		Seeds:   h.settings.Seeds,
 		Log:     h.log,
 	})
@@ -132,7 +141,7 @@
 		return err
 	}
 	h.pins = &lavpin.Owner{Host: h.settings.HostID, Pins: table, Rows: h.platform, Log: h.log}
-	h.resolver = &lavpin.Resolver{Host: h.settings.HostID, Members: h, Local: h.pins, HTTP: h.peerClient, Scheme: scheme, Log: h.log}
+	h.resolver = &lavpin.Resolver{Host: h.settings.HostID, Members: h, Local: h.pins, HTTP: h.peerClient, Scheme: h.scheme, Log: h.log}
 	h.pins.Replicas = h.resolver
 	return nil
 }
@@ -153,7 +162,7 @@
 		Plans:   plans,
 		Local:   h.owner,
 		HTTP:    h.peerClient,
-		Scheme:  scheme,
+		Scheme:  h.scheme,
 		Log:     h.log,
 	}
 	h.rater = &lavrate.Rater{
@@ -171,7 +180,7 @@
 }
 
 func (h *host) addService() {
-	attempts := lavattempt.New(lavattempt.NewTransport())
+	attempts := lavattempt.New(h.transport)
 	attempts.SilenceTimeout = h.settings.SilenceTimeout.Duration
 	attempts.AttachTimeout = attachTimeout
 	attempts.Loads = h.fleet
@@ -192,7 +201,7 @@
 		Traces:   h.traces,
 		Metrics:  h.metrics,
 		Log:      h.log,
-		Scheme:   scheme,
+		Scheme:   h.scheme,
 		Holders:  func(base string) lavwire.Bills { return lavwire.NewBillsProtobufClient(base, h.peerClient) },
 	}
 }
@@ -201,15 +210,22 @@
 	h.router = &lavcaller.Router{Configs: h.current, Server: h.service, RequestTimeout: h.settings.RequestTimeout.Duration}
 	operators := h.operatorRouter()
 	peers := &lavpeer.Router{Sessions: h.pins, Bills: h.bills, Evidence: h.owner, Config: h.spreader.Handler()}
-	var err error
-	h.callers, err = lavhttp.Listen(ctx, h.settings.CallerAddress, h.router.Routes(), nil, lavhttp.DefaultLimits())
+	public, err := h.settings.TLS.ServerOnly()
+	if err != nil {
+		return err
+	}
+	mutual, err := h.settings.TLS.Server()
+	if err != nil {
+		return err
+	}
+	h.callers, err = lavhttp.Listen(ctx, h.settings.CallerAddress, h.router.Routes(), public, lavhttp.DefaultLimits())
 	if err != nil {
 		return err
 	}
-	h.operators, err = lavhttp.Listen(ctx, h.settings.OperatorAddress, operators.Routes(), nil, lavhttp.DefaultLimits())
+	h.operators, err = lavhttp.Listen(ctx, h.settings.OperatorAddress, operators.Routes(), public, lavhttp.DefaultLimits())
 	if err != nil {
 		return err
 	}
-	h.peers, err = lavhttp.Listen(ctx, h.settings.PeerAddress, peers.Routes(), nil, lavhttp.DefaultLimits())
+	h.peers, err = lavhttp.Listen(ctx, h.settings.PeerAddress, peers.Routes(), mutual, lavhttp.DefaultLimits())
 	return err
 }
--- a/entry/cmd/parts.go
+++ b/entry/cmd/parts.go
@@ -58,7 +58,7 @@
 func (h *host) readLoad(address string) {
 	ctx, cancel := context.WithTimeout(h.background, loadTick)
 	defer cancel()
-	load, err := lavwire.NewSideProtobufClient(scheme+address, h.peerClient).ReadLoad(ctx, &lavwire.ReadLoadRequest{})
+	load, err := lavwire.NewSideProtobufClient(h.scheme+address, h.peerClient).ReadLoad(ctx, &lavwire.ReadLoadRequest{})
 	if err == nil {
 		h.fleet.Record(load, time.Now())
 	}
--- a/entry/cmd/shutdown.go
+++ b/entry/cmd/shutdown.go
@@ -43,7 +43,7 @@
 		return
 	}
 	for _, member := range h.members.Live(time.Now()) {
-		holder := lavwire.NewBillsProtobufClient(scheme+member.Address, h.peerClient)
+		holder := lavwire.NewBillsProtobufClient(h.scheme+member.Address, h.peerClient)
 		err := h.bills.HandOver(ctx, holder, string(h.settings.HostID))
 		if err == nil {
 			return
--- a/entry/models/lavsetting/settings.go
+++ b/entry/models/lavsetting/settings.go
@@ -10,6 +10,7 @@
 	"lavenderswitch/core/models/lavid"
 	"lavenderswitch/core/modules/lavkey"
 	"lavenderswitch/core/modules/lavsettings"
+	"lavenderswitch/core/modules/lavtls"
 )
 
 // Settings are read from a JSON file at start.
@@ -24,6 +25,8 @@
 	PeerAddress string
 	// PlatformAddress is the base URL of the platform.
 	PlatformAddress string
+	// TLS protects all listeners and all calls between processes; without it every address has to be on the loopback interface.
+	TLS lavtls.Settings
 	// Seeds are addresses of other hosts, as IP:port, to ask for the configuration while the platform does not answer.
 	Seeds []string
 	// OperatorKeyHashes holds SHA-256 hashes of operators' keys in hexadecimal.
@@ -92,6 +95,7 @@
 	parsed, err := url.Parse(s.PlatformAddress)
 	faults.Add(err == nil && parsed.Host != "", "PlatformAddress", s.PlatformAddress, "give a URL such as http://127.0.0.1:7000")
 	s.checkKeys(&faults)
+	s.TLS.Check(&faults, "TLS", s.CallerAddress, s.OperatorAddress, s.PeerAddress)
 	faults.Add(s.DrainTimeout.Duration > 0, "DrainTimeout", s.DrainTimeout, "give a time above zero")
 	faults.Add(s.ReadinessDelay.Duration >= 0, "ReadinessDelay", s.ReadinessDelay, "give a time of zero or more")
 	faults.Add(s.RequestTimeout.Duration > 0, "RequestTimeout", s.RequestTimeout, "give a time above zero")
