Override single settings by flag and environment and list every decode fault

Cause: a settings file with two unknown keys showed one, and a start script had to write a file to change one address.

Each top-level setting of the entry host that is a single value or a list of text has a flag and an environment variable; faults of the file and of the overrides are listed together.

--- /dev/null
+++ b/core/modules/lavsettings/override.go
@@ -0,0 +1,122 @@
+package lavsettings
+
+import (
+	"encoding/json"
+	"os"
+	"reflect"
+	"strings"
+	"unicode"
+
+	"github.com/pkg/errors"
+)
+
+// EnvironmentPrefix begins the name of each environment variable that overrides a setting.
+const EnvironmentPrefix = "LAVENDERSWITCH_"
+
+// Overrides replace settings of the file, by name; lists are separated by commas.
+type Overrides map[string]string
+
+// ReadWith decodes the JSON file at path with the overrides applied, and lists every fault of both.
+func ReadWith(path string, settings any, overrides Overrides) error {
+	data, err := os.ReadFile(path) //nolint:gosec // the operator names the settings file
+	if err != nil {
+		return errors.Wrap(err, "read settings; name a readable file with --settings")
+	}
+	return DecodeWith(data, settings, overrides)
+}
+
+// DecodeWith decodes JSON settings with the overrides applied, and lists every fault of both.
+func DecodeWith(data []byte, settings any, overrides Overrides) error {
+	faults := Inspect(data, settings, "")
+	merged := make(map[string]json.RawMessage)
+	if err := json.Unmarshal(data, &merged); err != nil || merged == nil {
+		return append(faults, Fault{Path: "settings", Value: shorten(data), Remedy: "give a JSON object"})
+	}
+	kinds := overridable(reflect.TypeOf(settings).Elem())
+	for _, name := range sortedKeys(overrides) {
+		kind, ok := kinds[name]
+		if !ok {
+			faults.Add(false, name, overrides[name], "override one of "+strings.Join(sortedKeys(kinds), ", "))
+			continue
+		}
+		merged[name] = encode(kind, overrides[name])
+		inspect(&faults, merged[name], kind, name)
+	}
+	if err := faults.Err(); err != nil {
+		return err
+	}
+	encoded, err := json.Marshal(merged)
+	if err != nil {
+		return errors.Wrap(err, "encode settings")
+	}
+	return errors.Wrap(json.Unmarshal(encoded, settings), "decode settings; see docs/SETTINGS.md")
+}
+
+// Names returns the names of the settings that can be overridden, in order.
+func Names(settings any) []string {
+	return sortedKeys(overridable(reflect.TypeOf(settings).Elem()))
+}
+
+// overridable returns the types of top-level settings that are single values or lists of text.
+func overridable(kind reflect.Type) map[string]reflect.Type {
+	kinds := make(map[string]reflect.Type)
+	for _, field := range reflect.VisibleFields(kind) {
+		if field.IsExported() && !field.Anonymous && len(field.Index) == 1 && isSingle(field.Type) {
+			kinds[field.Name] = field.Type
+		}
+	}
+	return kinds
+}
+
+func isSingle(kind reflect.Type) bool {
+	if reflect.PointerTo(kind).Implements(unmarshaler) {
+		return true
+	}
+	switch kind.Kind() {
+	case reflect.Slice:
+		return kind.Elem().Kind() == reflect.String
+	case reflect.Struct, reflect.Map, reflect.Pointer, reflect.Interface, reflect.Array:
+		return false
+	default:
+		return true
+	}
+}
+
+// encode returns the JSON form of an override; text and types of their own are written in quotes.
+func encode(kind reflect.Type, value string) json.RawMessage {
+	var form any = value
+	switch {
+	case kind.Kind() == reflect.Slice:
+		form = strings.Split(value, ",")
+	case kind.Kind() != reflect.String && !reflect.PointerTo(kind).Implements(unmarshaler) && json.Valid([]byte(value)):
+		form = json.RawMessage(value)
+	}
+	data, err := json.Marshal(form)
+	if err != nil {
+		return json.RawMessage(`""`)
+	}
+	return data
+}
+
+// FlagName returns the flag that overrides a setting, such as drain-timeout for DrainTimeout.
+func FlagName(name string) string {
+	return strings.ToLower(separate(name, '-'))
+}
+
+// EnvironmentName returns the variable that overrides a setting, such as LAVENDERSWITCH_HOST_ID for HostID.
+func EnvironmentName(name string) string {
+	return EnvironmentPrefix + strings.ToUpper(separate(name, '_'))
+}
+
+// separate puts a separator between the words of a name; HostID has two words.
+func separate(name string, separator rune) string {
+	var text strings.Builder
+	letters := []rune(name)
+	for i, letter := range letters {
+		if i > 0 && unicode.IsUpper(letter) && unicode.IsLower(letters[i-1]) {
+			text.WriteRune(separator)
+		}
+		text.WriteRune(letter)
+	}
+	return text.String()
+}
--- /dev/null
+++ b/core/modules/lavsettings/settings_test.go
@@ -0,0 +1,54 @@
+package lavsettings
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+type sample struct {
+	HostID  string
+	Limit   int
+	Fast    bool
+	Timeout Duration
+	List    []string
+	Nested  struct{ Share float64 }
+}
+
+func TestEveryUnknownKeyAndTypeIsListed(t *testing.T) {
+	is := is.New(t)
+	err := Decode([]byte(`{"HostId": "x", "Limit": "many", "Timeout": 5, "List": ["a", 1], "Nested": {"Shar": 1}}`), &sample{})
+	for _, part := range []string{"HostId = ", "Limit = ", "Timeout = 5", "List/1 = 1", "Nested/Shar = "} {
+		is.True(strings.Contains(err.Error(), part))
+	}
+	is.Equal(len(err.(Faults)), 5) //nolint:errorlint // the error is returned unwrapped
+}
+
+func TestOverridesGoBeforeTheFile(t *testing.T) {
+	is := is.New(t)
+	settings := sample{Limit: 1}
+	overrides := Overrides{"HostID": "7", "Fast": "true", "Timeout": "250ms", "Limit": "7", "List": "a,b"}
+	is.NoErr(DecodeWith([]byte(`{"HostID": "file", "Fast": false}`), &settings, overrides))
+	is.Equal(settings, sample{HostID: "7", Limit: 7, Fast: true, Timeout: Duration{250 * time.Millisecond}, List: []string{"a", "b"}})
+	is.Equal(Names(&settings), []string{"Fast", "HostID", "Limit", "List", "Timeout"})
+	is.Equal(FlagName("HostID"), "host-id")
+	is.Equal(EnvironmentName("DrainTimeout"), "LAVENDERSWITCH_DRAIN_TIMEOUT")
+}
+
+func TestWrongOverridesAreListedWithTheFile(t *testing.T) {
+	is := is.New(t)
+	err := DecodeWith([]byte(`{"Limt": 1}`), &sample{}, Overrides{"Limit": "x", "Nested": "a", "Timeout": "soon", "Fast": "maybe"})
+	is.Equal(len(err.(Faults)), 5) //nolint:errorlint // the error is returned unwrapped
+}
+
+func FuzzDecode(f *testing.F) {
+	f.Add(`{"HostID": "a", "Nested": null}`, "HostID", "x")
+	f.Add(`[]`, "Timeout", "1s")
+	f.Add(`{"Timeout": "1s", "List": null}`, "Limit", "1e99")
+	f.Add(`null`, "", "")
+	f.Fuzz(func(_ *testing.T, text, name, value string) {
+		_ = DecodeWith([]byte(text), &sample{}, Overrides{name: value})
+	})
+}
--- a/entry/cmd/check_settings.go
+++ b/entry/cmd/check_settings.go
@@ -5,17 +5,15 @@
 	"fmt"
 
 	"github.com/urfave/cli/v3"
-
-	"lavenderswitch/entry/models/lavsetting"
 )
 
 func checkSettingsCommand() *cli.Command {
 	return &cli.Command{
 		Name:  "check-settings",
 		Usage: "list every fault of a settings file and start nothing",
-		Flags: []cli.Flag{settingsFlag()},
+		Flags: settingsFlags(),
 		Action: func(_ context.Context, command *cli.Command) error {
-			if _, err := lavsetting.Read(command.String(flagSettings)); err != nil {
+			if _, err := readSettings(command); err != nil {
 				return err
 			}
 			fmt.Fprintln(command.Root().Writer, "settings are valid")
--- a/entry/cmd/root.go
+++ b/entry/cmd/root.go
@@ -9,6 +9,7 @@
 	"github.com/urfave/cli/v3"
 
 	"lavenderswitch/core/modules/lavsettings"
+	"lavenderswitch/entry/models/lavsetting"
 )
 
 // The exit codes of the program.
@@ -41,11 +42,30 @@
 	return ExitFailed
 }
 
-func settingsFlag() cli.Flag {
-	return &cli.StringFlag{
+// settingsFlags returns the flag of the file and one for each setting that can be overridden.
+func settingsFlags() []cli.Flag {
+	flags := []cli.Flag{&cli.StringFlag{
 		Name:     flagSettings,
 		Usage:    "JSON settings file; see docs/SETTINGS.md",
-		Sources:  cli.EnvVars("LAVENDERSWITCH_SETTINGS"),
+		Sources:  cli.EnvVars(lavsettings.EnvironmentPrefix + "SETTINGS"),
 		Required: true,
+	}}
+	for _, name := range lavsettings.Names(&lavsetting.Settings{}) {
+		flags = append(flags, &cli.StringFlag{
+			Name:    lavsettings.FlagName(name),
+			Usage:   "replaces " + name + " of the file",
+			Sources: cli.EnvVars(lavsettings.EnvironmentName(name)),
+		})
 	}
+	return flags
+}
+
+func readSettings(command *cli.Command) (lavsetting.Settings, error) {
+	overrides := lavsettings.Overrides{}
+	for _, name := range lavsettings.Names(&lavsetting.Settings{}) {
+		if flag := lavsettings.FlagName(name); command.IsSet(flag) {
+			overrides[name] = command.String(flag)
+		}
+	}
+	return lavsetting.Read(command.String(flagSettings), overrides)
 }
--- a/entry/cmd/run.go
+++ b/entry/cmd/run.go
@@ -18,9 +18,9 @@
 	return &cli.Command{
 		Name:  "run",
 		Usage: "run the entry host until it is told to end",
-		Flags: []cli.Flag{settingsFlag()},
+		Flags: settingsFlags(),
 		Action: func(ctx context.Context, command *cli.Command) error {
-			settings, err := lavsetting.Read(command.String(flagSettings))
+			settings, err := readSettings(command)
 			if err != nil {
 				return err
 			}
--- a/entry/models/lavsetting/settings.go
+++ b/entry/models/lavsetting/settings.go
@@ -61,9 +61,9 @@
 }
 
 // Read returns the checked settings of a file, or all its faults.
-func Read(path string) (Settings, error) {
+func Read(path string, overrides lavsettings.Overrides) (Settings, error) {
 	settings := defaults()
-	if err := lavsettings.Read(path, &settings); err != nil {
+	if err := lavsettings.ReadWith(path, &settings, overrides); err != nil {
 		return Settings{}, err
 	}
 	return settings, settings.check()
