--- a/entry/services/lavoperation/calls.go
+++ b/entry/services/lavoperation/calls.go
@@ -75,20 +75,3 @@
 	}
 	return laverror.New(laverror.KindBadRequest, "the settlement is not complete: "+faults.Error(), "correct each fault")
 }
-
-// NoCalls answers while this host has no ledger.
-type NoCalls struct{}
-
-// ListInDoubt says that there is no ledger.
-func (NoCalls) ListInDoubt(context.Context, string, int) (CallPage, error) {
-	return CallPage{}, errNoLedger()
-}
-
-// Settle says that there is no ledger.
-func (NoCalls) Settle(context.Context, Settlement, time.Time) (Settled, error) {
-	return Settled{}, errNoLedger()
-}
-
-func errNoLedger() error {
-	return laverror.New(laverror.KindStoreUnavailable, "this host has no access to the ledger", "ask another entry host")
-}
