One place for settings flags; check the entry's log level

Cause: entry and side built the same flags and overrides each for itself, and a wrong log level was found only at start.

--- /dev/null
+++ b/core/modules/lavflag/doc.go
@@ -0,0 +1,2 @@
+// Package lavflag gives each setting of a program a flag and an environment variable.
+package lavflag
--- /dev/null
+++ b/core/modules/lavflag/flag.go
@@ -0,0 +1,39 @@
+package lavflag
+
+import (
+	"github.com/urfave/cli/v3"
+
+	"lavenderswitch/core/modules/lavsettings"
+)
+
+// NameSettings is the flag of the settings file.
+const NameSettings = "settings"
+
+// Flags returns the flag of the settings file and one for each setting that can be overridden.
+func Flags(settings any) []cli.Flag {
+	flags := []cli.Flag{&cli.StringFlag{
+		Name:     NameSettings,
+		Usage:    "JSON settings file; see docs/SETTINGS.md",
+		Sources:  cli.EnvVars(lavsettings.EnvironmentPrefix + "SETTINGS"),
+		Required: true,
+	}}
+	for _, name := range lavsettings.Names(settings) {
+		flags = append(flags, &cli.StringFlag{
+			Name:    lavsettings.FlagName(name),
+			Usage:   "replaces " + name + " of the file",
+			Sources: cli.EnvVars(lavsettings.EnvironmentName(name)),
+		})
+	}
+	return flags
+}
+
+// Overrides returns the settings that the command's flags and variables replace.
+func Overrides(command *cli.Command, settings any) lavsettings.Overrides {
+	overrides := lavsettings.Overrides{}
+	for _, name := range lavsettings.Names(settings) {
+		if flag := lavsettings.FlagName(name); command.IsSet(flag) {
+			overrides[name] = command.String(flag)
+		}
+	}
+	return overrides
+}
--- a/entry/cmd/check_settings.go
+++ b/entry/cmd/check_settings.go
@@ -5,13 +5,16 @@
 	"fmt"
 
 	"github.com/urfave/cli/v3"
+
+	"lavenderswitch/core/modules/lavflag"
+	"lavenderswitch/entry/models/lavsetting"
 )
 
 func checkSettingsCommand() *cli.Command {
 	return &cli.Command{
 		Name:  "check-settings",
 		Usage: "list every fault of a settings file and start nothing",
-		Flags: settingsFlags(),
+		Flags: lavflag.Flags(&lavsetting.Settings{}),
 		Action: func(_ context.Context, command *cli.Command) error {
 			if _, err := readSettings(command); err != nil {
 				return err
--- a/entry/cmd/root.go
+++ b/entry/cmd/root.go
@@ -8,6 +8,7 @@
 	"github.com/pkg/errors"
 	"github.com/urfave/cli/v3"
 
+	"lavenderswitch/core/modules/lavflag"
 	"lavenderswitch/core/modules/lavsettings"
 	"lavenderswitch/entry/models/lavsetting"
 )
@@ -19,15 +20,13 @@
 	ExitWrongSettings = 2
 )
 
-const flagSettings = "settings"
-
 // Main runs the command line and returns its exit code.
 func Main(ctx context.Context, args []string, version string) int {
 	root := &cli.Command{
 		Name:        "lavenderswitch-entry",
 		Usage:       "routes requests to model and service backend servers",
 		Version:     version,
-		Description: "Exit codes: 0 ended cleanly, 1 failed while running, 2 settings are wrong.",
+		Description: description,
 		Commands:    []*cli.Command{runCommand(), checkSettingsCommand()},
 	}
 	err := root.Run(ctx, args)
@@ -42,30 +41,19 @@
 	return ExitFailed
 }
 
-// settingsFlags returns the flag of the file and one for each setting that can be overridden.
-func settingsFlags() []cli.Flag {
-	flags := []cli.Flag{&cli.StringFlag{
-		Name:     flagSettings,
-		Usage:    "JSON settings file; see docs/SETTINGS.md",
-		Sources:  cli.EnvVars(lavsettings.EnvironmentPrefix + "SETTINGS"),
-		Required: true,
-	}}
-	for _, name := range lavsettings.Names(&lavsetting.Settings{}) {
-		flags = append(flags, &cli.StringFlag{
-			Name:    lavsettings.FlagName(name),
-			Usage:   "replaces " + name + " of the file",
-			Sources: cli.EnvVars(lavsettings.EnvironmentName(name)),
-		})
-	}
-	return flags
-}
+const description = `Callers reach it at CallerAddress, operators at OperatorAddress, other hosts at
+PeerAddress. Each setting of the file can be replaced by a flag or an environment
+variable; flag before variable before file. SIGTERM turns the readiness negative,
+answers the running requests and ends.
+
+Examples:
+   lavenderswitch-entry check-settings --settings entry.json
+   lavenderswitch-entry run --settings entry.json --log-level debug
+   LAVENDERSWITCH_HOST_ID=entry-7 lavenderswitch-entry run --settings entry.json
+
+Exit codes: 0 ended cleanly, 1 failed while running, 2 settings are wrong.`
 
 func readSettings(command *cli.Command) (lavsetting.Settings, error) {
-	overrides := lavsettings.Overrides{}
-	for _, name := range lavsettings.Names(&lavsetting.Settings{}) {
-		if flag := lavsettings.FlagName(name); command.IsSet(flag) {
-			overrides[name] = command.String(flag)
-		}
-	}
-	return lavsetting.Read(command.String(flagSettings), overrides)
+	overrides := lavflag.Overrides(command, &lavsetting.Settings{})
+	return lavsetting.Read(command.String(lavflag.NameSettings), overrides)
 }
--- a/entry/cmd/run.go
+++ b/entry/cmd/run.go
@@ -9,6 +9,7 @@
 	"github.com/sirupsen/logrus"
 	"github.com/urfave/cli/v3"
 
+	"lavenderswitch/core/modules/lavflag"
 	"lavenderswitch/core/modules/lavlog"
 	"lavenderswitch/entry/models/lavsetting"
 )
@@ -17,7 +18,7 @@
 	return &cli.Command{
 		Name:  "run",
 		Usage: "run the entry host until it is told to end",
-		Flags: settingsFlags(),
+		Flags: lavflag.Flags(&lavsetting.Settings{}),
 		Action: func(ctx context.Context, command *cli.Command) error {
 			settings, err := readSettings(command)
 			if err != nil {
--- a/entry/models/lavsetting/settings.go
+++ b/entry/models/lavsetting/settings.go
@@ -7,6 +7,8 @@
 	"slices"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"lavenderswitch/core/models/lavid"
 	"lavenderswitch/core/modules/lavkey"
 	"lavenderswitch/core/modules/lavsettings"
@@ -94,6 +96,8 @@
 	}
 	parsed, err := url.Parse(s.PlatformAddress)
 	faults.Add(err == nil && parsed.Host != "", "PlatformAddress", s.PlatformAddress, "give a URL such as http://127.0.0.1:7000")
+	_, err = logrus.ParseLevel(s.LogLevel)
+	faults.Add(err == nil, "LogLevel", s.LogLevel, "give debug, info, warning or error")
 	s.checkKeys(&faults)
 	s.TLS.Check(&faults, "TLS", s.CallerAddress, s.OperatorAddress, s.PeerAddress)
 	faults.Add(s.DrainTimeout.Duration > 0, "DrainTimeout", s.DrainTimeout, "give a time above zero")
