--- /dev/null
+++ b/entry/services/lavexposure/exposure_test.go
@@ -0,0 +1,138 @@
+package lavexposure
+
+import (
+	"context"
+	"io"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/sirupsen/logrus"
+
+	"lavenderswitch/core/models/lavconfig"
+	"lavenderswitch/core/models/lavid"
+	"lavenderswitch/core/modules/laverror"
+	"lavenderswitch/core/modules/lavring"
+	"lavenderswitch/core/services/lavevidence"
+	"lavenderswitch/core/services/lavplan"
+	"lavenderswitch/core/services/lavspread"
+)
+
+// fake is the configuration, the patches and the members around one host.
+type fake struct {
+	document *lavconfig.Document
+	patches  []lavspread.Patch
+	conflict bool
+	members  []lavring.Member
+}
+
+func (f *fake) Document() *lavconfig.Document { return f.document }
+
+func (f *fake) Submit(_ context.Context, patch lavspread.Patch) (lavspread.Receipt, error) {
+	f.patches = append(f.patches, patch)
+	if f.conflict {
+		return lavspread.Receipt{}, laverror.New(laverror.KindConflict, "another patch was accepted", "read the configuration")
+	}
+	return lavspread.Receipt{}, nil
+}
+
+func (f *fake) Entries(time.Time) []lavring.Member { return f.members }
+
+func newFake() *fake {
+	return &fake{
+		members: []lavring.Member{{ID: "h1", DataCentre: "d1"}},
+		document: &lavconfig.Document{Number: 4, Versions: map[lavid.VersionID]lavconfig.Version{
+			"old": {Model: "m", State: lavconfig.VersionServing, ExpectedQuality: 0.9},
+			"new": {Model: "m", State: lavconfig.VersionRollingOut, Replaces: "old", MaxShare: 0.5, ExpectedQuality: 0.9},
+		}},
+	}
+}
+
+func newReporter(f *fake) *Reporter {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	owner := NewOwner()
+	owner.Host, owner.Configs, owner.Patches, owner.Members, owner.Log = "h1", f, f, f, log
+	plans := lavplan.NewState(lavplan.DefaultSettings(), lavevidence.NewTable(lavevidence.DefaultSettings()))
+	return &Reporter{Host: "h1", Configs: f, Members: f, Plans: plans, Local: owner, Log: log}
+}
+
+// answer counts one rated answer of each version; the new one is rejected unless good.
+func answer(r *Reporter, f *fake, good bool, now time.Time) {
+	for _, version := range []lavid.VersionID{"old", "new"} {
+		counts := lavevidence.Counts{Answers: 1, Rated: 1, Accepted: 1}
+		if version == "new" && !good {
+			counts.Accepted = 0
+		}
+		r.Add(f.document, lavevidence.Count{Key: lavevidence.Key{Version: version}, Counts: counts}, now)
+	}
+}
+
+func run(t *testing.T, f *fake, good bool) *Reporter {
+	t.Helper()
+	reporter := newReporter(f)
+	now := time.Now()
+	for range 200 {
+		answer(reporter, f, good, now)
+		reporter.Tick(t.Context(), now)
+		now = now.Add(reportInterval)
+	}
+	reporter.Tick(t.Context(), now)
+	return reporter
+}
+
+func TestBadVersionIsStoppedAndWithdrawn(t *testing.T) {
+	is := is.New(t)
+	f := newFake()
+	reporter := run(t, f, false)
+	is.Equal(reporter.exposure().Stopped, []lavid.VersionID{"new"})
+	is.True(len(f.patches) > 0)
+	is.Equal(f.patches[0].Base, lavid.ConfigNumber(4))
+	is.Equal(f.patches[0].Author, systemAuthor)
+}
+
+func TestWithdrawalIsSubmittedAgainAfterALostRace(t *testing.T) {
+	is := is.New(t)
+	f := newFake()
+	f.conflict = true
+	run(t, f, false)
+	is.True(len(f.patches) > 1)
+}
+
+func TestOnlyTheFirstOwnerWithdraws(t *testing.T) {
+	is := is.New(t)
+	f := newFake()
+	reporter := run(t, f, false)
+	f.members = []lavring.Member{{ID: "h2", DataCentre: "d1"}}
+	before := len(f.patches)
+	reporter.Local.Tick(t.Context(), time.Now())
+	is.Equal(len(f.patches), before)
+}
+
+func TestGoodVersionIsNotStoppedAndItsShareGrows(t *testing.T) {
+	is := is.New(t)
+	f := newFake()
+	reporter := run(t, f, true)
+	is.Equal(len(f.patches), 0)
+	is.Equal(len(reporter.exposure().Stopped), 0)
+	share := reporter.exposure().Shares[0].Share
+	is.True(share > 0.01)
+	is.True(share <= 0.5)
+}
+
+func TestRepeatedReportCountsOnce(t *testing.T) {
+	is := is.New(t)
+	f := newFake()
+	reporter := newReporter(f)
+	now := time.Now()
+	answer(reporter, f, true, now)
+	message, due := reporter.next("m", now)
+	is.True(due)
+	for range 2 {
+		_, err := reporter.Local.Report(t.Context(), message)
+		is.NoErr(err)
+	}
+	state, err := reporter.Local.Report(t.Context(), message)
+	is.NoErr(err)
+	is.True(state.GetTotals()[0].GetAnswers() <= 1)
+}
