Slight faults of versions in service found beside all others

Bounds on its past, on what all versions suffer and a margin added up to as much as the fault, and the fault became part of the past. Change: blocks of 250 ratings of the version and of all others are compared, each against its own past, with a shift of both fitted; a known past takes in 2% of what is new.

--- a/core/services/lavrollout/compare.go
+++ b/core/services/lavrollout/compare.go
@@ -53,19 +53,48 @@
 	return slices.Sorted(maps.Keys(blocks))
 }
 
-// remember adds a block to the past, whose weight is capped so that slow change is followed.
-func (b Blocks) remember(own Blocks, limit float64) {
+// remember adds a block to the past, more slowly once that is well known, so that a fault does not become usual.
+func (b Blocks) remember(own Blocks, settings Settings) {
 	for stratum, block := range own {
-		sum := b[stratum].plus(block)
-		sum.Failures = sum.Failures.capped(limit)
-		sum.Ratings = sum.Ratings.capped(limit)
-		b[stratum] = sum
+		past := b[stratum]
+		past.Failures = past.Failures.learn(block.Failures, settings)
+		past.Ratings = past.Ratings.learn(block.Ratings, settings)
+		b[stratum] = past
 	}
 }
 
+func (s Sample) learn(news Sample, settings Settings) Sample {
+	if s.Trials < settings.KnownPast {
+		return s.plus(news)
+	}
+	return s.plus(news.scaled(settings.SlowPart)).capped(settings.PastTrials)
+}
+
 func (s Sample) capped(limit float64) Sample {
 	if s.Trials <= limit {
 		return s
 	}
-	return Sample{Trials: limit, Bad: s.Bad * limit / s.Trials}
+	return s.scaled(limit / s.Trials)
+}
+
+// watchOthers tests a version in service against all others, on blocks that are large enough to fit a shift of all.
+func (r Row) watchOthers(own, others, usual Blocks, settings Settings) Row {
+	ratings := newRound(settings.Ratings, r.Beside)
+	for stratum, block := range own {
+		r.Waiting.add(stratum, block)
+	}
+	for stratum, block := range others {
+		r.Control.add(stratum, block)
+	}
+	for _, stratum := range sortedStrata(r.Waiting) {
+		tested, control := r.Waiting[stratum].Ratings, r.Control[stratum].Ratings
+		if min(tested.Trials, control.Trials) < settings.BesideTrials {
+			continue
+		}
+		ratings.addShifted(stratum, tested, control, r.Past[stratum].Ratings, usual[stratum].Ratings)
+		delete(r.Waiting, stratum)
+		delete(r.Control, stratum)
+	}
+	r.Beside = ratings.result()
+	return r
 }
--- a/core/services/lavrollout/rollout_test.go
+++ b/core/services/lavrollout/rollout_test.go
@@ -140,3 +140,51 @@
 	is.NoErr(err)
 	is.True(!ok) // the account's last serving version stays
 }
+
+// inService returns two versions in service, of which one may turn bad.
+func inService() *lavconfig.Document {
+	both := document()
+	version := both.Versions["new/2"]
+	version.State, version.Replaces = lavconfig.VersionServing, ""
+	both.Versions["new/2"] = version
+	return both
+}
+
+// serve reports ticks of answers of two versions in service and returns what is permitted at last.
+func serve(state *State, random *rand.Rand, from, ticks int, bad map[lavid.VersionID]float64) lavplan.Exposure {
+	var last lavplan.Exposure
+	for at := range ticks {
+		for _, id := range []lavid.VersionID{"new/2", "old"} {
+			counts := lavevidence.Counts{Answers: 10, Rated: 10}
+			for range 10 {
+				if random.Float64() >= bad[id] {
+					counts.Accepted++
+				}
+			}
+			state.Observe(lavevidence.Count{Key: lavevidence.Key{Version: id, Class: "hard"}, Counts: counts})
+		}
+		last = state.Tick(inService(), start.Add(time.Duration(from+at)*time.Second))
+	}
+	return last
+}
+
+func TestSlightFaultInServiceIsFoundAndSharedTroubleIsNot(t *testing.T) {
+	is := is.New(t)
+	usual := map[lavid.VersionID]float64{"old": 0.15, "new/2": 0.2}
+	alone := map[lavid.VersionID]float64{"old": 0.15, "new/2": 0.32}
+	shared := map[lavid.VersionID]float64{"old": 0.25, "new/2": 0.32}
+	const runs = 20
+	found := 0
+	for run := range runs {
+		random := rand.New(rand.NewPCG(uint64(run), 6))
+		state := NewState(DefaultSettings())
+		is.Equal(len(serve(state, random, 0, 300, usual).Stopped), 0)
+		if len(serve(state, random, 300, 300, alone).Stopped) == 1 {
+			found++
+		}
+		other := NewState(DefaultSettings())
+		serve(other, random, 0, 300, usual)
+		is.Equal(len(serve(other, random, 300, 300, shared).Stopped), 0) // all versions suffer alike
+	}
+	is.True(found >= runs*9/10)
+}
--- a/core/services/lavrollout/row.go
+++ b/core/services/lavrollout/row.go
@@ -29,6 +29,8 @@
 	NextRated float64
 	Failures  Evidence
 	Ratings   Evidence
+	// Beside tests ratings of a version in service against those of all others.
+	Beside Evidence
 	// Held is the share before the present doubt; zero without doubt.
 	Held lavid.Share
 	// Recent holds the last answers, older ones weighing less.
@@ -49,6 +51,7 @@
 		NextRated: settings.FirstRated,
 		Failures:  newEvidence(),
 		Ratings:   newEvidence(),
+		Beside:    newEvidence(),
 		Recent:    make(Blocks),
 		Past:      make(Blocks),
 		Waiting:   make(Blocks),
@@ -56,9 +59,12 @@
 	}
 }
 
-// evidence returns the mean over both tests, which is a test of its own.
+// evidence returns the mean over all tests of the version, which is a test of its own.
 func (r Row) evidence() float64 {
-	return (r.Failures.value() + r.Ratings.value()) / 2
+	if r.State == lavconfig.VersionRollingOut {
+		return (r.Failures.value() + r.Ratings.value()) / 2
+	}
+	return (r.Failures.value() + r.Ratings.value() + r.Beside.value()) / 3
 }
 
 // judge stops the version when the evidence against it passes the threshold.
@@ -67,7 +73,7 @@
 		return r
 	}
 	r.Stopped = ReasonRatings
-	if r.Failures.value() > r.Ratings.value() {
+	if r.Failures.value() > max(r.Ratings.value(), r.Beside.value()) {
 		r.Stopped = ReasonFailures
 	}
 	r.Share = 0
--- a/core/services/lavrollout/sample.go
+++ b/core/services/lavrollout/sample.go
@@ -26,14 +26,14 @@
 }
 
 // rate returns the bad part of the trials, drawn towards an assumed rate while trials are few.
-func (s Sample) rate(assumed, weight float64) float64 {
-	return (s.Bad + assumed*weight) / (s.Trials + weight)
+func (s Sample) rate(assumed float64) float64 {
+	return (s.Bad + assumed*assumedTrials) / (s.Trials + assumedTrials)
 }
 
 // highest returns a rate that the true one is rarely above.
 func (s Sample) highest(assumed float64) float64 {
 	const deviations = 2
-	rate := s.rate(assumed, assumedTrials)
+	rate := s.rate(assumed)
 	return rate + deviations*math.Sqrt(rate*(1-rate)/(s.Trials+assumedTrials))
 }
 
--- a/core/services/lavrollout/scope.go
+++ b/core/services/lavrollout/scope.go
@@ -56,7 +56,7 @@
 	if tested.Trials == 0 || control.Trials == 0 {
 		return false
 	}
-	base := past.rate(r.stream.Assumed, assumedTrials)
+	base := past.rate(r.stream.Assumed)
 	r.add(stratum, tested.Trials, func(excess float64) float64 {
 		return twoSample(tested, control, base, excess)
 	})
@@ -74,6 +74,20 @@
 	})
 }
 
+// addShifted tests a stratum against its past, in the company of all other versions against theirs.
+func (r *round) addShifted(stratum Stratum, tested, control, testedPast, controlPast Sample) {
+	if min(testedPast.Trials, controlPast.Trials) < r.stream.NeededPast {
+		return
+	}
+	both := shifted{
+		tested:      tested,
+		testedPast:  testedPast.rate(r.stream.Assumed) + r.stream.BesideMargin,
+		control:     control,
+		controlPast: controlPast.rate(r.stream.Assumed),
+	}
+	r.add(stratum, tested.Trials, both.ratio)
+}
+
 func (r *round) add(stratum Stratum, trials float64, ratio func(excess float64) float64) {
 	logs := make([]float64, len(r.stream.Excesses))
 	for i, excess := range r.stream.Excesses {
@@ -105,7 +119,7 @@
 	if recent.Trials == 0 || past.Trials < stream.NeededPast {
 		return s
 	}
-	usual := past.rate(stream.Assumed, assumedTrials)
+	usual := past.rate(stream.Assumed)
 	return shift{trials: s.trials + recent.Trials, excess: s.excess + recent.Bad - usual*recent.Trials, bad: s.bad + recent.Bad}
 }
 
--- a/core/services/lavrollout/settings.go
+++ b/core/services/lavrollout/settings.go
@@ -14,6 +14,8 @@
 	Horizon float64
 	// Margin is what a version in service may be above its own past.
 	Margin float64
+	// BesideMargin is the same when other versions are watched at the same time.
+	BesideMargin float64
 	// NeededPast is the number of trials before a past is compared with.
 	NeededPast float64
 	// RecentHalfLife is the time after which a recent answer weighs half in what all versions suffer now.
@@ -37,6 +39,11 @@
 	// Suspicion is the evidence at which a share no longer grows, and Doubt that at which it is cut to the first one.
 	Suspicion float64
 	Doubt     float64
+	// BesideTrials is the size of a block of ratings that is tested beside all other versions.
+	BesideTrials float64
+	// KnownPast is the number of trials after which a past takes in only SlowPart of what is new.
+	KnownPast float64
+	SlowPart  float64
 	// PastTrials caps the weight of a version's past.
 	PastTrials float64
 }
@@ -58,6 +65,7 @@
 			Margin:         0.02,
 			NeededPast:     500,
 			Assumed:        0.1,
+			BesideMargin:   0.005,
 			RecentHalfLife: 30 * time.Second,
 		},
 		FalseStops:   0.009,
@@ -66,6 +74,9 @@
 		Growth:       2,
 		Suspicion:    0.5,
 		Doubt:        0.6,
+		BesideTrials: 250,
+		KnownPast:    2000,
+		SlowPart:     0.02,
 		PastTrials:   20_000,
 	}
 }
--- /dev/null
+++ b/core/services/lavrollout/shifted.go
@@ -0,0 +1,50 @@
+package lavrollout
+
+import "math"
+
+const (
+	// largestShift bounds, in logits, how far all versions may be above their past.
+	largestShift = 4.0
+	shiftSteps   = 40
+)
+
+// shifted compares a version with all others, each against its own past, while the past of both may have shifted alike.
+type shifted struct {
+	tested      Sample
+	testedPast  float64
+	control     Sample
+	controlPast float64
+}
+
+// logLikelihood returns that of both samples when both rates are a shift above their past.
+func (s shifted) logLikelihood(shift float64) float64 {
+	tested := s.tested.logLikelihood(bounded(raise(s.testedPast, shift)))
+	return tested + s.control.logLikelihood(bounded(raise(s.controlPast, shift)))
+}
+
+// alike returns the highest log likelihood over all shifts; it is concave in the shift.
+func (s shifted) alike() float64 {
+	low, high := -largestShift, largestShift
+	for range shiftSteps {
+		left, right := low+(high-low)/3, high-(high-low)/3
+		if s.logLikelihood(left) < s.logLikelihood(right) {
+			low = left
+		} else {
+			high = right
+		}
+	}
+	return s.logLikelihood((low + high) / 2)
+}
+
+// ratio returns the log likelihood ratio of the tested version being an excess above its past, and the others at theirs, against both being shifted alike.
+func (s shifted) ratio(excess float64) float64 {
+	tested := s.tested.logLikelihood(bounded(s.testedPast + excess))
+	control := s.control.logLikelihood(bounded(s.controlPast))
+	return tested + control - s.alike()
+}
+
+// raise adds a shift in logits to a rate.
+func raise(rate, shift float64) float64 {
+	odds := bounded(rate) / (1 - bounded(rate)) * math.Exp(shift)
+	return odds / (1 + odds)
+}
--- a/core/services/lavrollout/snapshot.go
+++ b/core/services/lavrollout/snapshot.go
@@ -32,6 +32,7 @@
 func (r Row) clone() Row {
 	r.Failures = r.Failures.clone()
 	r.Ratings = r.Ratings.clone()
+	r.Beside = r.Beside.clone()
 	r.Recent = r.Recent.clone()
 	r.Past = r.Past.clone()
 	r.Waiting = r.Waiting.clone()
--- a/core/services/lavrollout/state.go
+++ b/core/services/lavrollout/state.go
@@ -80,7 +80,9 @@
 	version := document.Versions[row.Version]
 	own := s.pending[row.Version]
 	if row.State != lavconfig.VersionRollingOut {
-		return row.watch(own, s.shared(row.Version), s.settings).judge(s.settings, now)
+		others, usual := s.others(row.Version)
+		row = row.watch(own, s.shared(row.Version), s.settings)
+		return row.watchOthers(own, others, usual, s.settings).judge(s.settings, now)
 	}
 	replaced, known := s.rows[version.Replaces]
 	if !known {
@@ -135,12 +137,28 @@
 	return sum
 }
 
+// others sums what came in for all other versions, and their past in proportion to it.
+func (s *State) others(except lavid.VersionID) (now, past Blocks) {
+	now, past = make(Blocks), make(Blocks)
+	for _, id := range s.ids() {
+		row := s.rows[id]
+		if id == except || row.Stopped != ReasonNone {
+			continue
+		}
+		for stratum, block := range s.pending[id] {
+			now.add(stratum, block)
+			past.add(stratum, row.Past[stratum])
+		}
+	}
+	return now, past
+}
+
 // remember adds what came in to the past of the versions that nothing speaks against.
 func (s *State) remember() {
 	for id, own := range s.pending {
 		row, known := s.rows[id]
 		if known && row.Stopped == ReasonNone && row.evidence() < s.settings.Suspicion {
-			row.Past.remember(own, s.settings.PastTrials)
+			row.Past.remember(own, s.settings)
 		}
 	}
 	clear(s.pending)
