--- a/entry/cmd/host.go
+++ b/entry/cmd/host.go
@@ -8,148 +8,224 @@
 	"github.com/sirupsen/logrus"
 	"github.com/sourcegraph/conc"
 
-	"lavenderswitch/core/models/lavconfig"
 	"lavenderswitch/core/modules/lavdump"
 	"lavenderswitch/core/modules/lavhttp"
-	"lavenderswitch/core/modules/lavlife"
+	"lavenderswitch/core/modules/lavmetric"
 	"lavenderswitch/core/modules/lavplatform"
+	"lavenderswitch/core/services/lavbill"
 	"lavenderswitch/core/services/lavevidence"
+	"lavenderswitch/core/services/lavledger"
+	"lavenderswitch/core/services/lavmembership"
 	"lavenderswitch/core/services/lavplan"
+	"lavenderswitch/core/services/lavrating"
+	"lavenderswitch/core/services/lavretry"
+	"lavenderswitch/core/services/lavsession"
 	"lavenderswitch/core/services/lavspread"
 	"lavenderswitch/entry/models/lavsetting"
 	"lavenderswitch/entry/routers/lavcaller"
-	"lavenderswitch/entry/routers/lavoperator"
+	"lavenderswitch/entry/routers/lavpeer"
 	"lavenderswitch/entry/services/lavattempt"
-	"lavenderswitch/entry/services/lavbilling"
+	"lavenderswitch/entry/services/lavexposure"
 	"lavenderswitch/entry/services/lavfleet"
+	"lavenderswitch/entry/services/lavgate"
+	"lavenderswitch/entry/services/lavpin"
+	"lavenderswitch/entry/services/lavrate"
 	"lavenderswitch/entry/services/lavserve"
+	"lavenderswitch/entry/services/lavtrace"
 	"lavenderswitch/wire/lavwire"
 )
 
+const (
+	attachTimeout = 3 * time.Second
+	sessionPins   = 200_000
+	recentTraces  = 500
+)
+
 // host holds the parts of an entry host.
 type host struct {
-	settings   lavsetting.Settings
-	log        *logrus.Logger
-	platform   *lavplatform.Client
-	current    *lavspread.Current
-	fleet      *lavfleet.Fleet
-	billing    *lavbilling.Billing
-	service    *lavserve.Service
-	dump       *lavdump.Registry
+	settings lavsetting.Settings
+	log      *logrus.Logger
+	platform *lavplatform.Client
+	current  *lavspread.Current
+	members  *lavmembership.Table
+	spreader *lavspread.Spreader
+	fleet    *lavfleet.Fleet
+	gate     *lavgate.Gate
+	retries  *lavretry.Budget
+	bills    *lavbill.Writer
+	owner    *lavexposure.Owner
+	reporter *lavexposure.Reporter
+	rater    *lavrate.Rater
+	pins     *lavpin.Owner
+	resolver *lavpin.Resolver
+	service  *lavserve.Service
+	traces   *lavtrace.Ring
+	metrics  *lavmetric.Set
+	dump     *lavdump.Registry
+	// transport carries calls to peers and side processes, with the scheme before their addresses.
+	transport  *http.Transport
+	scheme     string
+	peerClient *http.Client
+	router     *lavcaller.Router
 	callers    *lavhttp.Server
 	operators  *lavhttp.Server
+	peers      *lavhttp.Server
 	parts      conc.WaitGroup
 	background context.Context
 	stop       context.CancelFunc
 }
 
-func newHost(settings lavsetting.Settings, log *logrus.Logger) *host {
-	h := &host{settings: settings, log: log, current: lavspread.NewCurrent(), fleet: lavfleet.New(), dump: lavdump.NewRegistry()}
-	h.platform = lavplatform.NewClient(settings.PlatformAddress)
-	h.billing = &lavbilling.Billing{Rows: h.platform, Configs: h.current, Log: log}
-	attempts := lavattempt.New()
-	attempts.SilenceTimeout = settings.SilenceTimeout.Duration
-	attempts.AttachTimeout = attachTimeout
-	attempts.Loads = h.fleet
-	h.service = &lavserve.Service{
-		Host:     settings.HostID,
-		Configs:  h.current,
-		Attempts: attempts,
-		Fleet:    h.fleet,
-		Bills:    h.billing,
-		Plans:    lavplan.NewState(lavplan.DefaultSettings(), lavevidence.NewTable(lavevidence.DefaultSettings())),
-		Log:      log,
-		Scheme:   "http://",
+func newHost(settings lavsetting.Settings, log *logrus.Logger) (*host, error) {
+	h := &host{
+		settings: settings,
+		log:      log,
+		platform: lavplatform.NewClient(settings.PlatformAddress),
+		current:  lavspread.NewCurrent(),
+		fleet:    lavfleet.New(settings.HostID, settings.DataCentre),
+		retries:  lavretry.New(),
+		traces:   lavtrace.NewRing(recentTraces),
+		metrics:  lavmetric.NewSet(),
+		dump:     lavdump.NewRegistry(),
 	}
-	h.dump.Register("Config", func() any { return h.current.Number() })
-	h.background, h.stop = context.WithCancel(context.Background())
-	return h
-}
-
-const attachTimeout = 5 * time.Second
-
-func (h *host) listen(ctx context.Context) error {
-	callers := &lavcaller.Router{Configs: h.current, Server: h.service, RequestTimeout: h.settings.RequestTimeout.Duration}
-	operators := &lavoperator.Router{Configs: h, KeyHashes: h.settings.OperatorKeyHashes, Dump: h.dump}
-	var err error
-	h.callers, err = lavhttp.Listen(ctx, h.settings.CallerAddress, callers.Routes(), nil, lavhttp.DefaultLimits())
+	h.gate = lavgate.New(h.current, h.fleet)
+	client, err := settings.TLS.Client()
 	if err != nil {
-		return err
+		return nil, err
 	}
-	h.operators, err = lavhttp.Listen(ctx, h.settings.OperatorAddress, operators.Routes(), nil, lavhttp.DefaultLimits())
-	return err
-}
-
-func (h *host) start() {
-	h.serve(h.callers)
-	h.serve(h.operators)
-	h.tick(configTick, h.readConfig)
-	h.tick(billTick, func(time.Time) { h.billing.Flush(h.background) })
-	h.tick(loadTick, h.readLoads)
+	h.scheme = settings.TLS.Scheme()
+	h.transport = lavattempt.NewTransport()
+	h.transport.TLSClientConfig = client
+	h.peerClient = &http.Client{Transport: h.transport}
+	h.addSpread()
+	h.bills = &lavbill.Writer{Pending: lavbill.NewPending(lavbill.MaxPending), Rows: h.platform, Log: log}
+	if err := h.addSessions(); err != nil {
+		return nil, err
+	}
+	h.addEvidence()
+	h.addService()
+	h.background, h.stop = context.WithCancel(context.Background())
+	h.metrics.Publish("Entry")
+	h.dump.Register("Requests", func() any { return h.traces.Dump() })
+	h.dump.Register("Queues", func() any { return h.gate.Dump() })
+	h.dump.Register("Fleet", func() any { return h.fleet.Dump() })
+	h.dump.Register("PendingBills", func() any { return h.bills.Pending.Len() })
+	h.dump.Register("SessionPins", func() any { return h.pins.Pins.Len() })
+	return h, nil
 }
 
-func (h *host) serve(server *lavhttp.Server) {
-	h.parts.Go(func() {
-		if err := server.Serve(); err != nil {
-			h.log.WithError(err).Error("listener ended")
-		}
+// addSpread makes the parts that keep the configuration and the list of hosts.
+func (h *host) addSpread() {
+	h.members = lavmembership.New(lavmembership.Member{
+		ID:         h.settings.HostID,
+		Role:       lavplatform.RoleEntry,
+		Address:    h.settings.PeerAddress,
+		DataCentre: h.settings.DataCentre,
 	})
+	h.spreader = lavspread.New(lavspread.Options{
+		Rows:    h.platform,
+		Peers:   h.members,
+		Current: h.current,
+		Client:  lavspread.NewHTTPClient(h.transport.TLSClientConfig),
+		Scheme:  h.scheme,
+		Seeds:   h.settings.Seeds,
+		Log:     h.log,
+	})
+	h.spreader.Metrics().Publish("Spread")
+	h.dump.Register("Spread", func() any { return h.spreader.Dump(time.Now()) })
+	h.dump.Register("Hosts", func() any { return h.members.Dump() })
 }
 
-func (h *host) tick(interval time.Duration, step func(now time.Time)) {
-	h.parts.Go(func() { lavlife.Tick(h.background, interval, step) })
-}
-
-func (h *host) readConfig(now time.Time) {
-	if err := lavspread.ReadNewer(h.background, h.platform, h.current, now); err != nil {
-		h.log.WithError(err).Warning("store gave no configuration; trying again at the next tick")
+func (h *host) addSessions() error {
+	table, err := lavsession.NewTable(sessionPins)
+	if err != nil {
+		return err
 	}
+	h.pins = &lavpin.Owner{Host: h.settings.HostID, Pins: table, Rows: h.platform, Log: h.log}
+	h.resolver = &lavpin.Resolver{Host: h.settings.HostID, Members: h, Local: h.pins, HTTP: h.peerClient, Scheme: h.scheme, Log: h.log}
+	h.pins.Replicas = h.resolver
+	return nil
 }
 
-// readLoads asks servers whose load was never reported, so that they can be chosen.
-func (h *host) readLoads(time.Time) {
-	document := h.current.Document()
-	if document == nil {
-		return
+// addEvidence makes the parts that learn the quality of versions and follow what their owners decide.
+func (h *host) addEvidence() {
+	h.owner = lavexposure.NewOwner()
+	h.owner.Host = h.settings.HostID
+	h.owner.Configs = h.current
+	h.owner.Patches = h.spreader
+	h.owner.Members = h
+	h.owner.Log = h.log
+	plans := lavplan.NewState(lavplan.DefaultSettings(), lavevidence.NewTable(lavevidence.DefaultSettings()))
+	h.reporter = &lavexposure.Reporter{
+		Host:    h.settings.HostID,
+		Configs: h.current,
+		Members: h,
+		Plans:   plans,
+		Local:   h.owner,
+		HTTP:    h.peerClient,
+		Scheme:  h.scheme,
+		Log:     h.log,
 	}
-	for _, row := range document.BackendServers {
-		ctx, cancel := context.WithTimeout(h.background, loadTick)
-		load, err := lavwire.NewSideProtobufClient("http://"+row.SideAddress, http.DefaultClient).ReadLoad(ctx, &lavwire.ReadLoadRequest{})
-		cancel()
-		if err == nil {
-			h.fleet.Record(load, time.Now())
-		}
+	h.rater = &lavrate.Rater{
+		Configs: h.current,
+		Ratings: h.platform,
+		Counts:  h.reporter,
+		Plans:   plans,
+		Breaker: lavrating.NewBreaker(lavrating.DefaultBreakerSettings()),
+		Queue:   lavrating.NewQueue(lavrating.DefaultQueueSettings()),
 	}
+	h.dump.Register("Plans", func() any { return plans.Dump() })
+	h.dump.Register("Rollouts", func() any { return h.owner.Dump() })
+	h.dump.Register("RatingBreaker", func() any { return h.rater.Breaker.Dump() })
+	h.dump.Register("RatingQueue", func() any { return h.rater.Queue.Dump() })
 }
 
-// Document returns the configuration in force here.
-func (h *host) Document() *lavconfig.Document {
-	return h.current.Document()
+func (h *host) addService() {
+	attempts := lavattempt.New(h.transport)
+	attempts.SilenceTimeout = h.settings.SilenceTimeout.Duration
+	attempts.AttachTimeout = attachTimeout
+	attempts.Loads = h.fleet
+	h.service = &lavserve.Service{
+		Host:     h.settings.HostID,
+		Configs:  h.current,
+		Peers:    h.spreader,
+		Attempts: attempts,
+		Sessions: h.resolver,
+		Seals:    lavledger.New(h.platform),
+		Fleet:    h.fleet,
+		Bills:    h.bills.Pending,
+		Planner:  h.rater,
+		Raters:   h.rater,
+		Gate:     h.gate,
+		Retries:  h.retries,
+		Hedgers:  lavserve.NewHedgers(),
+		Traces:   h.traces,
+		Metrics:  h.metrics,
+		Log:      h.log,
+		Scheme:   h.scheme,
+		Holders:  func(base string) lavwire.Bills { return lavwire.NewBillsProtobufClient(base, h.peerClient) },
+	}
 }
 
-// Submit writes a patch and adopts the configuration that it gives.
-func (h *host) Submit(ctx context.Context, patch lavspread.Patch) (*lavconfig.Document, error) {
-	base := h.current.Document()
-	if base == nil {
-		base = &lavconfig.Document{}
+func (h *host) listen(ctx context.Context) error {
+	h.router = &lavcaller.Router{Configs: h.current, Server: h.service, RequestTimeout: h.settings.RequestTimeout.Duration}
+	operators := h.operatorRouter()
+	peers := &lavpeer.Router{Sessions: h.pins, Bills: h.bills, Evidence: h.owner, Config: h.spreader.Handler()}
+	public, err := h.settings.TLS.ServerOnly()
+	if err != nil {
+		return err
 	}
-	document, err := lavspread.Submit(ctx, h.platform, base, patch)
+	mutual, err := h.settings.TLS.Server()
 	if err != nil {
-		return nil, err
+		return err
 	}
-	h.current.Adopt(document, time.Now())
-	return document, nil
-}
-
-// shutDown ends the listeners once running requests are answered, then writes the last bills.
-func (h *host) shutDown(ctx context.Context) error {
-	err := h.callers.Shutdown(ctx)
-	h.stop()
-	operatorErr := h.operators.Shutdown(ctx)
-	h.parts.Wait()
-	h.billing.Flush(ctx)
+	h.callers, err = lavhttp.Listen(ctx, h.settings.CallerAddress, h.router.Routes(), public, lavhttp.DefaultLimits())
 	if err != nil {
 		return err
 	}
-	return operatorErr
+	h.operators, err = lavhttp.Listen(ctx, h.settings.OperatorAddress, operators.Routes(), public, lavhttp.DefaultLimits())
+	if err != nil {
+		return err
+	}
+	h.peers, err = lavhttp.Listen(ctx, h.settings.PeerAddress, peers.Routes(), mutual, lavhttp.DefaultLimits())
+	return err
 }
--- a/entry/cmd/run.go
+++ b/entry/cmd/run.go
@@ -5,7 +5,6 @@
 	"os"
 	"os/signal"
 	"syscall"
-	"time"
 
 	"github.com/sirupsen/logrus"
 	"github.com/urfave/cli/v3"
@@ -18,9 +17,9 @@
 	return &cli.Command{
 		Name:  "run",
 		Usage: "run the entry host until it is told to end",
-		Flags: []cli.Flag{settingsFlag()},
+		Flags: settingsFlags(),
 		Action: func(ctx context.Context, command *cli.Command) error {
-			settings, err := lavsetting.Read(command.String(flagSettings))
+			settings, err := readSettings(command)
 			if err != nil {
 				return err
 			}
@@ -36,7 +35,10 @@
 }
 
 func run(ctx context.Context, settings lavsetting.Settings, log *logrus.Logger) error {
-	host := newHost(settings, log)
+	host, err := newHost(settings, log)
+	if err != nil {
+		return err
+	}
 	if err := host.listen(ctx); err != nil {
 		return err
 	}
@@ -47,9 +49,3 @@
 	defer cancel()
 	return host.shutDown(ending)
 }
-
-const (
-	configTick = 500 * time.Millisecond
-	billTick   = 200 * time.Millisecond
-	loadTick   = 200 * time.Millisecond
-)
--- a/tests/cmd/lavmeasure/main.go
+++ b/tests/cmd/lavmeasure/main.go
@@ -11,6 +11,7 @@
 	"github.com/pkg/errors"
 	"github.com/urfave/cli/v3"
 
+	"lavenderswitch/tests/measures/lavload"
 	"lavenderswitch/tests/measures/lavreport"
 	"lavenderswitch/tests/measures/quality/lavcost"
 	"lavenderswitch/tests/measures/quality/lavexposure"
@@ -20,10 +21,11 @@
 
 // measures lists the measurements in the order in which they are printed.
 func measures() []lavreport.Measure {
-	return []lavreport.Measure{
+	all := []lavreport.Measure{
 		lavcost.Measure,
 		lavexposure.Measure,
 	}
+	return append(all, lavload.Measures()...)
 }
 
 func main() {
--- /dev/null
+++ b/tests/faults/matrix_test.go
@@ -0,0 +1,153 @@
+package lavfaults
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strconv"
+	"testing"
+
+	"lavenderswitch/tests/modules/lavcluster"
+	"lavenderswitch/tests/modules/lavmatrix"
+)
+
+// The environment variables that choose what is run.
+const (
+	// envAll runs the whole matrix in place of the subset.
+	envAll = "LAVENDER_FAULTS"
+	// envReport names a file for the matrix; it is printed otherwise.
+	envReport = "LAVENDER_FAULTS_REPORT"
+	// envSeed starts a random schedule of pairs of faults, envPairs says how many.
+	envSeed  = "LAVENDER_FAULTS_SEED"
+	envPairs = "LAVENDER_FAULTS_PAIRS"
+)
+
+var (
+	programs *lavcluster.Programs
+	report   = lavmatrix.NewReport()
+	knownRed lavmatrix.KnownReds
+)
+
+func TestMain(m *testing.M) {
+	os.Exit(run(m))
+}
+
+func run(m *testing.M) int {
+	var err error
+	programs, err = lavcluster.Build(context.Background())
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 1
+	}
+	defer programs.Remove() //nolint:errcheck // a temporary directory
+	root, err := lavcluster.Root()
+	if err == nil {
+		knownRed, err = lavmatrix.ReadKnownReds(filepath.Join(root, "KNOWN-RED.txt"))
+	}
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 1
+	}
+	code := m.Run()
+	if err := printReport(); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 1
+	}
+	return code
+}
+
+func printReport() error {
+	path := os.Getenv(envReport)
+	if path == "" {
+		return report.Print(os.Stdout)
+	}
+	file, err := os.Create(path)
+	if err != nil {
+		return err
+	}
+	defer file.Close()
+	return report.Print(file)
+}
+
+// TestMatrix runs each cell on a fleet of its own and checks every guarantee.
+func TestMatrix(t *testing.T) {
+	t.Parallel()
+	all := os.Getenv(envAll) == "all"
+	for _, step := range lavmatrix.Steps() {
+		for _, fault := range lavmatrix.Faults() {
+			if lavmatrix.NotApplicable(step, fault) != "" || (!all && !lavmatrix.InSubset(step, fault)) {
+				continue
+			}
+			t.Run(lavmatrix.CellName(step, fault), func(t *testing.T) {
+				t.Parallel()
+				runCell(t, step, fault)
+			})
+		}
+	}
+}
+
+// TestPairs runs chosen pairs of faults.
+func TestPairs(t *testing.T) {
+	t.Parallel()
+	runCells(t, lavmatrix.ChosenPairs())
+}
+
+const (
+	defaultPairs = 20
+	maxPairs     = 1000
+)
+
+// TestSchedule runs random pairs of faults that follow from a seed, which it prints.
+func TestSchedule(t *testing.T) {
+	t.Parallel()
+	seed, err := strconv.ParseUint(os.Getenv(envSeed), 10, 64)
+	if err != nil {
+		t.Skipf("set %s to a seed for a random schedule", envSeed)
+	}
+	count, err := strconv.Atoi(os.Getenv(envPairs))
+	if err != nil {
+		count = defaultPairs
+	}
+	count = min(count, maxPairs)
+	t.Logf("schedule of %d pairs with seed %d", count, seed)
+	runCells(t, lavmatrix.RandomPairs(seed, count))
+}
+
+func runCells(t *testing.T, cells []lavmatrix.Cell) {
+	t.Helper()
+	for _, cell := range cells {
+		t.Run(lavmatrix.CellName(cell.Step, cell.Fault), func(t *testing.T) {
+			t.Parallel()
+			runCell(t, cell.Step, cell.Fault)
+		})
+	}
+}
+
+// runCell fails unless the cell holds, or KNOWN-RED.txt excuses all that it violates.
+func runCell(t *testing.T, step lavmatrix.Step, fault lavmatrix.Fault) {
+	t.Helper()
+	name := lavmatrix.CellName(step, fault)
+	violations := lavmatrix.Run(t, programs, step, fault)
+	excused := !t.Failed()
+	var seen []string
+	for _, violation := range violations {
+		seen = append(seen, violation.String())
+		excused = excused && knownRed.Excuses(name, violation)
+	}
+	switch {
+	case len(seen) == 0 && !t.Failed():
+		report.Add(name, lavmatrix.Pass)
+		if knownRed[name] != "" {
+			t.Logf("listed in KNOWN-RED.txt and passes: %s", name)
+		}
+	case excused:
+		report.Add(name, lavmatrix.KnownRed, seen...)
+		t.Skipf("known red: %v", seen)
+	default:
+		report.Add(name, lavmatrix.Fail, seen...)
+		for _, violation := range seen {
+			t.Error(violation)
+		}
+	}
+}
