A failed attempt counts as a failure alone

Cause: it was counted as a whole answer too, which halves the failure rate that a roll-out is tested on and lowers the cost of an answer. Ruled out: reading it either way in lavrollout, which hides miscounts.

--- a/entry/services/lavrate/rater.go
+++ b/entry/services/lavrate/rater.go
@@ -116,7 +116,7 @@
 
 // Failed counts an attempt at a version that gave no answer.
 func (r *Rater) Failed(_ *lavrequest.Request, key lavevidence.Key) {
-	r.Counts.Add(r.Configs.Document(), lavevidence.Count{Key: key, Counts: lavevidence.Counts{Answers: 1, Failed: 1}}, time.Now())
+	r.Counts.Add(r.Configs.Document(), lavevidence.Count{Key: key, Counts: lavevidence.Counts{Failed: 1}}, time.Now())
 }
 
 func (r *Rater) rated(item lavrating.Item, accepted bool, now time.Time) {
