Side: TLS from settings, overrides by the shared code

Cause: the side process spoke plain HTTP only, and had its own copy of the overrides by flag and variable that every program now shares.

Change: both listeners, the questions to other holders and the exchange of configurations use lavtls; the copy is gone.

Ruled out: TLS towards the backend server; it stands on the same host.

Measured: unit tests of the side under the race detector pass. TLS between running processes was not run here.

--- a/side/cmd/host.go
+++ b/side/cmd/host.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"net"
 	"net/http"
 	"time"
@@ -32,7 +33,6 @@
 )
 
 const (
-	scheme         = "http://"
 	connectTimeout = 500 * time.Millisecond
 	// confirmAfter is how old the reading of a ledger row may be at dispatch.
 	confirmAfter = lavledger.SettleDelay / 2
@@ -58,6 +58,9 @@
 	admin      *lavhttp.Server
 	metrics    *lavmetric.Set
 	dump       *lavdump.Registry
+	// scheme and transport lead to other processes of the system.
+	scheme     string
+	transport  *http.Transport
 	parts      conc.WaitGroup
 	background context.Context
 	stop       context.CancelFunc
@@ -74,6 +77,12 @@
 		metrics:  lavmetric.NewSet(),
 		dump:     lavdump.NewRegistry(),
 	}
+	client, err := settings.TLS.Client()
+	if err != nil {
+		return nil, err
+	}
+	h.scheme = settings.TLS.Scheme()
+	h.transport = newTransport(client)
 	h.background, h.stop = context.WithCancel(context.Background())
 	h.bills = &lavbill.Writer{Pending: lavbill.NewPending(lavbill.MaxPending), Rows: h.platform, Log: log}
 	h.addSpread()
@@ -83,9 +92,9 @@
 	return h, h.listen(ctx)
 }
 
-func newTransport() *http.Transport {
+func newTransport(client *tls.Config) *http.Transport {
 	dialer := &net.Dialer{Timeout: connectTimeout}
-	return &http.Transport{DialContext: dialer.DialContext, IdleConnTimeout: time.Minute}
+	return &http.Transport{DialContext: dialer.DialContext, IdleConnTimeout: time.Minute, TLSClientConfig: client}
 }
 
 // addSpread makes the parts that keep the configuration and the list of hosts.
@@ -100,8 +109,8 @@
 		Rows:    h.platform,
 		Peers:   h.members,
 		Current: h.current,
-		Client:  lavspread.NewHTTPClient(nil),
-		Scheme:  scheme,
+		Client:  lavspread.NewHTTPClient(h.transport.TLSClientConfig),
+		Scheme:  h.scheme,
 		Seeds:   h.settings.Seeds,
 		Log:     h.log,
 	})
@@ -118,7 +127,7 @@
 		Backend: h.backend,
 		Ledger:  ledger,
 		Outbox:  h.outbox,
-		Holders: lavholder.New(scheme, newTransport()),
+		Holders: lavholder.New(h.scheme, h.transport),
 		Bills:   h.bills.Pending,
 		Budget:  lavanswer.NewBudget(h.settings.AnswerBytes),
 		Metrics: h.metrics,
@@ -142,8 +151,8 @@
 	warm := &lavengine.Warm{
 		Server:   h.settings.BackendServer,
 		Document: h.current.Document,
-		Scheme:   scheme,
-		HTTP:     &http.Client{Transport: newTransport()},
+		Scheme:   h.scheme,
+		HTTP:     &http.Client{Transport: h.transport},
 	}
 	h.keeper = &lavorder.Keeper{
 		Server:  h.settings.BackendServer,
@@ -175,13 +184,20 @@
 		Bills:      h.bills,
 		Config:     h.spreader.Handler(),
 	}
-	var err error
-	h.server, err = lavhttp.Listen(ctx, h.settings.Address, h.router.Routes(), nil, lavhttp.DefaultLimits())
+	mutual, err := h.settings.TLS.Server()
+	if err != nil {
+		return err
+	}
+	h.server, err = lavhttp.Listen(ctx, h.settings.Address, h.router.Routes(), mutual, lavhttp.DefaultLimits())
 	if err != nil || h.settings.AdminAddress == "" {
 		return err
 	}
+	public, err := h.settings.TLS.ServerOnly()
+	if err != nil {
+		return err
+	}
 	admin := &lavadmin.Router{KeyHashes: h.settings.OperatorKeyHashes, Dump: h.dump}
-	h.admin, err = lavhttp.Listen(ctx, h.settings.AdminAddress, admin.Routes(), nil, lavhttp.DefaultLimits())
+	h.admin, err = lavhttp.Listen(ctx, h.settings.AdminAddress, admin.Routes(), public, lavhttp.DefaultLimits())
 	return err
 }
 
--- a/side/cmd/root.go
+++ b/side/cmd/root.go
@@ -8,6 +8,7 @@
 	"github.com/pkg/errors"
 	"github.com/urfave/cli/v3"
 
+	"lavenderswitch/core/modules/lavflag"
 	"lavenderswitch/core/modules/lavsettings"
 	"lavenderswitch/side/models/lavsetting"
 )
@@ -20,8 +21,6 @@
 	ExitCut           = 3
 )
 
-const flagSettings = "settings"
-
 const description = `Runs beside one backend server, which takes work through it alone. It admits
 each attempt under the newest configuration, runs calls that may not be
 repeated at most once, keeps answers for readers that lost their connection,
@@ -63,30 +62,11 @@
 	}
 }
 
-// settingFlags returns the flag of the file and one for each setting.
 func settingFlags() []cli.Flag {
-	flags := []cli.Flag{&cli.StringFlag{
-		Name:     flagSettings,
-		Usage:    "JSON settings file; see docs/SETTINGS.md",
-		Sources:  cli.EnvVars(lavsetting.EnvPrefix + "SETTINGS"),
-		Required: true,
-	}}
-	for _, name := range lavsetting.Names() {
-		flags = append(flags, &cli.StringFlag{
-			Name:    lavsetting.FlagName(name),
-			Usage:   "replaces " + name + " of the file",
-			Sources: cli.EnvVars(lavsetting.EnvName(name)),
-		})
-	}
-	return flags
+	return lavflag.Flags(&lavsetting.Settings{})
 }
 
 func readSettings(command *cli.Command) (lavsetting.Settings, error) {
-	overrides := lavsetting.Overrides{}
-	for _, name := range lavsetting.Names() {
-		if flag := lavsetting.FlagName(name); command.IsSet(flag) {
-			overrides[name] = command.String(flag)
-		}
-	}
-	return lavsetting.Read(command.String(flagSettings), overrides)
+	overrides := lavflag.Overrides(command, &lavsetting.Settings{})
+	return lavsetting.Read(command.String(lavflag.NameSettings), overrides)
 }
--- a/side/models/lavsetting/settings.go
+++ b/side/models/lavsetting/settings.go
@@ -9,6 +9,7 @@
 
 	"lavenderswitch/core/models/lavid"
 	"lavenderswitch/core/modules/lavsettings"
+	"lavenderswitch/core/modules/lavtls"
 )
 
 // Settings are read from a JSON file at start.
@@ -27,7 +28,9 @@
 	// PlatformAddress is the base URL of the platform.
 	PlatformAddress string
 	// Seeds are peer addresses of entry hosts to ask for the configuration while no other host is known.
-	Seeds    []string
+	Seeds []string
+	// TLS protects both listeners and all calls between processes; without it every address has to be on the loopback interface.
+	TLS      lavtls.Settings
 	LogLevel string
 	// DrainTimeout bounds a graceful shutdown.
 	DrainTimeout lavsettings.Duration
@@ -58,9 +61,9 @@
 }
 
 // Read returns the checked settings of a file with the overrides applied, or all their faults.
-func Read(path string, overrides Overrides) (Settings, error) {
+func Read(path string, overrides lavsettings.Overrides) (Settings, error) {
 	settings := defaults()
-	if err := overrides.read(path, &settings); err != nil {
+	if err := lavsettings.ReadWith(path, &settings, overrides); err != nil {
 		return Settings{}, err
 	}
 	return settings, settings.check()
@@ -115,6 +118,7 @@
 	}
 	faults.Add(isURL(s.BackendAddress), "BackendAddress", s.BackendAddress, "give a URL such as http://127.0.0.1:8000")
 	faults.Add(isURL(s.PlatformAddress), "PlatformAddress", s.PlatformAddress, "give a URL such as http://127.0.0.1:7000")
+	s.TLS.Check(&faults, "TLS", s.Address, s.AdminAddress)
 	s.checkTimes(&faults)
 	s.checkBytes(&faults)
 	return faults.Err()
--- a/side/models/lavsetting/settings_test.go
+++ b/side/models/lavsetting/settings_test.go
@@ -38,12 +38,12 @@
 
 func TestOverridesReplaceTheFile(t *testing.T) {
 	is := is.New(t)
-	settings, err := Read(file(t, valid), Overrides{"DrainTimeout": "3s", "Seeds": "127.0.0.1:8,127.0.0.1:9", "AnswerBytes": "77"})
+	settings, err := Read(file(t, valid), lavsettings.Overrides{"DrainTimeout": "3s", "Seeds": "127.0.0.1:8,127.0.0.1:9", "AnswerBytes": "77"})
 	is.NoErr(err)
 	is.Equal(settings.DrainTimeout.Duration, 3*time.Second)
 	is.Equal(settings.Seeds, []string{"127.0.0.1:8", "127.0.0.1:9"})
 	is.Equal(settings.AnswerBytes, int64(77))
-	_, err = Read(file(t, valid), Overrides{"AnswerBytes": "many"})
+	_, err = Read(file(t, valid), lavsettings.Overrides{"AnswerBytes": "many"})
 	is.True(err != nil)
 }
 
@@ -53,8 +53,8 @@
 	is.True(err != nil)
 }
 
-func TestNamesOfFlagsAndVariables(t *testing.T) {
+func TestOtherAddressesNeedTLS(t *testing.T) {
 	is := is.New(t)
-	is.Equal(FlagName("HostID"), "host-id")
-	is.Equal(EnvName("OperatorKeyHashes"), "LAVENDERSWITCH_OPERATOR_KEY_HASHES")
+	_, err := Read(file(t, valid), lavsettings.Overrides{"Address": "192.0.2.1:1"})
+	is.True(err != nil)
 }
