Tell readers of a lost call at once, and survive a fault in one attempt

A connection that ended before the answer's head was taken for the end of the body, and the attempt's goroutine failed on the missing head; the wait group kept that to itself, so that the attempt stayed open for ever. A silent connection was waited for until the deadline.

Change: the end of the body is an event of its own. A fault of the program in one attempt is logged with its stack, counted, and ends the attempt as in doubt. A silent call is in doubt once the service reports twice that it works on nothing; its outcome is still awaited apart from its readers and stored.

Ruled out: giving a call that may not be repeated up after a fixed time; a slow service would put every long call in doubt.

Without the count of empty reports, or without keeping the outcome apart, the new test fails.

--- a/side/routers/lavattempt/once_test.go
+++ b/side/routers/lavattempt/once_test.go
@@ -208,3 +208,30 @@
 	s.server.Close()
 	is.True(newSide(t, "s1", backend, table).send(submit("2")).head.GetStored())
 }
+
+// TestLostCallIsInDoubtAtOnce cuts the connection of a call, or keeps it open and silent after the work is done.
+func TestLostCallIsInDoubtAtOnce(t *testing.T) {
+	for name, during := range map[string]func(){"cut": func() { panic(http.ErrAbortHandler) }, "silent": func() { time.Sleep(6 * silence) }} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			backend, table := &service{during: during}, newRows()
+			first, second := newSide(t, "s1", backend, table), newSide(t, "s1", backend, table)
+			began := time.Now()
+			refusal := first.send(submit("1")).refusal
+			is.Equal(refusal.GetRunState(), lavwire.RunState_RUN_STATE_IN_DOUBT)
+			is.True(time.Since(began) < 4*silence)
+			running := second.send(submit("2")).refusal
+			is.Equal(running.GetKind(), lavwire.RefusalKind_REFUSAL_KIND_REQUEST_RUNNING)
+			attached := first.post("/attach", &lavwire.Attach{AttemptId: running.GetHolderAttemptId()})
+			is.Equal(attached.refusal.GetRunState(), lavwire.RunState_RUN_STATE_IN_DOUBT)
+			is.Equal(first.dispatcher.Metrics.Value("Panics"), int64(0))
+			if name == "cut" {
+				return
+			}
+			time.Sleep(4 * silence)
+			first.outbox.Flush(t.Context())
+			is.Equal(string(second.send(submit("3")).body), "receipt") // the late outcome was awaited and stored
+			is.Equal(backend.count(), 1)
+		})
+	}
+}
--- a/side/services/lavdispatch/dispatcher.go
+++ b/side/services/lavdispatch/dispatcher.go
@@ -7,9 +7,11 @@
 
 	"github.com/sirupsen/logrus"
 	"github.com/sourcegraph/conc"
+	"github.com/sourcegraph/conc/panics"
 
 	"lavenderswitch/core/models/lavconfig"
 	"lavenderswitch/core/models/lavid"
+	"lavenderswitch/core/modules/lavlog"
 	"lavenderswitch/core/modules/lavmetric"
 	"lavenderswitch/core/modules/lavtable"
 	"lavenderswitch/core/services/lavanswer"
@@ -126,12 +128,25 @@
 	d.count(1)
 	d.work.Go(func() {
 		defer cancel()
-		d.perform(ctx, run)
-		d.release(run, time.Now())
+		d.guard(run, func() { d.perform(ctx, run) })
 	})
 	return run
 }
 
+// guard releases a run in any case; a fault of this program in one attempt is logged and leaves the others alone.
+func (d *Dispatcher) guard(run *Run, work func()) {
+	var catcher panics.Catcher
+	catcher.Try(work)
+	now := time.Now()
+	if caught := catcher.Recovered(); caught != nil {
+		d.Log.WithField(lavlog.FieldAttempt, run.id()).WithField("stack", string(caught.Stack)).Error("attempt failed by a fault of this program; report it")
+		d.Metrics.Count("Panics", 1)
+		d.abandon(run, failed(run.Attempt))
+		d.holdings.End(run.id(), now)
+	}
+	d.release(run, now)
+}
+
 func (d *Dispatcher) newRun(attempt *lavwire.Attempt, now time.Time) *Run {
 	options := lavanswer.Options{Budget: d.Budget, Window: d.Limits.AnswerWindow, Whole: !attempt.GetIdempotent()}
 	run := &Run{Attempt: attempt, Buffer: lavanswer.New(options), arrived: now, alone: now, body: attempt.GetBody()}
--- a/side/services/lavdispatch/once.go
+++ b/side/services/lavdispatch/once.go
@@ -6,6 +6,7 @@
 
 	"lavenderswitch/core/models/lavid"
 	"lavenderswitch/core/modules/lavlog"
+	"lavenderswitch/core/services/lavanswer"
 	"lavenderswitch/core/services/lavledger"
 	"lavenderswitch/wire/lavwire"
 )
@@ -48,12 +49,16 @@
 		d.Outbox.Release(claim)
 		return
 	}
-	if !d.receive(ctx, run) {
+	buffer, sent := d.receive(ctx, run)
+	if !sent {
 		d.Outbox.Release(claim)
 		return
 	}
-	d.keepOutcome(run, claim)
-	d.finish(run)
+	d.keepOutcome(buffer, claim)
+	d.finish(run, buffer)
+	if buffer != run.Buffer {
+		buffer.Free()
+	}
 }
 
 // confirm reads the row again after a pause.
@@ -69,8 +74,8 @@
 	return asked, nil
 }
 
-func (d *Dispatcher) keepOutcome(run *Run, claim lavledger.Claim) {
-	view := run.Buffer.View(0)
+func (d *Dispatcher) keepOutcome(buffer *lavanswer.Buffer, claim lavledger.Claim) {
+	view := buffer.View(0)
 	if view.End == nil {
 		d.Metrics.Count("CallsInDoubt", 1)
 		d.Log.WithField(lavlog.FieldRequest, claim.Request).WithField(lavlog.FieldAccount, claim.Account).
--- a/side/services/lavdispatch/perform.go
+++ b/side/services/lavdispatch/perform.go
@@ -6,6 +6,7 @@
 
 	"lavenderswitch/core/models/lavid"
 	"lavenderswitch/core/modules/lavlog"
+	"lavenderswitch/core/services/lavanswer"
 	"lavenderswitch/core/services/lavbill"
 	"lavenderswitch/core/services/lavledger"
 	"lavenderswitch/wire/lavwire"
@@ -34,15 +35,15 @@
 		d.abandon(run, refusal)
 		return
 	}
-	d.receive(ctx, run)
-	d.finish(run)
+	buffer, _ := d.receive(ctx, run)
+	d.finish(run, buffer)
 }
 
 // finish bills a whole answer and remembers that the attempt has ended.
-func (d *Dispatcher) finish(run *Run) {
+func (d *Dispatcher) finish(run *Run, buffer *lavanswer.Buffer) {
 	now := time.Now()
 	d.holdings.End(run.id(), now)
-	view := run.Buffer.View(run.Buffer.Length())
+	view := buffer.View(buffer.Length())
 	if view.End == nil || view.Head.GetStored() || !run.Attempt.GetBill() {
 		return
 	}
--- a/side/services/lavdispatch/receive.go
+++ b/side/services/lavdispatch/receive.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"context"
-	"io"
 	"net/http"
 	"slices"
 	"time"
@@ -23,37 +22,47 @@
 	resumePause = 200 * time.Millisecond
 	// maxMissedStates without a reply mean that the engine is gone.
 	maxMissedStates = 3
+	// maxUnseen reports in a row that name no work mean that a call's answer is lost.
+	maxUnseen = 2
 	// maxSilence bounds the time between checks of a connection that stays silent.
 	maxSilence = 8 * time.Second
 )
 
 // reception brings the answer of one dispatched attempt into its buffer.
 type reception struct {
-	d       *Dispatcher
-	run     *Run
+	d   *Dispatcher
+	run *Run
+	// buffer is the run's until its readers are told of a doubt; the outcome is then kept apart.
+	buffer  *lavanswer.Buffer
 	source  *source
 	checker *lavanswer.Checker
 	sent    time.Time
 	silence time.Duration
 	resumes int
 	missed  int
+	// unseen counts reports in which a plain service works on nothing.
+	unseen int
 	// notSent says that the backend server was given no byte.
 	notSent bool
 }
 
-// receive dispatches a committed attempt and fills its buffer; it returns false when the backend server was given nothing.
-func (d *Dispatcher) receive(ctx context.Context, run *Run) bool {
-	r := &reception{d: d, run: run, sent: time.Now(), silence: d.Limits.SilenceTimeout}
+// receive dispatches a committed attempt; it returns the buffer with the outcome, and false when the backend server was given nothing.
+func (d *Dispatcher) receive(ctx context.Context, run *Run) (*lavanswer.Buffer, bool) {
+	r := d.newReception(run)
 	body := run.body
 	r.source = d.open(ctx, func(ctx context.Context) (*http.Response, error) { return d.Backend.Dispatch(ctx, run.Attempt, body) })
 	r.expectFirstToken()
 	r.loop(ctx)
-	return !r.notSent
+	return r.buffer, !r.notSent
+}
+
+func (d *Dispatcher) newReception(run *Run) *reception {
+	return &reception{d: d, run: run, buffer: run.Buffer, sent: time.Now(), silence: d.Limits.SilenceTimeout}
 }
 
 // resumeAnswer reads the answer of an attempt that an earlier process dispatched.
 func (d *Dispatcher) resumeAnswer(ctx context.Context, run *Run) {
-	r := &reception{d: d, run: run, sent: time.Now(), silence: d.Limits.SilenceTimeout}
+	r := d.newReception(run)
 	r.resume(ctx)
 	r.loop(ctx)
 }
@@ -62,7 +71,7 @@
 	defer func() { r.source.cancel() }()
 	timer := time.NewTimer(r.silence)
 	defer timer.Stop()
-	for !r.run.Buffer.View(r.run.Buffer.Length()).Finished() {
+	for !r.buffer.View(r.buffer.Length()).Finished() {
 		select {
 		case <-ctx.Done():
 			r.stopped()
@@ -78,7 +87,7 @@
 
 // stopped ends a run at its last moment, or when nobody wants its answer any more.
 func (r *reception) stopped() {
-	r.run.Buffer.Refuse(failed(r.run.Attempt))
+	r.buffer.Refuse(failed(r.run.Attempt))
 	if r.run.onModel() && r.run.Attempt.GetIdempotent() {
 		r.cancelAtEngine()
 	}
@@ -96,12 +105,12 @@
 		r.takeHead(e.response)
 	case e.data != nil:
 		r.takeData(ctx, e.data)
-	case errors.Is(e.err, io.EOF):
+	case e.ended:
 		r.takeEnd(ctx)
 	case errors.Is(e.err, lavbackend.ErrNotSent):
 		r.takeNotSent()
 	case errors.Is(e.err, lavbackend.ErrStreamUnknown):
-		r.run.Buffer.Refuse(failed(r.run.Attempt))
+		r.buffer.Refuse(failed(r.run.Attempt))
 	default:
 		r.recover(ctx)
 	}
@@ -109,11 +118,11 @@
 
 func (r *reception) takeNotSent() {
 	if !r.d.holdings.Revoke(r.run.id(), time.Now()) {
-		r.run.Buffer.Refuse(failed(r.run.Attempt))
+		r.buffer.Refuse(failed(r.run.Attempt))
 		return
 	}
 	r.notSent = true
-	r.run.Buffer.Refuse(notRun(lavwire.RefusalKind_REFUSAL_KIND_BACKEND_FAILED, "try another backend server"))
+	r.buffer.Refuse(notRun(lavwire.RefusalKind_REFUSAL_KIND_BACKEND_FAILED, "try another backend server"))
 }
 
 // takeHead refuses an answer that must not reach the caller and keeps the head of any other.
@@ -121,7 +130,7 @@
 	answered := response.Header.Get(lavbackend.HeaderVersion)
 	if refusal := judgeHead(r.run.Attempt, response.StatusCode, answered); refusal != nil {
 		r.d.Metrics.Count("Discarded", 1)
-		r.run.Buffer.Refuse(refusal)
+		r.buffer.Refuse(refusal)
 		if refusal.GetKind() == lavwire.RefusalKind_REFUSAL_KIND_WRONG_VERSION {
 			r.cancelAtEngine()
 		}
@@ -136,7 +145,7 @@
 			ContentType: contentType,
 		})
 	}
-	r.run.Buffer.SetHead(&lavwire.Head{
+	r.buffer.SetHead(&lavwire.Head{
 		AttemptId:   r.run.Attempt.GetAttemptId(),
 		StatusCode:  int32(response.StatusCode),
 		ContentType: contentType,
@@ -166,16 +175,17 @@
 }
 
 func (r *reception) takeData(ctx context.Context, data []byte) {
-	if !r.run.Attempt.GetIdempotent() && r.run.Buffer.Length()+uint64(len(data)) > uint64(r.d.Limits.MaxAnswerBytes) {
+	if !r.run.Attempt.GetIdempotent() && r.buffer.Length()+uint64(len(data)) > uint64(r.d.Limits.MaxAnswerBytes) {
 		r.d.Log.WithField(lavlog.FieldAttempt, r.run.id()).Error("answer is larger than MaxAnswerBytes; the call stays in doubt")
-		r.run.Buffer.Refuse(failed(r.run.Attempt))
+		r.buffer.Refuse(failed(r.run.Attempt))
 		return
 	}
-	if r.run.Buffer.Append(ctx, data) != nil {
+	if r.buffer.Append(ctx, data) != nil {
 		return
 	}
 	r.resumes = 0
 	r.missed = 0
+	r.unseen = 0
 	r.silence = r.d.Limits.SilenceTimeout
 	r.checker.Write(data)
 	r.countTokens(data)
@@ -189,13 +199,13 @@
 		return
 	}
 	r.tokensOfPlainAnswer(usage)
-	r.run.Buffer.Close(usage)
+	r.buffer.Close(usage)
 }
 
 // recover reads the rest of a cut answer from an engine; a plain service cannot give it again.
 func (r *reception) recover(ctx context.Context) {
 	if !r.run.onModel() || r.resumes >= maxResumes {
-		r.run.Buffer.Refuse(failed(r.run.Attempt))
+		r.buffer.Refuse(failed(r.run.Attempt))
 		return
 	}
 	if r.resumes > 0 {
@@ -210,36 +220,69 @@
 	if r.source != nil {
 		r.source.cancel()
 	}
-	from := r.run.Buffer.Length()
+	from := r.buffer.Length()
 	r.source = r.d.open(ctx, func(ctx context.Context) (*http.Response, error) { return r.d.Backend.Resume(ctx, r.run.id(), from) })
 }
 
 // check decides after a silence whether the backend server still works on the attempt.
 func (r *reception) check(ctx context.Context) {
-	if !r.run.onModel() {
-		r.checkCall()
-		return
-	}
 	state, err := r.d.Backend.ReadState(ctx)
-	switch {
-	case err != nil:
+	if err != nil {
 		r.missed++
 		if r.missed >= maxMissedStates {
-			r.run.Buffer.Refuse(failed(r.run.Attempt))
+			r.giveUp(ctx)
 		}
-	case slices.Contains(state.Streams, r.run.id()):
+		return
+	}
+	r.missed = 0
+	if r.run.onModel() {
+		r.checkStream(ctx, state)
+		return
+	}
+	r.checkCall(ctx, state)
+}
+
+func (r *reception) checkStream(ctx context.Context, state lavbackend.State) {
+	if slices.Contains(state.Streams, r.run.id()) {
 		r.silence = min(2*r.silence, maxSilence)
 		r.resume(ctx)
 		r.resumes = 0
-	case state.Waiting == 0 && time.Since(r.sent)-state.Age() > r.d.Limits.SilenceTimeout/2:
+		return
+	}
+	if state.Waiting == 0 && time.Since(r.sent)-state.Age() > r.d.Limits.SilenceTimeout/2 {
 		r.d.Backend.DropIdle()
-		r.run.Buffer.Refuse(failed(r.run.Attempt))
+		r.giveUp(ctx)
+	}
+}
+
+// checkCall gives a call up when the service works on nothing any more, and one that may be repeated also after CallTimeout.
+func (r *reception) checkCall(ctx context.Context, state lavbackend.State) {
+	r.unseen++
+	if state.Running+state.Waiting > 0 {
+		r.unseen = 0
+	}
+	late := r.run.Attempt.GetIdempotent() && time.Since(r.sent) >= r.d.Limits.CallTimeout
+	if r.unseen >= maxUnseen || late {
+		r.d.Backend.DropIdle()
+		r.giveUp(ctx)
 	}
 }
 
-// checkCall gives up a call that may be repeated; the outcome of any other is awaited.
-func (r *reception) checkCall() {
-	if r.run.Attempt.GetIdempotent() && time.Since(r.sent) >= r.d.Limits.CallTimeout {
+// giveUp refuses the attempt; the outcome of a call that may not be repeated is still awaited, apart from its readers.
+func (r *reception) giveUp(ctx context.Context) {
+	if r.run.Attempt.GetIdempotent() {
+		r.buffer.Refuse(failed(r.run.Attempt))
+		return
+	}
+	if r.buffer != r.run.Buffer {
+		return
+	}
+	known := r.run.Buffer.View(0)
+	r.buffer = lavanswer.New(lavanswer.Options{Budget: r.d.Budget, Whole: true})
+	if known.Head != nil {
+		r.buffer.SetHead(known.Head)
+	}
+	if r.buffer.Append(ctx, known.Body) == nil {
 		r.run.Buffer.Refuse(failed(r.run.Attempt))
 	}
 }
--- a/side/services/lavdispatch/report.go
+++ b/side/services/lavdispatch/report.go
@@ -122,9 +122,10 @@
 	d.count(1)
 	d.work.Go(func() {
 		defer cancel()
-		d.resumeAnswer(ctx, run)
-		d.holdings.End(run.id(), time.Now())
-		d.release(run, time.Now())
+		d.guard(run, func() {
+			d.resumeAnswer(ctx, run)
+			d.holdings.End(run.id(), time.Now())
+		})
 	})
 	return run
 }
--- a/side/services/lavdispatch/source.go
+++ b/side/services/lavdispatch/source.go
@@ -2,7 +2,10 @@
 
 import (
 	"context"
+	"io"
 	"net/http"
+
+	"github.com/pkg/errors"
 )
 
 const readBytes = 32 << 10
@@ -11,8 +14,9 @@
 type event struct {
 	response *http.Response
 	data     []byte
-	// err is io.EOF at the end of the body.
-	err error
+	// ended says that the body came to its end; err is any other end of the connection.
+	ended bool
+	err   error
 }
 
 // source reads one answer over one connection.
@@ -46,7 +50,7 @@
 			return
 		}
 		if err != nil {
-			s.send(ctx, event{err: err})
+			s.send(ctx, event{ended: errors.Is(err, io.EOF), err: err})
 			return
 		}
 	}
