--- a/side/routers/lavattempt/chat_test.go
+++ b/side/routers/lavattempt/chat_test.go
@@ -149,3 +149,13 @@
 		is.Equal(s.send(attempt).refusal.GetKind(), lavwire.RefusalKind_REFUSAL_KIND_MALFORMED)
 	}
 }
+
+// TestRestartOfTheEngineIsColdAtOnce lets the engine forget its streams, and then take no connection.
+func TestRestartOfTheEngineIsColdAtOnce(t *testing.T) {
+	is := is.New(t)
+	s := newSide(t, "engine", &engine{version: "v", half: cut, unknown: true}, newRows())
+	s.send(chat("1"))
+	is.Equal(s.dispatcher.Metrics.Value("ColdStarts"), int64(1))
+	gone := newSideAt(t, "engine", "http://127.0.0.1:1", newRows())
+	is.Equal(gone.dispatcher.Metrics.Value("ColdStarts"), int64(1))
+}
--- a/side/services/lavdispatch/load.go
+++ b/side/services/lavdispatch/load.go
@@ -3,8 +3,11 @@
 import (
 	"context"
 	"slices"
+	"syscall"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"lavenderswitch/core/models/lavid"
 	"lavenderswitch/core/modules/lavlog"
 	"lavenderswitch/core/modules/lavplatform"
@@ -45,7 +48,7 @@
 	now := time.Now()
 	if err != nil {
 		d.Log.WithError(err).WithField(lavlog.FieldServer, d.Server).Warning("backend server gave no state; trying again at the next tick")
-		d.missState(now)
+		d.missState(err, now)
 		return lavbackend.State{}, false
 	}
 	d.takeState(state, now)
@@ -67,7 +70,10 @@
 	return slices.ContainsFunc(before, func(version lavid.VersionID) bool { return !slices.Contains(now, version) })
 }
 
-func (d *Dispatcher) missState(now time.Time) {
+func (d *Dispatcher) missState(err error, now time.Time) {
+	if errors.Is(err, syscall.ECONNREFUSED) {
+		d.coldStart(now)
+	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if !d.stateRead.IsZero() && now.Sub(d.stateRead) > staleState {
@@ -76,6 +82,12 @@
 	}
 }
 
+// coldStart returns the limit to its start, because the backend server was or is about to be started anew.
+func (d *Dispatcher) coldStart(now time.Time) {
+	d.Metrics.Count("ColdStarts", 1)
+	d.limit().Restart(now)
+}
+
 func (d *Dispatcher) reportedFirstToken() time.Duration {
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/side/services/lavdispatch/receive.go
+++ b/side/services/lavdispatch/receive.go
@@ -110,6 +110,7 @@
 	case errors.Is(e.err, lavbackend.ErrNotSent):
 		r.takeNotSent()
 	case errors.Is(e.err, lavbackend.ErrStreamUnknown):
+		r.d.coldStart(time.Now())
 		r.buffer.Refuse(failed(r.run.Attempt))
 	default:
 		r.recover(ctx)
@@ -117,6 +118,7 @@
 }
 
 func (r *reception) takeNotSent() {
+	r.d.coldStart(time.Now())
 	if !r.d.holdings.Revoke(r.run.id(), time.Now()) {
 		r.buffer.Refuse(failed(r.run.Attempt))
 		return
