Carry reserved room from the queue to the backend server

Cause: the side process keeps a tenth of its limit for accounts within their part, but the entry host counted on all of it; its attempts were refused as full and used up the retry budget. Ruled out: reporting a lower limit, which hides the reserved part from those who may use it; charging refusals for want of room, which run nothing and queue again.

--- a/core/services/lavretry/budget.go
+++ b/core/services/lavretry/budget.go
@@ -100,7 +100,7 @@
 const (
 	// Unreachable says that nothing answered.
 	Unreachable Refusal = iota
-	// Full says that the server has no room now.
+	// Full says that the server has no room now; the request queues again.
 	Full
 	// Behind says that this host's knowledge was old and the refusal corrected it.
 	Behind
@@ -108,7 +108,7 @@
 
 // Costs tells whether a further attempt after the refusal is taken from the budget.
 func (r Refusal) Costs() bool {
-	return r != Behind
+	return r == Unreachable
 }
 
 // Backoff returns the pause before a further attempt, with full jitter from random in [0, 1).
--- a/entry/cmd/host.go
+++ b/entry/cmd/host.go
@@ -86,6 +86,7 @@
 		dump:     lavdump.NewRegistry(),
 	}
 	h.gate = lavgate.New(h.current, h.fleet)
+	h.gate.MaxWait = settings.QueueTimeout.Duration
 	h.peerClient = &http.Client{Transport: lavattempt.NewTransport()}
 	h.addSpread()
 	h.bills = &lavbill.Writer{Pending: lavbill.NewPending(lavbill.MaxPending), Rows: h.platform, Log: log}
--- a/entry/models/lavsetting/settings.go
+++ b/entry/models/lavsetting/settings.go
@@ -37,6 +37,8 @@
 	ReadinessDelay lavsettings.Duration
 	// RequestTimeout bounds a request whose caller states no other.
 	RequestTimeout lavsettings.Duration
+	// QueueTimeout bounds the time that a request waits for room at backend servers.
+	QueueTimeout lavsettings.Duration
 	// SilenceTimeout is how long a stream may stay without a frame before it is attached again.
 	SilenceTimeout lavsettings.Duration
 }
@@ -75,6 +77,7 @@
 		DrainTimeout:   lavsettings.Duration{Duration: 2 * time.Minute},
 		ReadinessDelay: lavsettings.Duration{Duration: 2 * time.Second},
 		RequestTimeout: lavsettings.Duration{Duration: time.Minute},
+		QueueTimeout:   lavsettings.Duration{Duration: 10 * time.Second},
 		SilenceTimeout: lavsettings.Duration{Duration: time.Second},
 	}
 }
@@ -95,6 +98,7 @@
 	faults.Add(s.DrainTimeout.Duration > 0, "DrainTimeout", s.DrainTimeout, "give a time above zero")
 	faults.Add(s.ReadinessDelay.Duration >= 0, "ReadinessDelay", s.ReadinessDelay, "give a time of zero or more")
 	faults.Add(s.RequestTimeout.Duration > 0, "RequestTimeout", s.RequestTimeout, "give a time above zero")
+	faults.Add(s.QueueTimeout.Duration > 0, "QueueTimeout", s.QueueTimeout, "give a time above zero")
 	faults.Add(s.SilenceTimeout.Duration > 0, "SilenceTimeout", s.SilenceTimeout, "give a time above zero")
 	return faults.Err()
 }
--- a/entry/services/lavfleet/choose.go
+++ b/entry/services/lavfleet/choose.go
@@ -9,6 +9,7 @@
 	"lavenderswitch/core/models/lavconfig"
 	"lavenderswitch/core/models/lavid"
 	"lavenderswitch/core/services/lavbalance"
+	"lavenderswitch/core/services/lavlimit"
 	"lavenderswitch/core/services/lavprefix"
 )
 
@@ -17,6 +18,8 @@
 	Version  lavid.VersionID
 	Service  lavid.ServiceID
 	Excluded []lavid.BackendServerID
+	// Reserved says that the attempt may use the room that is kept for accounts within their part.
+	Reserved bool
 	// Prefix is the hash of the prompt's first bytes; zero when there is none.
 	Prefix lavprefix.Hash
 }
@@ -64,7 +67,7 @@
 		DataCentre: row.DataCentre,
 		Running:    int(server.Load.GetRunning()),
 		Waiting:    int(server.Load.GetWaiting()),
-		Limit:      max(limit, 1),
+		Limit:      max(lavlimit.Usable(limit, need.Reserved), 1),
 		Reported:   server.Reported,
 		Own:        server.Own,
 		OwnSince:   server.OwnSince,
@@ -115,6 +118,8 @@
 	Servers int
 	// Room counts the requests that the limits leave open.
 	Room int
+	// ReservedRoom is Room with the part of the limits that is reserved.
+	ReservedRoom int
 	// Limit sums the limits.
 	Limit int
 }
@@ -122,11 +127,14 @@
 // Pool returns the state of the servers that may meet a need.
 func (f *Fleet) Pool(document *lavconfig.Document, need Need, now time.Time) Pool {
 	var pool Pool
+	need.Reserved = true
 	for _, candidate := range f.Candidates(document, need, now) {
 		limit := max(1, int(float64(candidate.Limit)*float64(candidate.Admitted)))
+		used := candidate.Running + candidate.Waiting + candidate.OwnSince
 		pool.Servers++
 		pool.Limit += limit
-		pool.Room += max(0, limit-candidate.Running-candidate.Waiting-candidate.OwnSince)
+		pool.Room += max(0, lavlimit.Usable(limit, false)-used)
+		pool.ReservedRoom += max(0, limit-used)
 	}
 	return pool
 }
--- a/entry/services/lavgate/gate.go
+++ b/entry/services/lavgate/gate.go
@@ -39,6 +39,8 @@
 	lavlife.Part
 	configs Configs
 	rooms   Rooms
+	// MaxWait bounds the time in a queue; zero leaves it to the request's deadline.
+	MaxWait time.Duration
 
 	mu       sync.Mutex
 	progress map[lavid.AccountID]int
@@ -85,21 +87,21 @@
 	}
 }
 
-// Enter returns when the pool has room for the request, or refuses it at once.
+// Enter returns when the pool has room for the request, or refuses it at once; true says that the room is reserved.
 //
 // A request that backend servers have just refused as full enters again with
 // full set, and waits even if the reported loads leave room.
-func (g *Gate) Enter(ctx context.Context, request *lavrequest.Request, key lavrequest.Pool, full bool) error {
+func (g *Gate) Enter(ctx context.Context, request *lavrequest.Request, key lavrequest.Pool, full bool) (bool, error) {
 	ready, err := g.push(request, key, full, time.Now())
 	if err != nil || ready == nil {
-		return err
+		return false, err
 	}
 	select {
 	case <-ready.turn:
-		return ready.err
+		return ready.ticket.Reserved(), ready.err
 	case <-ctx.Done():
 		g.remove(key, ready)
-		return laverror.New(laverror.KindTimeout, "the request's time is over before a server had room", "retry with more time").WithRetryAfter(retryAfterBusy)
+		return false, laverror.New(laverror.KindTimeout, "the request's time is over before a server had room", "retry with more time").WithRetryAfter(retryAfterBusy)
 	}
 }
 
@@ -130,7 +132,7 @@
 		Account:  request.Account,
 		Weight:   document.ClientAccounts[request.Account].Weight,
 		Tokens:   tokens(request),
-		Deadline: request.Deadline,
+		Deadline: g.deadline(request, now),
 		Value:    place,
 	}, now)
 	if refusal != nil {
@@ -140,6 +142,15 @@
 	return place, nil
 }
 
+// deadline is when a request stops waiting for room.
+func (g *Gate) deadline(request *lavrequest.Request, now time.Time) time.Time {
+	latest := now.Add(g.MaxWait)
+	if g.MaxWait <= 0 || request.Deadline.Before(latest) {
+		return request.Deadline
+	}
+	return latest
+}
+
 func (g *Gate) pool(key lavrequest.Pool, now time.Time) *pool {
 	row, ok := g.pools[key]
 	if !ok {
@@ -192,8 +203,8 @@
 		turnOf(ticket).end(expired.WithRetryAfter(retryAfterBusy))
 	}
 	room := g.rooms.Pool(document, needOf(key), now)
-	for row.passed < room.Room {
-		ticket, ok := row.queue.Pop(lavqueue.AnyRoom, now)
+	for {
+		ticket, ok := row.queue.Pop(roomLeft(room, row.passed), now)
 		if !ok {
 			return
 		}
@@ -203,6 +214,18 @@
 	}
 }
 
+// roomLeft says what room a pool has after some requests have passed.
+func roomLeft(room lavfleet.Pool, passed int) lavqueue.Room {
+	switch {
+	case passed < room.Room:
+		return lavqueue.AnyRoom
+	case passed < room.ReservedRoom:
+		return lavqueue.ReservedRoom
+	default:
+		return lavqueue.NoRoom
+	}
+}
+
 func turnOf(ticket *lavqueue.Ticket) *waiting {
 	place, ok := ticket.Value.(*waiting)
 	if !ok {
--- a/entry/services/lavgate/gate_test.go
+++ b/entry/services/lavgate/gate_test.go
@@ -30,7 +30,7 @@
 func TestEnterRefusesAtOnceWhenNoServerIsInService(t *testing.T) {
 	is := is.New(t)
 	rooms := &fakeRooms{}
-	err := New(rooms, rooms).Enter(t.Context(), request(time.Minute), lavrequest.Pool{}, false)
+	_, err := New(rooms, rooms).Enter(t.Context(), request(time.Minute), lavrequest.Pool{}, false)
 	is.True(laverror.Is(err, laverror.KindNoServer))
 	is.True(laverror.As(err).RetryAfter > 0)
 }
@@ -62,7 +62,8 @@
 	is.True(place != nil)
 	ctx, cancel := context.WithCancel(t.Context())
 	cancel()
-	is.True(laverror.Is(gate.Enter(ctx, request(time.Minute), lavrequest.Pool{}, true), laverror.KindTimeout))
+	_, err = gate.Enter(ctx, request(time.Minute), lavrequest.Pool{}, true)
+	is.True(laverror.Is(err, laverror.KindTimeout))
 }
 
 func TestWaitingRequestIsRefusedWhenItsTimeIsOver(t *testing.T) {
@@ -88,3 +89,24 @@
 	_, err = gate.Begin(request(time.Minute))
 	is.NoErr(err)
 }
+
+func TestReservedRoomIsLeftToAccountsWithinTheirPart(t *testing.T) {
+	is := is.New(t)
+	rooms := &fakeRooms{pool: lavfleet.Pool{Servers: 1, ReservedRoom: 1}}
+	gate := New(rooms, rooms)
+	place, err := gate.push(request(time.Minute), lavrequest.Pool{}, false, time.Now())
+	is.NoErr(err)
+	is.True(place.ticket.Reserved())
+	gate.Pump(time.Now())
+	<-place.turn
+	is.NoErr(place.err)
+}
+
+func TestQueueTimeIsBounded(t *testing.T) {
+	is := is.New(t)
+	gate := New(nil, nil)
+	gate.MaxWait = time.Second
+	now := time.Now()
+	is.Equal(gate.deadline(&lavrequest.Request{Deadline: now.Add(time.Minute)}, now), now.Add(time.Second))
+	is.Equal(gate.deadline(&lavrequest.Request{Deadline: now.Add(time.Millisecond)}, now), now.Add(time.Millisecond))
+}
--- a/entry/services/lavserve/serve_test.go
+++ b/entry/services/lavserve/serve_test.go
@@ -114,9 +114,9 @@
 
 func (f *fake) Begin(*lavrequest.Request) (func(), error) { return func() {}, nil }
 
-func (f *fake) Enter(context.Context, *lavrequest.Request, lavrequest.Pool, bool) error {
+func (f *fake) Enter(context.Context, *lavrequest.Request, lavrequest.Pool, bool) (bool, error) {
 	f.enters++
-	return nil
+	return false, nil
 }
 
 func (f *fake) Hold(_ context.Context, batch *lavwire.BillBatch) (*lavwire.BillAck, error) {
--- a/entry/services/lavserve/stage.go
+++ b/entry/services/lavserve/stage.go
@@ -29,7 +29,7 @@
 // Gate holds a request until the pool that it needs has room, or refuses it at once.
 type Gate interface {
 	Begin(request *lavrequest.Request) (func(), error)
-	Enter(ctx context.Context, request *lavrequest.Request, pool lavrequest.Pool, full bool) error
+	Enter(ctx context.Context, request *lavrequest.Request, pool lavrequest.Pool, full bool) (bool, error)
 }
 
 // stage is one version, or a plain service, to be tried at backend servers until one answers.
@@ -72,7 +72,8 @@
 func (t *tries) enter(ctx context.Context, full bool) error {
 	began := time.Now()
 	pool := lavrequest.Pool{Version: t.stage.version, Service: t.request.Service}
-	err := t.Gate.Enter(ctx, t.request, pool, full)
+	reserved, err := t.Gate.Enter(ctx, t.request, pool, full)
+	t.need.Reserved = reserved
 	waited := time.Since(began)
 	t.Metrics.Observe(metricQueued, waited)
 	if waited > notableWait {
@@ -175,6 +176,7 @@
 		Idempotent:      t.request.Idempotent,
 		Stream:          t.request.Stream,
 		SessionId:       string(t.request.Session),
+		Priority:        priorityOf(t.need.Reserved),
 		EstimatedTokens: int64(t.request.EstimatedTokens),
 		Method:          t.request.Method,
 		Path:            t.request.Path,
@@ -214,3 +216,13 @@
 	}
 	return lavprefix.Hash(xxhash.Sum64(body.Messages[:min(prefixBytes, len(body.Messages))]))
 }
+
+// reservedPriority marks an attempt that may use reserved room and goes before others at its backend server.
+const reservedPriority = 1
+
+func priorityOf(reserved bool) int32 {
+	if reserved {
+		return reservedPriority
+	}
+	return 0
+}
--- a/side/services/lavdispatch/admit.go
+++ b/side/services/lavdispatch/admit.go
@@ -6,6 +6,7 @@
 
 	"lavenderswitch/core/models/lavid"
 	"lavenderswitch/core/services/lavadmission"
+	"lavenderswitch/core/services/lavlimit"
 	"lavenderswitch/wire/lavwire"
 )
 
@@ -25,7 +26,7 @@
 	if d.Bills.Full() {
 		return storeUnavailable()
 	}
-	permit, ok := d.limit().Admit(lavid.Tokens(run.Attempt.GetEstimatedTokens()), time.Now())
+	permit, ok := d.reserve(run.Attempt, time.Now())
 	if !ok {
 		document := d.Configs.InForce(time.Now())
 		return lavadmission.Decide(document, d.server(true), run.Attempt)
@@ -34,6 +35,15 @@
 	return nil
 }
 
+// reserve takes room at the limit; an attempt with priority may use the part that is reserved.
+func (d *Dispatcher) reserve(attempt *lavwire.Attempt, now time.Time) (*lavlimit.Permit, bool) {
+	tokens := lavid.Tokens(attempt.GetEstimatedTokens())
+	if attempt.GetPriority() > 0 {
+		return d.limit().AdmitReserved(tokens, now)
+	}
+	return d.limit().Admit(tokens, now)
+}
+
 // decide is the decision of this moment; it is taken again right before dispatch.
 func (d *Dispatcher) decide(run *Run, now time.Time) *lavwire.Refusal {
 	document := d.Configs.InForce(now)
--- a/tests/measures/lavload/surge.go
+++ b/tests/measures/lavload/surge.go
@@ -18,8 +18,8 @@
 const (
 	surgeEngines   = 4
 	surgeEntries   = 2
-	surgeBears     = 16
-	surgeSlope     = 0.03
+	surgeBears     = 64
+	surgeSlope     = 0.1
 	surgeTokens    = 40
 	surgeFirst     = 100 * time.Millisecond
 	fastBetween    = 15 * time.Millisecond
@@ -31,11 +31,12 @@
 	promptVariants = 200
 )
 
-// engineRate is how many requests a second an engine carries with as many running as it bears.
+// engineRate is how many requests a second an engine carries at the target between tokens.
 func engineRate(between time.Duration) float64 {
-	slow := 1 + surgeSlope*(surgeBears-1)
+	slow := float64(betweenTokensTarget) / float64(between)
+	running := 1 + (slow-1)/surgeSlope
 	whole := slow * (surgeFirst + surgeTokens*between).Seconds()
-	return surgeBears / whole
+	return running / whole
 }
 
 func surgeCapacity() float64 {
@@ -52,7 +53,7 @@
 		if i >= surgeEngines/2 {
 			between = slowBetween
 		}
-		err = firstError(err, f.AddServer(lavid.DataCentreID(fmt.Sprint("dc-", i%2)), 4*surgeBears,
+		err = firstError(err, f.AddServer(lavid.DataCentreID(fmt.Sprint("dc-", i%2)), surgeBears,
 			"--capacity", fmt.Sprint(surgeBears), "--batch-slope", fmt.Sprint(surgeSlope),
 			"--first-token", surgeFirst.String(), "--between-tokens", between.String(), "--tokens", fmt.Sprint(surgeTokens)))
 	}
--- a/tests/measures/lavprocess/fleet.go
+++ b/tests/measures/lavprocess/fleet.go
@@ -53,6 +53,9 @@
 	BackendServer string `json:",omitempty"`
 }
 
+// queueTimeout keeps the time to the first token of what is admitted within its target.
+const queueTimeout = "1500ms"
+
 // readyTime bounds the start of a fleet.
 const readyTime = 20 * time.Second
 
@@ -139,6 +142,7 @@
 		"HostID": name, "DataCentre": dataCentre, "CallerAddress": addresses[0], "OperatorAddress": addresses[1],
 		"PeerAddress": addresses[2], "PlatformAddress": "http://" + f.front,
 		"OperatorKeyHashes": []string{hash(operatorKey)}, "LogLevel": "warning",
+		"QueueTimeout": queueTimeout,
 	}
 	f.hosts = append(f.hosts, host{ID: name, Role: "Entry", Address: addresses[2], DataCentre: string(dataCentre)})
 	entry, err := f.run(name, addresses[0], "lavenderswitch-entry", settings)
