Count the queue time from the arrival of a request

Cause: a request that was refused as full entered the queue with a new bound. Ruled out: a bound on the number of entries, which depends on how often loads are reported.

--- a/entry/services/lavgate/gate.go
+++ b/entry/services/lavgate/gate.go
@@ -39,7 +39,7 @@
 	lavlife.Part
 	configs Configs
 	rooms   Rooms
-	// MaxWait bounds the time in a queue; zero leaves it to the request's deadline.
+	// MaxWait bounds the time from a request's arrival that it waits for room; zero leaves it to the request's deadline.
 	MaxWait time.Duration
 
 	mu       sync.Mutex
@@ -132,7 +132,7 @@
 		Account:  request.Account,
 		Weight:   document.ClientAccounts[request.Account].Weight,
 		Tokens:   tokens(request),
-		Deadline: g.deadline(request, now),
+		Deadline: g.deadline(request),
 		Value:    place,
 	}, now)
 	if refusal != nil {
@@ -143,8 +143,8 @@
 }
 
 // deadline is when a request stops waiting for room.
-func (g *Gate) deadline(request *lavrequest.Request, now time.Time) time.Time {
-	latest := now.Add(g.MaxWait)
+func (g *Gate) deadline(request *lavrequest.Request) time.Time {
+	latest := request.Arrived.Add(g.MaxWait)
 	if g.MaxWait <= 0 || request.Deadline.Before(latest) {
 		return request.Deadline
 	}
