--- a/entry/cmd/check_settings.go
+++ b/entry/cmd/check_settings.go
@@ -6,6 +6,7 @@
 
 	"github.com/urfave/cli/v3"
 
+	"lavenderswitch/core/modules/lavflag"
 	"lavenderswitch/entry/models/lavsetting"
 )
 
@@ -13,9 +14,9 @@
 	return &cli.Command{
 		Name:  "check-settings",
 		Usage: "list every fault of a settings file and start nothing",
-		Flags: []cli.Flag{settingsFlag()},
+		Flags: lavflag.Flags(&lavsetting.Settings{}),
 		Action: func(_ context.Context, command *cli.Command) error {
-			if _, err := lavsetting.Read(command.String(flagSettings)); err != nil {
+			if _, err := readSettings(command); err != nil {
 				return err
 			}
 			fmt.Fprintln(command.Root().Writer, "settings are valid")
