Measure a data centre that leaves and returns on processes

Cause: the data centre row was driven directly only. Ruled out: the relay of the fault matrix, whose cost would be measured too. Conclusion: arrivals are read from the engine's own record.

--- a/tests/measures/lavload/measures.go
+++ b/tests/measures/lavload/measures.go
@@ -11,5 +11,6 @@
 		{Name: "fairness", Run: Fairness},
 		{Name: "overhead", Run: Overhead},
 		{Name: "surge", Run: Surge},
+		{Name: "outage", Run: Outage},
 	}
 }
--- /dev/null
+++ b/tests/measures/lavload/outage.go
@@ -0,0 +1,185 @@
+package lavload
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/sourcegraph/conc"
+
+	"lavenderswitch/core/models/lavconfig"
+	"lavenderswitch/core/models/lavid"
+	"lavenderswitch/tests/measures/lavprocess"
+	"lavenderswitch/tests/measures/lavreport"
+)
+
+const (
+	outageCentres = 3
+	outageLoad    = 0.6
+	outageLeave   = 6 * time.Second
+	outageReturn  = 14 * time.Second
+	outageEnd     = 24 * time.Second
+	outageBefore  = 3 * time.Second
+)
+
+// timed is one answer with the time at which its request was sent.
+type timed struct {
+	sent   time.Duration
+	answer lavprocess.Answer
+	failed bool
+}
+
+// Outage measures a data centre that operators take out under load and bring back, on processes.
+func Outage(options lavreport.Options) ([]lavreport.Row, error) {
+	f, err := outageFleet()
+	if err != nil {
+		return nil, err
+	}
+	defer f.Stop()
+	var left time.Time
+	var patchErr error
+	began := time.Now()
+	var group conc.WaitGroup
+	group.Go(func() {
+		time.Sleep(outageLeave)
+		patchErr = f.Patch(setCentreState(lavconfig.OutOfService))
+		left = time.Now()
+		time.Sleep(time.Until(began.Add(outageReturn)))
+		patchErr = firstError(patchErr, f.Patch(setCentreState(lavconfig.InService)))
+	})
+	sent := sendTimed(newTarget(f, chooseTwo), outageLoad*outageCentres*engineRate(fastBetween), outageEnd)
+	group.Wait()
+	if patchErr != nil {
+		return nil, patchErr
+	}
+	stop, err := lastArrival(f.Engines[0], left, began.Add(outageReturn))
+	if err != nil {
+		return nil, err
+	}
+	return []lavreport.Row{outageRow(sent, stop, options.Seed)}, nil
+}
+
+func outageFleet() (*lavprocess.Fleet, error) {
+	f, err := lavprocess.New(programs)
+	if err != nil {
+		return nil, err
+	}
+	for i := range outageCentres {
+		dataCentre := lavid.DataCentreID(fmt.Sprint("dc-", i))
+		err = firstError(err, f.AddServer(dataCentre, surgeBears,
+			"--capacity", fmt.Sprint(surgeBears), "--batch-slope", fmt.Sprint(surgeSlope),
+			"--first-token", surgeFirst.String(), "--between-tokens", fastBetween.String(), "--tokens", fmt.Sprint(surgeTokens)))
+		if err == nil {
+			err = f.AddEntry(dataCentre)
+		}
+	}
+	if err == nil {
+		err = f.Ready()
+	}
+	if err != nil {
+		f.Stop()
+		return nil, err
+	}
+	return f, nil
+}
+
+func setCentreState(state lavconfig.ServingState) lavprocess.Operation {
+	return lavprocess.Operation{Op: "replace", Path: "/DataCentres/dc-0/State", Value: state}
+}
+
+// sendTimed sends requests at an even rate and returns them in the order of sending.
+func sendTimed(t *target, rate float64, length time.Duration) []timed {
+	ctx, cancel := context.WithTimeout(context.Background(), length+surgeEnd)
+	defer cancel()
+	count := int(rate * length.Seconds())
+	all := make([]timed, count)
+	began := time.Now()
+	var group conc.WaitGroup
+	for i := range count {
+		at := time.Duration(float64(i) / rate * float64(time.Second))
+		time.Sleep(time.Until(began.Add(at)))
+		index := t.pick(nil)
+		group.Go(func() {
+			answer, err := t.send(ctx, index, fmt.Sprint("prompt ", i%promptVariants))
+			all[i] = timed{sent: at, answer: answer, failed: err != nil || !answer.Complete}
+		})
+	}
+	group.Wait()
+	return all
+}
+
+type engineTruth struct{ Runs []struct{ Arrived time.Time } }
+
+// lastArrival returns how long after the leave an engine was last given work, before the return.
+func lastArrival(engine *lavprocess.Process, left, returned time.Time) (time.Duration, error) {
+	response, err := http.Get("http://" + engine.Address + "/truth") //nolint:noctx // the stand-in answers at once
+	if err != nil {
+		return 0, errors.Wrap(err, "read the engine's runs")
+	}
+	defer response.Body.Close()
+	data, err := io.ReadAll(response.Body)
+	if err != nil {
+		return 0, errors.Wrap(err, "read the engine's runs")
+	}
+	var truth engineTruth
+	if err := json.Unmarshal(data, &truth); err != nil {
+		return 0, errors.Wrap(err, "decode the engine's runs")
+	}
+	last := time.Duration(0)
+	for _, run := range truth.Runs {
+		if run.Arrived.After(left) && run.Arrived.Before(returned) {
+			last = max(last, run.Arrived.Sub(left))
+		}
+	}
+	return last, nil
+}
+
+func outageRow(sent []timed, stop time.Duration, seed uint64) lavreport.Row {
+	lost := 0
+	for _, one := range sent {
+		if one.failed {
+			lost++
+		}
+	}
+	before := quantile(firstOf(sent, outageBefore, outageLeave), tail)
+	during := quantile(firstOf(sent, outageLeave, outageReturn), tail)
+	normal := outageNormal(sent, time.Duration(normalFactor*float64(before)))
+	return lavreport.Row{
+		Measure: "data centre (processes)", Case: "1 of 3 out at 0.6x and back", Policy: whole().name, Seed: seed,
+		Figures: []lavreport.Figure{
+			lavreport.Number("new work stopped s", stop.Seconds(), 2),
+			lavreport.Number("sent", float64(len(sent)), 0),
+			lavreport.Number("not answered", float64(lost), 0),
+			lavreport.Number("first p95 before ms", millis(before), 0),
+			lavreport.Number("during ms", millis(during), 0),
+			lavreport.Number("normal after return s", normal.Seconds(), 0),
+		},
+		Aim:     "stops in 4 s, none lost, normal in 10 s",
+		Verdict: lavreport.Judge(stop <= stopAim && lost == 0 && normal <= normalAim),
+	}
+}
+
+// outageNormal returns how long after the return a second's p95 was last above a limit.
+func outageNormal(sent []timed, limit time.Duration) time.Duration {
+	last := outageReturn
+	for at := outageReturn; at < outageEnd; at += time.Second {
+		if quantile(firstOf(sent, at, at+time.Second), tail) > limit {
+			last = at + time.Second
+		}
+	}
+	return last - outageReturn
+}
+
+func firstOf(sent []timed, from, until time.Duration) []time.Duration {
+	var samples []time.Duration
+	for _, one := range sent {
+		if one.sent >= from && one.sent < until && !one.failed {
+			samples = append(samples, one.answer.First)
+		}
+	}
+	return samples
+}
