--- a/entry/cmd/host.go
+++ b/entry/cmd/host.go
@@ -88,6 +88,7 @@
 		dump:     lavdump.NewRegistry(),
 	}
 	h.gate = lavgate.New(h.current, h.fleet)
+	h.gate.MaxWait = settings.QueueTimeout.Duration
 	client, err := settings.TLS.Client()
 	if err != nil {
 		return nil, err
