Fault matrix: a data centre that goes out unseen, attempts of streams

Cause: no cell let a side process sleep through a change and then act on what it knew before. The column freezes it for 4.5 s while its data centre goes out; 5.5 s was tried first and ruled out, because the listener's limit on headers then closed the connection before the attempt was read, so that the cell could not fail.

The entry hosts get seeds, as their settings now allow.

--- a/tests/modules/lavcluster/cluster.go
+++ b/tests/modules/lavcluster/cluster.go
@@ -191,6 +191,7 @@
 			OperatorAddress:   c.address(entry + " operators"),
 			PeerAddress:       c.address(entry + " peers"),
 			PlatformAddress:   c.url(HopEntryStore, entry),
+			Seeds:             c.seeds(),
 			OperatorKeyHashes: []string{hashOf(OperatorKey)},
 			RequestTimeout:    "20s",
 			LogLevel:          "info",
@@ -200,6 +201,15 @@
 	}
 }
 
+// seeds returns the addresses of all entry hosts for other hosts of the fleet.
+func (c *Cluster) seeds() []string {
+	var addresses []string
+	for _, entry := range Entries() {
+		addresses = append(addresses, c.routes[route(HopPeers, entry)].listen)
+	}
+	return addresses
+}
+
 // putHosts fills the host list with every entry host and side process.
 func (c *Cluster) putHosts() {
 	var hosts []lavplatform.Host
--- a/tests/modules/lavcluster/settings.go
+++ b/tests/modules/lavcluster/settings.go
@@ -20,6 +20,7 @@
 	OperatorAddress   string
 	PeerAddress       string
 	PlatformAddress   string
+	Seeds             []string
 	OperatorKeyHashes []string
 	RequestTimeout    string
 	LogLevel          string
--- a/tests/modules/lavmatrix/cell.go
+++ b/tests/modules/lavmatrix/cell.go
@@ -45,6 +45,9 @@
 admitted/late write
 admitted/store down
 admitted/kill side
+admitted/data centre out unseen
+attempt sent/data centre out unseen
+stream sent/data centre out unseen
 admitted/silent side-platform
 attempt sent/cut entry-side
 attempt sent/silent entry-side
--- a/tests/modules/lavmatrix/fault.go
+++ b/tests/modules/lavmatrix/fault.go
@@ -40,6 +40,8 @@
 	// lateHosts is the lag of a late host list.
 	lateHosts = 2 * time.Second
 	coldTime  = 3 * time.Second
+	// unseenTime is how long a side process stays frozen while its data centre goes out of service.
+	unseenTime = inForce + 500*time.Millisecond
 )
 
 func entryOf(c *Case) string   { return c.Entry }
@@ -136,6 +138,16 @@
 			dataCentre := lavcluster.DataCentreOf(c.Backend)
 			c.operate(DataCentreOut, string(dataCentre), lavcluster.TakeOut(dataCentre))
 		}},
+		{
+			Name: "data centre out unseen",
+			hold: unseenTime,
+			apply: func(c *Case) {
+				c.Process(sideOf(c)).Freeze()
+				dataCentre := lavcluster.DataCentreOf(c.Backend)
+				c.operate(DataCentreOut, string(dataCentre), lavcluster.TakeOut(dataCentre))
+			},
+			heal: func(c *Case) { c.Process(sideOf(c)).Thaw() },
+		},
 		{Name: "prices changed", apply: func(c *Case) {
 			c.operate(ConfigAccepted, "prices", lavcluster.SetPrices(lavcluster.Version2, 0, 1))
 		}},
--- a/tests/modules/lavmatrix/pair.go
+++ b/tests/modules/lavmatrix/pair.go
@@ -43,6 +43,9 @@
 	if len(fault.platform) > 0 {
 		return "platform"
 	}
+	if fault.Name == "data centre out unseen" {
+		return "side"
+	}
 	verb, rest, _ := strings.Cut(fault.Name, " ")
 	if verb == "kill" || verb == "freeze" || verb == "cut" || verb == "silent" {
 		return rest
@@ -75,7 +78,7 @@
 // needsStore tells whether an operator's patch would meet a store or entry host that cannot accept it.
 func needsStore(step Step, first, second Fault) bool {
 	patches := func(fault Fault) bool {
-		return slices.Contains([]string{"operators racing", "version withdrawn", "data centre out", "prices changed"}, fault.Name)
+		return slices.Contains([]string{"operators racing", "version withdrawn", "data centre out", "data centre out unseen", "prices changed"}, fault.Name)
 	}
 	disturbs := func(fault Fault) bool {
 		return slices.ContainsFunc(fault.platform, func(one lavfault.Fault) bool { return one.Kind != lavfault.Slow })
--- a/tests/modules/lavmatrix/step.go
+++ b/tests/modules/lavmatrix/step.go
@@ -65,7 +65,8 @@
 		{Name: "accepted", begin: beginAccepted, parked: func(c *Case) bool { return c.body.isReached() }, release: func(c *Case) { c.body.release() }},
 		{Name: "planned", NotApplicable: "planning sends nothing; seen from outside it is the step accepted"},
 		{Name: "server chosen", NotApplicable: "the choice sends nothing; seen from outside it is the step attempt sent"},
-		{Name: "attempt sent", begin: beginAttemptSent, parked: parkedAttemptSent, release: releaseAttemptSent},
+		sentStep("attempt sent", lavcluster.Submit, lavcluster.Services()),
+		sentStep("stream sent", lavcluster.Stream, lavcluster.Engines()),
 		{Name: "admitted", MayBeDoubtful: true, begin: beginHeldLedger(lavfault.Hold), parked: parkedLedger, release: releasePlatform},
 		{Name: "intent written", MayBeDoubtful: true, begin: beginHeldLedger(lavfault.HoldReply), parked: parkedLedger, release: releasePlatform},
 		backendStep("dispatched", lavtruth.StepArrive, lavcluster.Submit),
@@ -84,15 +85,24 @@
 	c.send(lavcluster.Submit)
 }
 
-func beginAttemptSent(c *Case) {
-	for _, backend := range lavcluster.Services() {
-		c.SetRoute(lavcluster.HopSides, backend, lavrelay.Hold)
+// sentStep holds the attempt in the relay in front of the side process.
+func sentStep(name string, kind lavcluster.Kind, backends []string) Step {
+	return Step{
+		Name: name,
+		main: backends[0],
+		begin: func(c *Case) {
+			for _, backend := range backends {
+				c.SetRoute(lavcluster.HopSides, backend, lavrelay.Hold)
+			}
+			c.send(kind)
+		},
+		parked:  func(c *Case) bool { return parkedAttempt(c, backends) },
+		release: func(c *Case) { releaseRoutes(c, backends) },
 	}
-	c.send(lavcluster.Submit)
 }
 
-func parkedAttemptSent(c *Case) bool {
-	for _, backend := range lavcluster.Services() {
+func parkedAttempt(c *Case, backends []string) bool {
+	for _, backend := range backends {
 		lines := c.Route(lavcluster.HopSides, backend).HeldLines
 		if slices.ContainsFunc(lines, func(line string) bool { return strings.HasPrefix(line, "POST /attempt") }) {
 			c.Backend = backend
@@ -102,9 +112,9 @@
 	return false
 }
 
-// releaseAttemptSent lets go of the hops that are still held, and leaves those that the fault has cut or silenced.
-func releaseAttemptSent(c *Case) {
-	for _, backend := range lavcluster.Services() {
+// releaseRoutes lets go of the hops that are still held, and leaves those that the fault has cut or silenced.
+func releaseRoutes(c *Case, backends []string) {
+	for _, backend := range backends {
 		if c.Route(lavcluster.HopSides, backend).Mode == string(lavrelay.Hold) {
 			c.SetRoute(lavcluster.HopSides, backend, lavrelay.Pass)
 		}
