Fault matrix: read the configuration numbers of side processes

Cause: side processes were judged only by what they let run, so a number that went back without work in between was not seen. They now have an address for their state dump; the harness reads it and waits until each reports a configuration.

--- a/tests/modules/lavcluster/cluster.go
+++ b/tests/modules/lavcluster/cluster.go
@@ -169,13 +169,16 @@
 func (c *Cluster) startSides() {
 	for _, backend := range Backends() {
 		path, err := writeSettings(c.dir, SideOf(backend), sideSettings{
-			HostID:          SideOf(backend),
-			DataCentre:      DataCentreOf(backend),
-			BackendServer:   backend,
-			Address:         c.address(SideOf(backend)),
-			BackendAddress:  c.url(HopBackends, backend),
-			PlatformAddress: c.url(HopSideStore, backend),
-			LogLevel:        "info",
+			HostID:            SideOf(backend),
+			DataCentre:        DataCentreOf(backend),
+			BackendServer:     backend,
+			Address:           c.address(SideOf(backend)),
+			AdminAddress:      c.address(SideOf(backend) + " admin"),
+			OperatorKeyHashes: []string{hashOf(OperatorKey)},
+			BackendAddress:    c.url(HopBackends, backend),
+			PlatformAddress:   c.url(HopSideStore, backend),
+			Seeds:             c.seeds(),
+			LogLevel:          "info",
 		})
 		c.must(err)
 		c.start(SideOf(backend), programSide, "run", "--settings", path)
@@ -250,6 +253,12 @@
 			return chat.Whole() && call.Whole()
 		})
 	}
+	for _, backend := range Backends() {
+		c.WaitFor(startLimit, SideOf(backend)+" has a configuration", func() bool {
+			number, err := c.SideNumber(backend)
+			return err == nil && number >= 1
+		})
+	}
 	time.Sleep(settleTime)
 }
 
--- a/tests/modules/lavcluster/operator.go
+++ b/tests/modules/lavcluster/operator.go
@@ -95,10 +95,27 @@
 	return document, err
 }
 
+// SideNumber returns the configuration number that the side process of a backend server reports in its state dump.
+func (c *Cluster) SideNumber(backend string) (lavid.ConfigNumber, error) {
+	var dump struct {
+		Spread struct{ Number lavid.ConfigNumber }
+	}
+	status, err := c.call(http.MethodGet, "http://"+c.address(SideOf(backend)+" admin")+"/dump", http.Header{}, nil, &dump)
+	if err == nil && status != http.StatusOK {
+		err = errors.Errorf("status %d", status)
+	}
+	return dump.Spread.Number, err
+}
+
 func (c *Cluster) operate(method, entry string, header http.Header, body []byte, reply any) (int, error) {
+	return c.call(method, "http://"+c.address(entry+" operators")+"/config", header, body, reply)
+}
+
+// call sends a request with the operators' key.
+func (c *Cluster) call(method, url string, header http.Header, body []byte, reply any) (int, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), operatorTimeout)
 	defer cancel()
-	request, err := http.NewRequestWithContext(ctx, method, "http://"+c.address(entry+" operators")+"/config", bytes.NewReader(body))
+	request, err := http.NewRequestWithContext(ctx, method, url, bytes.NewReader(body))
 	if err != nil {
 		return 0, errors.Wrap(err, "build request")
 	}
@@ -107,7 +124,7 @@
 	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
 	response, err := client.Do(request)
 	if err != nil {
-		return 0, errors.Wrap(err, "reach the entry host")
+		return 0, errors.Wrap(err, "reach the host")
 	}
 	defer response.Body.Close()
 	return response.StatusCode, errors.Wrap(json.NewDecoder(response.Body).Decode(reply), "decode reply")
--- a/tests/modules/lavcluster/settings.go
+++ b/tests/modules/lavcluster/settings.go
@@ -27,13 +27,17 @@
 }
 
 type sideSettings struct {
-	HostID          string
-	DataCentre      lavid.DataCentreID
-	BackendServer   string
-	Address         string
-	BackendAddress  string
-	PlatformAddress string
-	LogLevel        string
+	HostID        string
+	DataCentre    lavid.DataCentreID
+	BackendServer string
+	Address       string
+	// AdminAddress is where the state dump is read.
+	AdminAddress      string
+	OperatorKeyHashes []string
+	BackendAddress    string
+	PlatformAddress   string
+	Seeds             []string
+	LogLevel          string
 }
 
 func writeSettings(dir, name string, settings any) (string, error) {
--- a/tests/modules/lavmatrix/case.go
+++ b/tests/modules/lavmatrix/case.go
@@ -125,19 +125,17 @@
 	}
 }
 
-// watchNumbers reads the configuration number of each entry host that answers.
+// watchNumbers reads the configuration number of each entry host and side process that answers.
 func (c *Case) watchNumbers() {
 	for c.background.Err() == nil {
 		for _, entry := range lavcluster.Entries() {
-			process := c.Process(entry)
-			start := process.Starts()
-			if !process.Alive() {
-				continue
-			}
-			document, err := c.Document(entry)
-			if err == nil && process.Starts() == start {
-				c.AddNumber(Number{Entry: entry, Start: start, Number: document.Number, At: time.Now()})
-			}
+			c.readNumber(entry, func() (lavid.ConfigNumber, error) {
+				document, err := c.Document(entry)
+				return document.Number, err
+			})
+		}
+		for _, backend := range lavcluster.Backends() {
+			c.readNumber(lavcluster.SideOf(backend), func() (lavid.ConfigNumber, error) { return c.SideNumber(backend) })
 		}
 		select {
 		case <-c.background.Done():
@@ -146,6 +144,20 @@
 	}
 }
 
+// readNumber records a number unless the process ended or was frozen while it was read.
+func (c *Case) readNumber(name string, read func() (lavid.ConfigNumber, error)) {
+	process := c.Process(name)
+	start := process.Starts()
+	if !process.Alive() {
+		return
+	}
+	asked := time.Now()
+	number, err := read()
+	if err == nil && process.Starts() == start {
+		c.AddNumber(Number{Host: name, Start: start, Number: number, At: asked})
+	}
+}
+
 // send sends the main request to the first entry host.
 func (c *Case) send(kind lavcluster.Kind) {
 	c.Main = lavcluster.Request{ID: lavcluster.NewRequestID("main"), Account: lavcluster.AccountBoth, Kind: kind, Patience: mainPatience}
--- a/tests/modules/lavmatrix/check_store.go
+++ b/tests/modules/lavmatrix/check_store.go
@@ -77,7 +77,7 @@
 		for _, seen := range c.numbers {
 			if seen.At.After(due.Add(inForce)) && seen.Number < event.Number {
 				found = append(found, Violation{ConfigInForce, fmt.Sprintf("%s has %d at %s, accepted was %d at %s",
-					seen.Entry, seen.Number, seen.At.Format(time.StampMilli), event.Number, event.At.Format(time.StampMilli))})
+					seen.Host, seen.Number, seen.At.Format(time.StampMilli), event.Number, event.At.Format(time.StampMilli))})
 				break
 			}
 		}
@@ -91,14 +91,14 @@
 	defer c.mu.Unlock()
 	var found []Violation
 	type start struct {
-		entry string
+		host  string
 		start int
 	}
 	highest := make(map[start]lavid.ConfigNumber)
 	for _, seen := range c.numbers {
-		key := start{seen.Entry, seen.Start}
+		key := start{seen.Host, seen.Start}
 		if seen.Number < highest[key] {
-			found = append(found, Violation{ConfigInForce, fmt.Sprintf("%s went back from %d to %d", seen.Entry, highest[key], seen.Number)})
+			found = append(found, Violation{ConfigInForce, fmt.Sprintf("%s went back from %d to %d", seen.Host, highest[key], seen.Number)})
 		}
 		highest[key] = max(highest[key], seen.Number)
 	}
--- a/tests/modules/lavmatrix/check_test.go
+++ b/tests/modules/lavmatrix/check_test.go
@@ -134,12 +134,12 @@
 func TestCheckerFindsRevertedAndLateConfigurations(t *testing.T) {
 	is := is.New(t)
 	c := &Case{}
-	c.AddNumber(Number{Entry: lavcluster.Entry1, Start: 1, Number: 3, At: at(0)})
-	c.AddNumber(Number{Entry: lavcluster.Entry1, Start: 1, Number: 2, At: at(1)})
+	c.AddNumber(Number{Host: lavcluster.Entry1, Start: 1, Number: 3, At: at(0)})
+	c.AddNumber(Number{Host: lavcluster.Entry1, Start: 1, Number: 2, At: at(1)})
 	is.Equal(points(c.checkConfig(lavtruth.Platform{})), []Point{ConfigInForce})
 	c = &Case{}
 	c.AddEvent(Event{Kind: ConfigAccepted, Number: 3, At: at(0)})
-	c.AddNumber(Number{Entry: lavcluster.Entry1, Start: 1, Number: 2, At: at(5)})
+	c.AddNumber(Number{Host: lavcluster.Entry1, Start: 1, Number: 2, At: at(5)})
 	is.Equal(points(c.checkConfig(lavtruth.Platform{})), []Point{ConfigInForce})
 }
 
--- a/tests/modules/lavmatrix/record.go
+++ b/tests/modules/lavmatrix/record.go
@@ -20,9 +20,9 @@
 	healed   time.Time
 }
 
-// Number is the configuration number that an entry host reported.
+// Number is the configuration number that an entry host or side process reported.
 type Number struct {
-	Entry string
+	Host string
 	// Start counts the starts of the process.
 	Start  int
 	Number lavid.ConfigNumber
