--- a/tests/modules/lavcluster/settings.go
+++ b/tests/modules/lavcluster/settings.go
@@ -20,19 +20,24 @@
 	OperatorAddress   string
 	PeerAddress       string
 	PlatformAddress   string
+	Seeds             []string
 	OperatorKeyHashes []string
 	RequestTimeout    string
 	LogLevel          string
 }
 
 type sideSettings struct {
-	HostID          string
-	DataCentre      lavid.DataCentreID
-	BackendServer   string
-	Address         string
-	BackendAddress  string
-	PlatformAddress string
-	LogLevel        string
+	HostID        string
+	DataCentre    lavid.DataCentreID
+	BackendServer string
+	Address       string
+	// AdminAddress is where the state dump is read.
+	AdminAddress      string
+	OperatorKeyHashes []string
+	BackendAddress    string
+	PlatformAddress   string
+	Seeds             []string
+	LogLevel          string
 }
 
 func writeSettings(dir, name string, settings any) (string, error) {
