--- a/core/models/lavconfig/check.go
+++ b/core/models/lavconfig/check.go
@@ -155,7 +155,9 @@
 	return slices.Sorted(maps.Keys(table))
 }
 
+var pointerEscape = strings.NewReplacer("~", "~0", "/", "~1")
+
 // pointer returns the JSON pointer of a row.
 func pointer[ID ~string](table string, id ID) string {
-	return "/" + table + "/" + strings.NewReplacer("~", "~0", "/", "~1").Replace(string(id))
+	return "/" + table + "/" + pointerEscape.Replace(string(id))
 }
--- a/core/modules/lavsettings/inspect.go
+++ b/core/modules/lavsettings/inspect.go
@@ -141,9 +141,11 @@
 	return keys
 }
 
+var pointerEscape = strings.NewReplacer("~", "~0", "/", "~1")
+
 // join appends a key to a path as a JSON pointer does.
 func join(path, key string) string {
-	escaped := strings.NewReplacer("~", "~0", "/", "~1").Replace(key)
+	escaped := pointerEscape.Replace(key)
 	if path == "" {
 		return escaped
 	}
--- a/core/services/lavspread/exchange.go
+++ b/core/services/lavspread/exchange.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"sync"
 	"time"
 
 	"github.com/pkg/errors"
@@ -20,6 +21,8 @@
 	Self    lavmembership.Member
 	Current *Current
 	log     patchLog
+	// applying is held while a message is taken over, so that repeats of it cost nothing.
+	applying sync.Mutex
 }
 
 // NewReplica returns a replica around a holder.
@@ -92,6 +95,11 @@
 
 // Apply takes over the patches or the document of a message.
 func (r *Replica) Apply(message *lavwire.ConfigExchange, now time.Time) error {
+	r.applying.Lock()
+	defer r.applying.Unlock()
+	if lavid.ConfigNumber(message.GetNumber()) <= r.Current.Number() {
+		return nil
+	}
 	if len(message.GetDocument()) > 0 {
 		document, err := expand(message.GetDocument())
 		if err != nil {
@@ -114,7 +122,7 @@
 	if base == nil || number != base.Number+1 {
 		return nil
 	}
-	document, err := Build(base, Patch{Base: base.Number, Operations: json.RawMessage(patch.GetPatch())})
+	document, err := rebuild(base, Patch{Base: base.Number, Operations: json.RawMessage(patch.GetPatch())})
 	if err != nil {
 		return errDigest
 	}
--- a/core/services/lavspread/patch.go
+++ b/core/services/lavspread/patch.go
@@ -30,11 +30,7 @@
 
 // Build returns the document that a patch gives on its base.
 func Build(base *lavconfig.Document, patch Patch) (*lavconfig.Document, error) {
-	before, err := json.Marshal(base.WithTables())
-	if err != nil {
-		return nil, errors.Wrap(err, "encode configuration")
-	}
-	after, err := applyOperations(before, patch.Operations)
+	after, err := patched(base, patch)
 	if err != nil {
 		return nil, err
 	}
@@ -46,6 +42,29 @@
 	return document, nil
 }
 
+// rebuild returns the document of a patch that was accepted before, without the search for faults.
+func rebuild(base *lavconfig.Document, patch Patch) (*lavconfig.Document, error) {
+	after, err := patched(base, patch)
+	if err != nil {
+		return nil, err
+	}
+	document := &lavconfig.Document{}
+	if err := json.Unmarshal(after, document); err != nil {
+		return nil, errors.Wrap(err, "decode configuration")
+	}
+	document.Number = patch.Base + 1
+	return document.WithTables(), nil
+}
+
+// patched returns the JSON form of a document with a patch applied.
+func patched(base *lavconfig.Document, patch Patch) ([]byte, error) {
+	before, err := json.Marshal(base.WithTables())
+	if err != nil {
+		return nil, errors.Wrap(err, "encode configuration")
+	}
+	return applyOperations(before, patch.Operations)
+}
+
 // applyOperations applies a JSON patch; the library panics on some malformed operations.
 func applyOperations(before []byte, patch json.RawMessage) ([]byte, error) {
 	operations, err := jsonpatch.DecodePatch(patch)
