--- a/entry/cmd/host.go
+++ b/entry/cmd/host.go
@@ -10,10 +10,8 @@
 
 	"lavenderswitch/core/modules/lavdump"
 	"lavenderswitch/core/modules/lavhttp"
-	"lavenderswitch/core/modules/lavlife"
 	"lavenderswitch/core/modules/lavmetric"
 	"lavenderswitch/core/modules/lavplatform"
-	"lavenderswitch/core/modules/lavring"
 	"lavenderswitch/core/services/lavbill"
 	"lavenderswitch/core/services/lavevidence"
 	"lavenderswitch/core/services/lavledger"
@@ -41,30 +39,32 @@
 	attachTimeout = 3 * time.Second
 	sessionPins   = 200_000
 	recentTraces  = 500
-	scheme        = "http://"
 )
 
 // host holds the parts of an entry host.
 type host struct {
-	settings   lavsetting.Settings
-	log        *logrus.Logger
-	platform   *lavplatform.Client
-	current    *lavspread.Current
-	members    *lavmembership.Table
-	spreader   *lavspread.Spreader
-	fleet      *lavfleet.Fleet
-	gate       *lavgate.Gate
-	retries    *lavretry.Budget
-	bills      *lavbill.Writer
-	owner      *lavexposure.Owner
-	reporter   *lavexposure.Reporter
-	rater      *lavrate.Rater
-	pins       *lavpin.Owner
-	resolver   *lavpin.Resolver
-	service    *lavserve.Service
-	traces     *lavtrace.Ring
-	metrics    *lavmetric.Set
-	dump       *lavdump.Registry
+	settings lavsetting.Settings
+	log      *logrus.Logger
+	platform *lavplatform.Client
+	current  *lavspread.Current
+	members  *lavmembership.Table
+	spreader *lavspread.Spreader
+	fleet    *lavfleet.Fleet
+	gate     *lavgate.Gate
+	retries  *lavretry.Budget
+	bills    *lavbill.Writer
+	owner    *lavexposure.Owner
+	reporter *lavexposure.Reporter
+	rater    *lavrate.Rater
+	pins     *lavpin.Owner
+	resolver *lavpin.Resolver
+	service  *lavserve.Service
+	traces   *lavtrace.Ring
+	metrics  *lavmetric.Set
+	dump     *lavdump.Registry
+	// transport carries calls to peers and side processes, with the scheme before their addresses.
+	transport  *http.Transport
+	scheme     string
 	peerClient *http.Client
 	router     *lavcaller.Router
 	callers    *lavhttp.Server
@@ -88,7 +88,14 @@
 		dump:     lavdump.NewRegistry(),
 	}
 	h.gate = lavgate.New(h.current, h.fleet)
-	h.peerClient = &http.Client{Transport: lavattempt.NewTransport()}
+	client, err := settings.TLS.Client()
+	if err != nil {
+		return nil, err
+	}
+	h.scheme = settings.TLS.Scheme()
+	h.transport = lavattempt.NewTransport()
+	h.transport.TLSClientConfig = client
+	h.peerClient = &http.Client{Transport: h.transport}
 	h.addSpread()
 	h.bills = &lavbill.Writer{Pending: lavbill.NewPending(lavbill.MaxPending), Rows: h.platform, Log: log}
 	if err := h.addSessions(); err != nil {
@@ -118,8 +125,8 @@
 		Rows:    h.platform,
 		Peers:   h.members,
 		Current: h.current,
-		Client:  lavspread.NewHTTPClient(nil),
-		Scheme:  scheme,
+		Client:  lavspread.NewHTTPClient(h.transport.TLSClientConfig),
+		Scheme:  h.scheme,
 		Seeds:   h.settings.Seeds,
 		Log:     h.log,
 	})
@@ -134,7 +141,7 @@
 		return err
 	}
 	h.pins = &lavpin.Owner{Host: h.settings.HostID, Pins: table, Rows: h.platform, Log: h.log}
-	h.resolver = &lavpin.Resolver{Host: h.settings.HostID, Members: h, Local: h.pins, HTTP: h.peerClient, Scheme: scheme, Log: h.log}
+	h.resolver = &lavpin.Resolver{Host: h.settings.HostID, Members: h, Local: h.pins, HTTP: h.peerClient, Scheme: h.scheme, Log: h.log}
 	h.pins.Replicas = h.resolver
 	return nil
 }
@@ -155,7 +162,7 @@
 		Plans:   plans,
 		Local:   h.owner,
 		HTTP:    h.peerClient,
-		Scheme:  scheme,
+		Scheme:  h.scheme,
 		Log:     h.log,
 	}
 	h.rater = &lavrate.Rater{
@@ -173,7 +180,7 @@
 }
 
 func (h *host) addService() {
-	attempts := lavattempt.New(lavattempt.NewTransport())
+	attempts := lavattempt.New(h.transport)
 	attempts.SilenceTimeout = h.settings.SilenceTimeout.Duration
 	attempts.AttachTimeout = attachTimeout
 	attempts.Loads = h.fleet
@@ -194,7 +201,7 @@
 		Traces:   h.traces,
 		Metrics:  h.metrics,
 		Log:      h.log,
-		Scheme:   scheme,
+		Scheme:   h.scheme,
 		Holders:  func(base string) lavwire.Bills { return lavwire.NewBillsProtobufClient(base, h.peerClient) },
 	}
 }
@@ -203,89 +210,22 @@
 	h.router = &lavcaller.Router{Configs: h.current, Server: h.service, RequestTimeout: h.settings.RequestTimeout.Duration}
 	operators := h.operatorRouter()
 	peers := &lavpeer.Router{Sessions: h.pins, Bills: h.bills, Evidence: h.owner, Config: h.spreader.Handler()}
-	var err error
-	h.callers, err = lavhttp.Listen(ctx, h.settings.CallerAddress, h.router.Routes(), nil, lavhttp.DefaultLimits())
+	public, err := h.settings.TLS.ServerOnly()
 	if err != nil {
 		return err
 	}
-	h.operators, err = lavhttp.Listen(ctx, h.settings.OperatorAddress, operators.Routes(), nil, lavhttp.DefaultLimits())
+	mutual, err := h.settings.TLS.Server()
 	if err != nil {
 		return err
 	}
-	h.peers, err = lavhttp.Listen(ctx, h.settings.PeerAddress, peers.Routes(), nil, lavhttp.DefaultLimits())
-	return err
-}
-
-func (h *host) start() {
-	h.serve(h.callers)
-	h.serve(h.operators)
-	h.serve(h.peers)
-	h.parts.Go(func() { h.bills.Run(h.background) })
-	h.parts.Go(func() { h.pins.Run(h.background) })
-	h.parts.Go(func() { h.gate.Run(h.background) })
-	h.parts.Go(func() { h.reporter.Run(h.background) })
-	h.parts.Go(func() { h.rater.Run(h.background) })
-	poller := &lavmembership.Poller{Table: h.members, List: h.platform, Log: h.log}
-	h.parts.Go(func() { poller.Run(h.background) })
-	h.parts.Go(func() { h.spreader.Run(h.background) })
-	h.tick(loadTick, h.readLoads)
-}
-
-func (h *host) serve(server *lavhttp.Server) {
-	h.parts.Go(func() {
-		if err := server.Serve(); err != nil {
-			h.log.WithError(err).Error("listener ended")
-		}
-	})
-}
-
-func (h *host) tick(interval time.Duration, step func(now time.Time)) {
-	h.parts.Go(func() { lavlife.Tick(h.background, interval, step) })
-}
-
-// readLoads asks a few servers whose load is unknown or old, so that they can be chosen.
-func (h *host) readLoads(now time.Time) {
-	document := h.current.Document()
-	if document == nil {
-		return
-	}
-	h.fleet.Follow(document, now)
-	h.retries.Tick(now)
-	for _, id := range h.fleet.Stale(document, now) {
-		h.readLoad(document.BackendServers[id].SideAddress)
-	}
-}
-
-func (h *host) readLoad(address string) {
-	ctx, cancel := context.WithTimeout(h.background, loadTick)
-	defer cancel()
-	load, err := lavwire.NewSideProtobufClient(scheme+address, h.peerClient).ReadLoad(ctx, &lavwire.ReadLoadRequest{})
-	if err == nil {
-		h.fleet.Record(load, time.Now())
+	h.callers, err = lavhttp.Listen(ctx, h.settings.CallerAddress, h.router.Routes(), public, lavhttp.DefaultLimits())
+	if err != nil {
+		return err
 	}
-}
-
-// Entries returns the live entry hosts, this one included.
-func (h *host) Entries(now time.Time) []lavring.Member {
-	return h.members.Owners(now)
-}
-
-// shutDown ends the listeners once running requests are answered, then writes the last bills.
-func (h *host) shutDown(ctx context.Context) error {
-	h.router.Drain()
-	h.members.Leave()
-	time.Sleep(h.settings.ReadinessDelay.Duration)
-	err := h.callers.Shutdown(ctx)
-	h.stop()
-	h.bills.Flush(ctx)
-	h.pins.WriteBehind(ctx)
-	operatorErr := h.operators.Shutdown(ctx)
-	peerErr := h.peers.Shutdown(ctx)
-	h.parts.Wait()
-	for _, failed := range []error{err, operatorErr, peerErr} {
-		if failed != nil {
-			return failed
-		}
+	h.operators, err = lavhttp.Listen(ctx, h.settings.OperatorAddress, operators.Routes(), public, lavhttp.DefaultLimits())
+	if err != nil {
+		return err
 	}
-	return nil
+	h.peers, err = lavhttp.Listen(ctx, h.settings.PeerAddress, peers.Routes(), mutual, lavhttp.DefaultLimits())
+	return err
 }
--- a/entry/cmd/run.go
+++ b/entry/cmd/run.go
@@ -5,11 +5,11 @@
 	"os"
 	"os/signal"
 	"syscall"
-	"time"
 
 	"github.com/sirupsen/logrus"
 	"github.com/urfave/cli/v3"
 
+	"lavenderswitch/core/modules/lavflag"
 	"lavenderswitch/core/modules/lavlog"
 	"lavenderswitch/entry/models/lavsetting"
 )
@@ -18,7 +18,7 @@
 	return &cli.Command{
 		Name:  "run",
 		Usage: "run the entry host until it is told to end",
-		Flags: settingsFlags(),
+		Flags: lavflag.Flags(&lavsetting.Settings{}),
 		Action: func(ctx context.Context, command *cli.Command) error {
 			settings, err := readSettings(command)
 			if err != nil {
@@ -50,7 +50,3 @@
 	defer cancel()
 	return host.shutDown(ending)
 }
-
-const (
-	loadTick = 200 * time.Millisecond
-)
