Prove that a data centre cut off in a store outage stops deciding

Cause: the rule that hosts go on while most data centres vouch was shown for one cut-off host only.

Nine hosts in three data centres, the store down and one data centre cut off: its hosts decide nothing any more within 5 s, the six others go on, take a patch when the store is back, and the cut data centre catches up.

--- a/core/services/lavspread/fleet_test.go
+++ b/core/services/lavspread/fleet_test.go
@@ -5,12 +5,15 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
+	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
 	"github.com/sourcegraph/conc"
 
@@ -25,6 +28,27 @@
 	rows      *memoryRows
 	spreaders []*Spreader
 	servers   []*httptest.Server
+	// cut separates the hosts of one data centre from all others.
+	cut atomic.Bool
+}
+
+// cutDataCentre is the one that cut separates.
+const cutDataCentre = "dc-3"
+
+// link carries the calls of one host, unless they cross the cut.
+type link struct {
+	f    *fleet
+	from lavid.DataCentreID
+	to   map[string]lavid.DataCentreID
+	http.RoundTripper
+}
+
+// RoundTrip fails when the cut lies between the two data centres.
+func (l link) RoundTrip(request *http.Request) (*http.Response, error) {
+	if l.f.cut.Load() && (l.from == cutDataCentre) != (l.to[request.URL.Host] == cutDataCentre) {
+		return nil, errors.New("no way between the data centres")
+	}
+	return l.RoundTripper.RoundTrip(request)
 }
 
 // startFleet runs hosts in three data centres until the test ends.
@@ -33,6 +57,7 @@
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	var hosts []lavplatform.Host
+	dataCentres := make(map[string]lavid.DataCentreID)
 	for i := range count {
 		server := httptest.NewUnstartedServer(nil)
 		host := lavplatform.Host{
@@ -40,7 +65,9 @@
 			Address: server.Listener.Addr().String(), DataCentre: lavid.DataCentreID(fmt.Sprint("dc-", i%3+1)),
 		}
 		table := lavmembership.New(lavmembership.Member{ID: host.ID, Role: host.Role, Address: host.Address, DataCentre: host.DataCentre})
-		spreader := New(Options{Rows: f.rows, Peers: table, Current: NewCurrent(), Client: NewHTTPClient(nil), Scheme: "http://", Log: log})
+		dataCentres[host.Address] = host.DataCentre
+		client := &http.Client{Transport: link{f, host.DataCentre, dataCentres, NewHTTPClient(nil).Transport}}
+		spreader := New(Options{Rows: f.rows, Peers: table, Current: NewCurrent(), Client: client, Scheme: "http://", Log: log})
 		server.Config.Handler = spreader.Handler()
 		hosts = append(hosts, host)
 		f.spreaders = append(f.spreaders, spreader)
@@ -141,3 +168,35 @@
 	is.Equal(f.numberAt(0), lavid.ConfigNumber(1)) // it keeps the number and waits
 	is.True(strings.Contains(f.spreaders[0].options.Current.Check(time.Now()).Error(), "try another host"))
 }
+
+func TestDataCentreCutOffInAStoreOutageStopsAndTheOthersGoOn(t *testing.T) {
+	is := is.New(t)
+	f := startFleet(t, 9)
+	_, err := f.spreaders[0].Submit(t.Context(), firstPatch())
+	is.NoErr(err)
+	eventually(t, 4*time.Second, "configuration everywhere", f.allInForce(1))
+	f.rows.setDown(true)
+	f.cut.Store(true)
+	deciding := func(cut bool) int {
+		count := 0
+		for _, spreader := range f.spreaders {
+			isCut := spreader.replica.Self.DataCentre == cutDataCentre
+			if isCut == cut && spreader.options.Current.InForce(time.Now()) != nil {
+				count++
+			}
+		}
+		return count
+	}
+	eventually(t, ConfirmBound+time.Second, "no host of the cut data centre decides", func() bool { return deciding(true) == 0 })
+	for range 10 {
+		is.Equal(deciding(false), 6) // two of three data centres
+		time.Sleep(100 * time.Millisecond)
+	}
+	f.rows.setDown(false)
+	receipt, err := f.spreaders[0].Submit(t.Context(), addService("during", 1))
+	is.NoErr(err)
+	is.True(receipt.InForce)
+	is.Equal(receipt.Number, lavid.ConfigNumber(2))
+	f.cut.Store(false)
+	eventually(t, 4*time.Second, "the cut data centre catches up", f.allInForce(2))
+}
