--- a/entry/models/lavsetting/settings.go
+++ b/entry/models/lavsetting/settings.go
@@ -91,6 +91,7 @@
 	checkAddress(&faults, "CallerAddress", s.CallerAddress)
 	checkAddress(&faults, "OperatorAddress", s.OperatorAddress)
 	checkAddress(&faults, "PeerAddress", s.PeerAddress)
+	faults.Add(s.OperatorAddress != s.CallerAddress, "OperatorAddress", s.OperatorAddress, "give another address than CallerAddress")
 	for _, seed := range s.Seeds {
 		checkAddress(&faults, "Seeds", seed)
 	}
