Fetch a configuration once for a burst of requests

Cause: every attempt that names a higher number, or meets a host that may be stale, asked the sender and then the store by itself: at 2,800 requests a second a moment of staleness would be as many reads.

One fetch runs at a time, and its result stands for 0.1 s for all who want the same number or a lower one. Ruled out: a pause whatever the number, which would refuse the first request under the next change.

--- a/core/services/lavspread/fleet_test.go
+++ b/core/services/lavspread/fleet_test.go
@@ -200,3 +200,19 @@
 	f.cut.Store(false)
 	eventually(t, 4*time.Second, "the cut data centre catches up", f.allInForce(2))
 }
+
+func TestBurstOfRequestsUnderANewNumberIsOneFetch(t *testing.T) {
+	is := is.New(t)
+	f := startFleet(t, 2)
+	_, err := f.spreaders[0].Submit(t.Context(), firstPatch())
+	is.NoErr(err)
+	address := f.spreaders[0].replica.Self.Address
+	is.True(f.spreaders[1].CatchUp(t.Context(), address, 1)) // from the host that named it
+	before := f.spreaders[1].metrics.Value("StoreReads")
+	var calls conc.WaitGroup
+	for range 100 {
+		calls.Go(func() { f.spreaders[1].CatchUp(t.Context(), address, 9) })
+	}
+	calls.Wait()
+	is.True(f.spreaders[1].metrics.Value("StoreReads")-before < 10)
+}
--- a/core/services/lavspread/spreader.go
+++ b/core/services/lavspread/spreader.go
@@ -66,6 +66,7 @@
 	options Options
 	replica *Replica
 	reader  reader
+	catcher catcher
 	metrics *lavmetric.Set
 }
 
@@ -75,6 +76,7 @@
 		options: options,
 		replica: NewReplica(options.Peers.Self(), options.Current),
 		reader:  reader{self: options.Peers.Self().ID},
+		catcher: catcher{slot: make(chan struct{}, 1)},
 		metrics: lavmetric.NewSet(),
 	}
 }
@@ -258,18 +260,6 @@
 	return told
 }
 
-// CatchUp asks the host that named a higher number for it; callers use it before they act for that host.
-func (s *Spreader) CatchUp(ctx context.Context, address string, number lavid.ConfigNumber) bool {
-	if s.options.Current.Number() >= number {
-		return true
-	}
-	s.exchange(ctx, lavmembership.Member{Address: address})
-	if s.options.Current.Number() < number {
-		s.readStore(ctx, time.Now())
-	}
-	return s.options.Current.Number() >= number
-}
-
 // State is what a dump shows of this part.
 type State struct {
 	Number       lavid.ConfigNumber
