--- a/core/services/lavspread/exchange.go
+++ b/core/services/lavspread/exchange.go
@@ -122,11 +122,7 @@
 	if base == nil || number != base.Number+1 {
 		return nil
 	}
-<<<<<<< HEAD
 	document, err := Rebuild(base, Patch{Base: base.Number, Operations: json.RawMessage(patch.GetPatch())})
-=======
-	document, err := rebuild(base, Patch{Base: base.Number, Operations: json.RawMessage(patch.GetPatch())})
->>>>>>> config
 	if err != nil {
 		return errDigest
 	}
--- a/core/services/lavspread/patch.go
+++ b/core/services/lavspread/patch.go
@@ -42,13 +42,8 @@
 	return document, nil
 }
 
-<<<<<<< HEAD
-// Rebuild is Build of a patch that was accepted before; it leaves out the inspection of every field.
+// Rebuild returns the document of a patch that was accepted before, without the search for faults.
 func Rebuild(base *lavconfig.Document, patch Patch) (*lavconfig.Document, error) {
-=======
-// rebuild returns the document of a patch that was accepted before, without the search for faults.
-func rebuild(base *lavconfig.Document, patch Patch) (*lavconfig.Document, error) {
->>>>>>> config
 	after, err := patched(base, patch)
 	if err != nil {
 		return nil, err
@@ -57,19 +52,11 @@
 	if err := json.Unmarshal(after, document); err != nil {
 		return nil, errors.Wrap(err, "decode configuration")
 	}
-<<<<<<< HEAD
-	document = document.WithTables()
-	document.Number = patch.Base + 1
-	return document, nil
-}
-
-=======
 	document.Number = patch.Base + 1
 	return document.WithTables(), nil
 }
 
 // patched returns the JSON form of a document with a patch applied.
->>>>>>> config
 func patched(base *lavconfig.Document, patch Patch) ([]byte, error) {
 	before, err := json.Marshal(base.WithTables())
 	if err != nil {
