--- a/core/services/lavspread/bench_test.go
+++ b/core/services/lavspread/bench_test.go
@@ -18,7 +18,7 @@
 	}
 	patch := Patch{Base: 1, Operations: json.RawMessage(`[{"op":"replace","path":"/BackendServers/engine-7/State","value":"OutOfService"}]`)}
 	for b.Loop() {
-		if _, err := rebuild(document, patch); err != nil {
+		if _, err := Rebuild(document, patch); err != nil {
 			b.Fatal(err)
 		}
 	}
