Keep writes and idle processor time within the capacity budgets

Cause: every process flushed its bills five times a second and its sessions twice, 1,550 and 840 transactions a second for 420 entry hosts against several hundred; an idle entry host spent 18 ms of processor a second against 10, half of it in looks at empty queues each 10 ms; 200,000 pins pass 64 MB.

Change: both intervals grow with the hosts known, 5 ms for each, which bounds all hosts together at 200 a second; the gate looks at its queues only while something waits; 100,000 pins.

Ruled out: fewer hosts that write; each bill would need a hand-over.

--- a/core/modules/lavlife/part.go
+++ b/core/modules/lavlife/part.go
@@ -25,6 +25,18 @@
 	p.end.Do(func() { close(p.done) })
 }
 
+// Pause waits for a length of time, or returns false when ctx ends first.
+func Pause(ctx context.Context, length time.Duration) bool {
+	timer := time.NewTimer(length)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
+
 // Tick calls step with the present time at once and then each interval until ctx ends.
 func Tick(ctx context.Context, interval time.Duration, step func(now time.Time)) {
 	ticker := time.NewTicker(interval)
--- a/core/services/lavbill/writer.go
+++ b/core/services/lavbill/writer.go
@@ -13,8 +13,9 @@
 )
 
 const (
-	batchSize     = 200
-	flushInterval = 200 * time.Millisecond
+	batchSize = 200
+	// leastInterval separates two flushes of a process when there are few hosts.
+	leastInterval = 200 * time.Millisecond
 )
 
 // Rows is the part of the table service that bills need.
@@ -22,11 +23,17 @@
 	InsertAll(ctx context.Context, inserts []lavplatform.Insert) ([]lavplatform.Written, error)
 }
 
+// Hosts counts the hosts that write bills.
+type Hosts interface {
+	Count() int
+}
+
 // Writer writes pending bills and takes those that other processes hand over.
 type Writer struct {
 	lavlife.Part
 	Pending *Pending
 	Rows    Rows
+	Hosts   Hosts
 	Log     *logrus.Logger
 
 	flushing sync.Mutex
@@ -35,7 +42,9 @@
 // Run flushes until ctx ends.
 func (w *Writer) Run(ctx context.Context) {
 	defer w.Finish()
-	lavlife.Tick(ctx, flushInterval, func(time.Time) { w.Flush(ctx) })
+	for lavlife.Pause(ctx, lavlife.SharedInterval(leastInterval, w.Hosts.Count())) {
+		w.Flush(ctx)
+	}
 }
 
 // Flush writes all pending bills in batches and stops at the first that the store does not confirm.
--- a/entry/cmd/host.go
+++ b/entry/cmd/host.go
@@ -37,7 +37,7 @@
 
 const (
 	attachTimeout = 3 * time.Second
-	sessionPins   = 200_000
+	sessionPins   = 100_000
 	recentTraces  = 500
 )
 
@@ -98,7 +98,7 @@
 	h.transport.TLSClientConfig = client
 	h.peerClient = &http.Client{Transport: h.transport}
 	h.addSpread()
-	h.bills = &lavbill.Writer{Pending: lavbill.NewPending(lavbill.MaxPending), Rows: h.platform, Log: log}
+	h.bills = &lavbill.Writer{Pending: lavbill.NewPending(lavbill.MaxPending), Rows: h.platform, Hosts: h.members, Log: log}
 	if err := h.addSessions(); err != nil {
 		return nil, err
 	}
@@ -141,7 +141,7 @@
 	if err != nil {
 		return err
 	}
-	h.pins = &lavpin.Owner{Host: h.settings.HostID, Pins: table, Rows: h.platform, Log: h.log}
+	h.pins = &lavpin.Owner{Host: h.settings.HostID, Pins: table, Rows: h.platform, Hosts: h.members, Log: h.log}
 	h.resolver = &lavpin.Resolver{Host: h.settings.HostID, Members: h, Local: h.pins, HTTP: h.peerClient, Scheme: h.scheme, Log: h.log}
 	h.pins.Replicas = h.resolver
 	return nil
--- a/entry/services/lavgate/gate.go
+++ b/entry/services/lavgate/gate.go
@@ -45,16 +45,27 @@
 	mu       sync.Mutex
 	progress map[lavid.AccountID]int
 	pools    map[lavrequest.Pool]*pool
+	// wake tells Run that a request waits.
+	wake chan struct{}
 }
 
 // pool is the queue of one pool of backend servers.
 type pool struct {
 	queue *lavqueue.Queue
-	// passed counts requests admitted since the last tick, whose attempts the fleet may not count yet.
+	// passed counts requests admitted since a moment ago, whose attempts the fleet may not count yet.
 	passed int
+	since  time.Time
 	used   time.Time
 }
 
+// forgetPassed starts the count of admitted requests anew once the fleet counts their attempts.
+func (p *pool) forgetPassed(now time.Time) {
+	if now.Sub(p.since) >= pumpInterval {
+		p.passed = 0
+		p.since = now
+	}
+}
+
 // New returns a gate over the configuration and the fleet.
 func New(configs Configs, rooms Rooms) *Gate {
 	return &Gate{
@@ -62,6 +73,7 @@
 		rooms:    rooms,
 		progress: make(map[lavid.AccountID]int),
 		pools:    make(map[lavrequest.Pool]*pool),
+		wake:     make(chan struct{}, 1),
 	}
 }
 
@@ -139,6 +151,10 @@
 		return nil, laverror.New(laverror.KindOverloaded, refusal.Error(), "retry after the stated time").WithRetryAfter(refusal.RetryAfter)
 	}
 	place.ticket = ticket
+	select {
+	case g.wake <- struct{}{}:
+	default:
+	}
 	return place, nil
 }
 
@@ -159,6 +175,7 @@
 		g.pools[key] = row
 	}
 	row.used = now
+	row.forgetPassed(now)
 	return row
 }
 
@@ -173,28 +190,39 @@
 // Run lets queued requests go on as room appears, until ctx ends.
 func (g *Gate) Run(ctx context.Context) {
 	defer g.Finish()
-	lavlife.Tick(ctx, pumpInterval, g.Pump)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-g.wake:
+		}
+		for g.Pump(time.Now()) > 0 {
+			if !lavlife.Pause(ctx, pumpInterval) {
+				return
+			}
+		}
+	}
 }
 
 // forgetAfter without use drops an empty queue.
 const forgetAfter = 10 * time.Minute
 
-// Pump admits queued requests while their pools have room and refuses those whose time is over.
-func (g *Gate) Pump(now time.Time) {
+// Pump admits queued requests while their pools have room, refuses those whose time is over, and returns how many still wait.
+func (g *Gate) Pump(now time.Time) int {
 	document := g.configs.Document()
-	if document == nil {
-		return
-	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	waiting := 0
 	for key, row := range g.pools {
-		row.passed = 0
+		row.forgetPassed(now)
 		if row.queue.Len() > 0 {
 			g.pumpPool(document, key, row, now)
 		} else if now.Sub(row.used) > forgetAfter {
 			delete(g.pools, key)
 		}
+		waiting += row.queue.Len()
 	}
+	return waiting
 }
 
 func (g *Gate) pumpPool(document *lavconfig.Document, key lavrequest.Pool, row *pool, now time.Time) {
--- a/entry/services/lavpin/owner.go
+++ b/entry/services/lavpin/owner.go
@@ -20,8 +20,9 @@
 	// storeTimeout bounds how long a new session waits for the table service.
 	storeTimeout = 150 * time.Millisecond
 	// maxUnwritten bounds the pins that wait for the table service; the oldest sessions keep theirs in memory only.
-	maxUnwritten  = 50_000
-	writeInterval = 500 * time.Millisecond
+	maxUnwritten = 50_000
+	// leastInterval separates two writes of a host when there are few.
+	leastInterval = 500 * time.Millisecond
 	writeBatch    = 200
 )
 
@@ -38,6 +39,11 @@
 	Replicate(ctx context.Context, key lavsession.Key, version lavid.VersionID)
 }
 
+// Hosts counts the hosts of the system.
+type Hosts interface {
+	Count() int
+}
+
 // Owner holds the pins of the sessions that this host owns; it serves lavwire.Sessions.
 type Owner struct {
 	lavlife.Part
@@ -45,6 +51,7 @@
 	Pins     *lavsession.Table
 	Rows     Rows
 	Replicas Replicas
+	Hosts    Hosts
 	Log      *logrus.Logger
 
 	mu        sync.Mutex
@@ -168,7 +175,9 @@
 // Run writes the pins that the table service has not confirmed until ctx ends.
 func (o *Owner) Run(ctx context.Context) {
 	defer o.Finish()
-	lavlife.Tick(ctx, writeInterval, func(time.Time) { o.WriteBehind(ctx) })
+	for lavlife.Pause(ctx, lavlife.SharedInterval(leastInterval, o.Hosts.Count())) {
+		o.WriteBehind(ctx)
+	}
 }
 
 // WriteBehind writes one batch of unconfirmed pins and adopts the rows of other owners that came first.
--- a/side/cmd/host.go
+++ b/side/cmd/host.go
@@ -84,8 +84,8 @@
 	h.scheme = settings.TLS.Scheme()
 	h.transport = newTransport(client)
 	h.background, h.stop = context.WithCancel(context.Background())
-	h.bills = &lavbill.Writer{Pending: lavbill.NewPending(lavbill.MaxPending), Rows: h.platform, Log: log}
 	h.addSpread()
+	h.bills = &lavbill.Writer{Pending: lavbill.NewPending(lavbill.MaxPending), Rows: h.platform, Hosts: h.members, Log: log}
 	h.addDispatcher()
 	h.addKeeper()
 	h.publish()
