--- a/core/services/lavspread/patch.go
+++ b/core/services/lavspread/patch.go
@@ -42,8 +42,8 @@
 	return document, nil
 }
 
-// rebuild returns the document of a patch that was accepted before, without the search for faults.
-func rebuild(base *lavconfig.Document, patch Patch) (*lavconfig.Document, error) {
+// Rebuild returns the document of a patch that was accepted before, without the search for faults.
+func Rebuild(base *lavconfig.Document, patch Patch) (*lavconfig.Document, error) {
 	after, err := patched(base, patch)
 	if err != nil {
 		return nil, err
--- a/tests/modules/lavcluster/cluster.go
+++ b/tests/modules/lavcluster/cluster.go
@@ -169,13 +169,16 @@
 func (c *Cluster) startSides() {
 	for _, backend := range Backends() {
 		path, err := writeSettings(c.dir, SideOf(backend), sideSettings{
-			HostID:          SideOf(backend),
-			DataCentre:      DataCentreOf(backend),
-			BackendServer:   backend,
-			Address:         c.address(SideOf(backend)),
-			BackendAddress:  c.url(HopBackends, backend),
-			PlatformAddress: c.url(HopSideStore, backend),
-			LogLevel:        "info",
+			HostID:            SideOf(backend),
+			DataCentre:        DataCentreOf(backend),
+			BackendServer:     backend,
+			Address:           c.address(SideOf(backend)),
+			AdminAddress:      c.address(SideOf(backend) + " admin"),
+			OperatorKeyHashes: []string{hashOf(OperatorKey)},
+			BackendAddress:    c.url(HopBackends, backend),
+			PlatformAddress:   c.url(HopSideStore, backend),
+			Seeds:             c.seeds(),
+			LogLevel:          "info",
 		})
 		c.must(err)
 		c.start(SideOf(backend), programSide, "run", "--settings", path)
@@ -191,6 +194,7 @@
 			OperatorAddress:   c.address(entry + " operators"),
 			PeerAddress:       c.address(entry + " peers"),
 			PlatformAddress:   c.url(HopEntryStore, entry),
+			Seeds:             c.seeds(),
 			OperatorKeyHashes: []string{hashOf(OperatorKey)},
 			RequestTimeout:    "20s",
 			LogLevel:          "info",
@@ -200,6 +204,15 @@
 	}
 }
 
+// seeds returns the addresses of all entry hosts for other hosts of the fleet.
+func (c *Cluster) seeds() []string {
+	var addresses []string
+	for _, entry := range Entries() {
+		addresses = append(addresses, c.routes[route(HopPeers, entry)].listen)
+	}
+	return addresses
+}
+
 // putHosts fills the host list with every entry host and side process.
 func (c *Cluster) putHosts() {
 	var hosts []lavplatform.Host
@@ -240,6 +253,12 @@
 			return chat.Whole() && call.Whole()
 		})
 	}
+	for _, backend := range Backends() {
+		c.WaitFor(startLimit, SideOf(backend)+" has a configuration", func() bool {
+			number, err := c.SideNumber(backend)
+			return err == nil && number >= 1
+		})
+	}
 	time.Sleep(settleTime)
 }
 
