Entry: final refusals at once; seal and attach with all that the side needs

Cause: a key used with another body, a settled call and a store that is down were retried at every server before the caller heard of them; a restarted side process could not resume a stream, and the seal of an unknown idempotent attempt wrote a ledger row.

Change: these refusals end the request, the store's at the second; attach carries version and stream, seal carries idempotence and age. Loads are looked at twice a second in place of five times.

--- a/entry/cmd/parts.go
+++ b/entry/cmd/parts.go
@@ -12,7 +12,7 @@
 )
 
 // loadTick separates the looks at the fleet.
-const loadTick = 200 * time.Millisecond
+const loadTick = 500 * time.Millisecond
 
 // start begins the parts that run in the background.
 func (h *host) start() {
--- a/entry/services/lavattempt/client.go
+++ b/entry/services/lavattempt/client.go
@@ -112,6 +112,8 @@
 		RequestId: attempt.GetRequestId(),
 		AccountId: attempt.GetAccountId(),
 		Offset:    reading.offset,
+		VersionId: attempt.GetVersionId(),
+		Stream:    attempt.GetStream(),
 	}
 	if err := reading.exchange(ctx, c.fresh, base+"/attach", attach); err != nil {
 		return err
@@ -128,9 +130,11 @@
 	defer cancel()
 	side := lavwire.NewSideProtobufClient(base, c.fresh)
 	response, err := side.Seal(ctx, &lavwire.SealRequest{
-		AttemptId: attempt.GetAttemptId(),
-		RequestId: attempt.GetRequestId(),
-		AccountId: attempt.GetAccountId(),
+		AttemptId:     attempt.GetAttemptId(),
+		RequestId:     attempt.GetRequestId(),
+		AccountId:     attempt.GetAccountId(),
+		Idempotent:    attempt.GetIdempotent(),
+		SentAgeMillis: time.Since(reading.began).Milliseconds(),
 	})
 	if err != nil {
 		return errors.Wrap(err, "seal the attempt")
--- a/entry/services/lavattempt/reading.go
+++ b/entry/services/lavattempt/reading.go
@@ -24,12 +24,14 @@
 	offset   uint64
 	frames   int
 	digest   *xxhash.Digest
-	usage    lavrequest.Usage
-	refusal  *lavwire.Refusal
+	// began is when the attempt was first sent.
+	began   time.Time
+	usage   lavrequest.Usage
+	refusal *lavwire.Refusal
 }
 
 func newReading(client *Client, sink lavrequest.Sink) *reading {
-	return &reading{client: client, sink: sink, digest: xxhash.New()}
+	return &reading{client: client, sink: sink, digest: xxhash.New(), began: time.Now()}
 }
 
 // result tells what the reading came to; err is that of its last exchange.
--- a/entry/services/lavfleet/probe.go
+++ b/entry/services/lavfleet/probe.go
@@ -11,9 +11,9 @@
 
 const (
 	// probesPerTick bounds the load queries of one tick, whatever the size of the fleet.
-	probesPerTick = 4
+	probesPerTick = 8
 	// staleAfter is the age at which a load is asked for again.
-	staleAfter = time.Second
+	staleAfter = 2 * time.Second
 )
 
 // Stale returns a few servers in service whose load is unknown or old, the oldest first.
--- a/entry/services/lavrate/rater.go
+++ b/entry/services/lavrate/rater.go
@@ -19,7 +19,7 @@
 )
 
 const (
-	laterInterval = 100 * time.Millisecond
+	laterInterval = 250 * time.Millisecond
 	laterTimeout  = 5 * time.Second
 	laterBatch    = 32
 	laterWorkers  = 16
--- a/entry/services/lavserve/settle.go
+++ b/entry/services/lavserve/settle.go
@@ -35,6 +35,9 @@
 		message := laverror.New(laverror.KindBackendFailed, "the answer broke off and could not be resumed", "repeat the request")
 		return false, message.WithRun(laverror.Ran)
 	}
+	if err := t.final(out); err != nil {
+		return false, err
+	}
 	if err := t.catchUp(ctx, out); err != nil {
 		return false, err
 	}
--- a/entry/services/lavserve/stage.go
+++ b/entry/services/lavserve/stage.go
@@ -65,6 +65,8 @@
 	stage      stage
 	need       lavfleet.Need
 	retryAfter time.Duration
+	// storeRefusals counts refusals for want of the store.
+	storeRefusals int
 	// full says that a server refused the stage for want of room since it last entered the gate.
 	full bool
 }
