--- a/measure.mk
+++ b/measure.mk
@@ -1,3 +1,3 @@
 .PHONY: measure
-measure: ## measure the decisions against their baselines and print one table
+measure: build ## measure the decisions against their baselines and print one table
 	go run ./tests/cmd/lavmeasure -plots docs/plots
