Side: a connection that ends before the answer is a failure

Cause: the error of a request whose connection was closed before the first byte wraps io.EOF, which was taken for the end of the answer. The call stayed running for good and its repeats waited for it.

Ruled out: the relay, whose route had closed both ends.

--- a/side/services/lavdispatch/source.go
+++ b/side/services/lavdispatch/source.go
@@ -2,7 +2,10 @@
 
 import (
 	"context"
+	"io"
 	"net/http"
+
+	"github.com/pkg/errors"
 )
 
 const readBytes = 32 << 10
@@ -29,8 +32,14 @@
 	return s
 }
 
+// errNoAnswer is not io.EOF, which means the end of an answer.
+var errNoAnswer = errors.New("connection ended before the answer began; it is resumed where that can be done")
+
 func (s *source) pump(ctx context.Context, call func(ctx context.Context) (*http.Response, error)) {
 	response, err := call(ctx)
+	if errors.Is(err, io.EOF) {
+		err = errNoAnswer
+	}
 	if err != nil {
 		s.send(ctx, event{err: err})
 		return
