--- a/fake/services/lavengine/chat.go
+++ b/fake/services/lavengine/chat.go
@@ -54,12 +54,13 @@
 		lavhttp.WriteError(w, laverror.New(laverror.KindBadRequest, "body is not a chat request: "+err.Error(), "send JSON with messages"))
 		return
 	}
+	arrived := time.Now()
 	call := lavfault.Call{Held: held(lavtruth.StepArrive, request)}
 	if !e.faults.Pass(request.Context(), call) {
 		lavfault.Refuse(w)
 		return
 	}
-	one, refusal := e.admit(request, body, lavtruth.PromptDigest(messages), time.Now())
+	one, refusal := e.admit(request, body, lavtruth.PromptDigest(messages), arrived)
 	if refusal != nil {
 		lavhttp.WriteError(w, refusal)
 		return
