--- a/entry/models/lavsetting/settings.go
+++ b/entry/models/lavsetting/settings.go
@@ -36,6 +36,11 @@
 	// OperatorKeys holds operators' keys with the names under which their patches are recorded.
 	OperatorKeys []OperatorKey
 	LogLevel     string
+	// RatingFalseAccept and RatingFalseReject state how often the rating service accepts a bad answer and rejects a good one.
+	RatingFalseAccept lavid.Share
+	RatingFalseReject lavid.Share
+	// RatingCost is the price of one rating.
+	RatingCost lavid.NanoUnits
 	// DrainTimeout bounds a graceful shutdown.
 	DrainTimeout lavsettings.Duration
 	// ReadinessDelay is how long the host still answers after its readiness has turned negative.
@@ -100,6 +105,9 @@
 	}
 	parsed, err := url.Parse(s.PlatformAddress)
 	faults.Add(err == nil && parsed.Host != "", "PlatformAddress", s.PlatformAddress, "give a URL such as http://127.0.0.1:7000")
+	faults.Add(isRate(s.RatingFalseAccept), "RatingFalseAccept", s.RatingFalseAccept, "give a share from 0 to below 0.5")
+	faults.Add(isRate(s.RatingFalseReject), "RatingFalseReject", s.RatingFalseReject, "give a share from 0 to below 0.5")
+	faults.Add(s.RatingCost >= 0, "RatingCost", s.RatingCost, "give a price of zero or more, in billionths")
 	_, err = logrus.ParseLevel(s.LogLevel)
 	faults.Add(err == nil, "LogLevel", s.LogLevel, "give debug, info, warning or error")
 	s.checkKeys(&faults)
@@ -126,6 +134,11 @@
 	}
 }
 
+// isRate tells whether a rating service that is wrong this often still tells good answers from bad ones.
+func isRate(share lavid.Share) bool {
+	return share >= 0 && share < 0.5
+}
+
 func checkAddress(faults *lavsettings.Faults, path, address string) {
 	_, err := netip.ParseAddrPort(address)
 	faults.Add(err == nil, path, address, "give IP:port")
