--- a/entry/cmd/host.go
+++ b/entry/cmd/host.go
@@ -155,7 +155,10 @@
 	h.owner.Patches = h.spreader
 	h.owner.Members = h
 	h.owner.Log = h.log
-	plans := lavplan.NewState(lavplan.DefaultSettings(), lavevidence.NewTable(lavevidence.DefaultSettings()))
+	settings := lavplan.DefaultSettings()
+	settings.Rater = lavplan.Rater{FalseAccept: h.settings.RatingFalseAccept, FalseReject: h.settings.RatingFalseReject}
+	settings.CheckCost = h.settings.RatingCost
+	plans := lavplan.NewState(settings, lavevidence.NewTable(lavevidence.DefaultSettings()))
 	h.reporter = &lavexposure.Reporter{
 		Host:    h.settings.HostID,
 		Configs: h.current,
