--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 GOFLAGS_LINK := -ldflags "-X main.version=$(VERSION)"
 export PATH := $(TOOLS):$(PATH)
 
-.PHONY: build test unit race tools lint format generate check-generated tidy clean demo up down
+.PHONY: build test smoke unit race tools lint format generate check-generated tidy clean demo up down
 
 build: ## build the four programs into bin/
 	@mkdir -p $(BIN)
@@ -15,7 +15,11 @@
 	go build $(GOFLAGS_LINK) -o $(BIN)/lavenderctl ./ctl
 	go build $(GOFLAGS_LINK) -o $(BIN)/lavenderfake ./fake
 
-test: check-generated lint build race ## all that CI runs
+test: check-generated lint build race smoke ## all that CI runs
+
+smoke: build ## start the fleet under TLS, send one request through each entry host, stop
+	TLS=1 scripts/fleet.sh up
+	scripts/fleet.sh down
 
 race: ## unit and integration tests under the race detector
 	go test -race -timeout 10m $(addprefix ./,$(addsuffix /...,$(MODULES)))
--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -2,6 +2,9 @@
 # Starts or stops a small fleet of separate processes on loopback; state is kept in .run/.
 #
 # Usage: scripts/fleet.sh up|down
+#
+# With TLS=1 in the environment every listener and every call between processes
+# uses TLS, with certificates made for this fleet in .run/tls/.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 run=.run
@@ -9,6 +12,25 @@
 operator_key=operator-key
 caller_key=caller-key
 
+scheme=http
+tls_settings=
+authority=()
+
+# make_certificates makes an authority and one certificate for the loopback address.
+make_certificates() {
+  mkdir -p "$run/tls"
+  openssl req -x509 -newkey ec -pkeyopt ec_paramgen_curve:P-256 -nodes -days 1 -subj /CN=demo-authority \
+    -keyout "$run/tls/authority.key" -out "$run/tls/authority.pem" 2>/dev/null
+  openssl req -newkey ec -pkeyopt ec_paramgen_curve:P-256 -nodes -subj /CN=demo-host \
+    -keyout "$run/tls/host.key" -out "$run/tls/host.csr" 2>/dev/null
+  openssl x509 -req -days 1 -in "$run/tls/host.csr" -CA "$run/tls/authority.pem" -CAkey "$run/tls/authority.key" \
+    -CAcreateserial -extfile <(echo subjectAltName=IP:127.0.0.1) -out "$run/tls/host.pem" 2>/dev/null
+  scheme=https
+  authority=(--cacert "$run/tls/authority.pem")
+  export LAVENDERCTL_AUTHORITY_FILE="$run/tls/authority.pem"
+  tls_settings=", \"TLS\": {\"CertificateFile\": \"$run/tls/host.pem\", \"KeyFile\": \"$run/tls/host.key\", \"AuthorityFile\": \"$run/tls/authority.pem\"}"
+}
+
 hash_of() { printf %s "$1" | sha256sum | cut -d' ' -f1; }
 
 start() {
@@ -27,7 +49,7 @@
   "BackendServer": "$server",
   "Address": "127.0.0.1:$port",
   "BackendAddress": "http://$backend",
-  "PlatformAddress": "http://$platform"
+  "PlatformAddress": "http://$platform"$tls_settings
 }
 JSON
   start "side-$server" bin/lavenderswitch-side run --settings "$run/side-$server.json"
@@ -43,7 +65,7 @@
   "OperatorAddress": "127.0.0.1:740$number",
   "PeerAddress": "127.0.0.1:750$number",
   "PlatformAddress": "http://$platform",
-  "OperatorKeyHashes": ["$(hash_of $operator_key)"]
+  "OperatorKeyHashes": ["$(hash_of $operator_key)"]$tls_settings
 }
 JSON
   start "entry-$number" bin/lavenderswitch-entry run --settings "$run/entry-$number.json"
@@ -98,11 +120,11 @@
   exit 1
 }
 
-ready() { curl -fsS -m 1 "http://127.0.0.1:730$1/ready"; }
+ready() { curl -fsS "${authority[@]}" -m 1 "$scheme://127.0.0.1:730$1/ready"; }
 
 # answers succeeds once the whole path takes a request.
 answers() {
-  curl -fsS -m 2 -H "Authorization: Bearer $caller_key" -d '{"model":"auto","messages":[{"role":"user","content":"are you there"}]}' "http://127.0.0.1:730$1/v1/chat/completions"
+  curl -fsS "${authority[@]}" -m 2 -H "Authorization: Bearer $caller_key" -d '{"model":"auto","messages":[{"role":"user","content":"are you there"}]}' "$scheme://127.0.0.1:730$1/v1/chat/completions"
 }
 
 up() {
@@ -112,6 +134,7 @@
     exit 1
   fi
   mkdir -p "$run"
+  if [ "${TLS:-}" = 1 ]; then make_certificates; fi
   start platform bin/lavenderfake platform --address $platform --rating-delay 20ms
   for number in 1 2 3; do
     start "engine-$number" bin/lavenderfake engine --address "127.0.0.1:710$number" --version small-1 --version large-1 \
@@ -128,14 +151,14 @@
   start_side claims-2 7205 127.0.0.1:7105 centre-b
   start_entry 1 centre-a
   start_entry 2 centre-b
-  wait_until "operators' listener" curl -fsS -m 1 -H "Authorization: Bearer $operator_key" http://127.0.0.1:7401/config
-  first_configuration | bin/lavenderctl --address http://127.0.0.1:7401 --key $operator_key config patch --base 0
+  wait_until "operators' listener" curl -fsS "${authority[@]}" -m 1 -H "Authorization: Bearer $operator_key" $scheme://127.0.0.1:7401/config
+  first_configuration | bin/lavenderctl --address $scheme://127.0.0.1:7401 --key $operator_key config patch --base 0
   wait_until entry-1 ready 1
   wait_until entry-2 ready 2
   wait_until "whole path at entry-1" answers 1
   wait_until "whole path at entry-2" answers 2
   trap - EXIT
-  echo "fleet is up: callers http://127.0.0.1:7301 and :7302 (key $caller_key), operators http://127.0.0.1:7401 and :7402 (key $operator_key)"
+  echo "fleet is up: callers $scheme://127.0.0.1:7301 and :7302 (key $caller_key), operators $scheme://127.0.0.1:7401 and :7402 (key $operator_key)"
 }
 
 # alive tells whether a process runs; one that has ended but was not reaped does not.
