--- a/entry/services/lavgate/gate.go
+++ b/entry/services/lavgate/gate.go
@@ -39,20 +39,33 @@
 	lavlife.Part
 	configs Configs
 	rooms   Rooms
+	// MaxWait bounds the time from a request's arrival that it waits for room; zero leaves it to the request's deadline.
+	MaxWait time.Duration
 
 	mu       sync.Mutex
 	progress map[lavid.AccountID]int
 	pools    map[lavrequest.Pool]*pool
+	// wake tells Run that a request waits.
+	wake chan struct{}
 }
 
 // pool is the queue of one pool of backend servers.
 type pool struct {
 	queue *lavqueue.Queue
-	// passed counts requests admitted since the last tick, whose attempts the fleet may not count yet.
+	// passed counts requests admitted since a moment ago, whose attempts the fleet may not count yet.
 	passed int
+	since  time.Time
 	used   time.Time
 }
 
+// forgetPassed starts the count of admitted requests anew once the fleet counts their attempts.
+func (p *pool) forgetPassed(now time.Time) {
+	if now.Sub(p.since) >= pumpInterval {
+		p.passed = 0
+		p.since = now
+	}
+}
+
 // New returns a gate over the configuration and the fleet.
 func New(configs Configs, rooms Rooms) *Gate {
 	return &Gate{
@@ -60,6 +73,7 @@
 		rooms:    rooms,
 		progress: make(map[lavid.AccountID]int),
 		pools:    make(map[lavrequest.Pool]*pool),
+		wake:     make(chan struct{}, 1),
 	}
 }
 
@@ -85,21 +99,21 @@
 	}
 }
 
-// Enter returns when the pool has room for the request, or refuses it at once.
+// Enter returns when the pool has room for the request, or refuses it at once; true says that the room is reserved.
 //
 // A request that backend servers have just refused as full enters again with
 // full set, and waits even if the reported loads leave room.
-func (g *Gate) Enter(ctx context.Context, request *lavrequest.Request, key lavrequest.Pool, full bool) error {
+func (g *Gate) Enter(ctx context.Context, request *lavrequest.Request, key lavrequest.Pool, full bool) (bool, error) {
 	ready, err := g.push(request, key, full, time.Now())
 	if err != nil || ready == nil {
-		return err
+		return false, err
 	}
 	select {
 	case <-ready.turn:
-		return ready.err
+		return ready.ticket.Reserved(), ready.err
 	case <-ctx.Done():
 		g.remove(key, ready)
-		return laverror.New(laverror.KindTimeout, "the request's time is over before a server had room", "retry with more time").WithRetryAfter(retryAfterBusy)
+		return false, laverror.New(laverror.KindTimeout, "the request's time is over before a server had room", "retry with more time").WithRetryAfter(retryAfterBusy)
 	}
 }
 
@@ -130,16 +144,29 @@
 		Account:  request.Account,
 		Weight:   document.ClientAccounts[request.Account].Weight,
 		Tokens:   tokens(request),
-		Deadline: request.Deadline,
+		Deadline: g.deadline(request),
 		Value:    place,
 	}, now)
 	if refusal != nil {
 		return nil, laverror.New(laverror.KindOverloaded, refusal.Error(), "retry after the stated time").WithRetryAfter(refusal.RetryAfter)
 	}
 	place.ticket = ticket
+	select {
+	case g.wake <- struct{}{}:
+	default:
+	}
 	return place, nil
 }
 
+// deadline is when a request stops waiting for room.
+func (g *Gate) deadline(request *lavrequest.Request) time.Time {
+	latest := request.Arrived.Add(g.MaxWait)
+	if g.MaxWait <= 0 || request.Deadline.Before(latest) {
+		return request.Deadline
+	}
+	return latest
+}
+
 func (g *Gate) pool(key lavrequest.Pool, now time.Time) *pool {
 	row, ok := g.pools[key]
 	if !ok {
@@ -148,6 +175,7 @@
 		g.pools[key] = row
 	}
 	row.used = now
+	row.forgetPassed(now)
 	return row
 }
 
@@ -162,28 +190,39 @@
 // Run lets queued requests go on as room appears, until ctx ends.
 func (g *Gate) Run(ctx context.Context) {
 	defer g.Finish()
-	lavlife.Tick(ctx, pumpInterval, g.Pump)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-g.wake:
+		}
+		for g.Pump(time.Now()) > 0 {
+			if !lavlife.Pause(ctx, pumpInterval) {
+				return
+			}
+		}
+	}
 }
 
 // forgetAfter without use drops an empty queue.
 const forgetAfter = 10 * time.Minute
 
-// Pump admits queued requests while their pools have room and refuses those whose time is over.
-func (g *Gate) Pump(now time.Time) {
+// Pump admits queued requests while their pools have room, refuses those whose time is over, and returns how many still wait.
+func (g *Gate) Pump(now time.Time) int {
 	document := g.configs.Document()
-	if document == nil {
-		return
-	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	waiting := 0
 	for key, row := range g.pools {
-		row.passed = 0
+		row.forgetPassed(now)
 		if row.queue.Len() > 0 {
 			g.pumpPool(document, key, row, now)
 		} else if now.Sub(row.used) > forgetAfter {
 			delete(g.pools, key)
 		}
+		waiting += row.queue.Len()
 	}
+	return waiting
 }
 
 func (g *Gate) pumpPool(document *lavconfig.Document, key lavrequest.Pool, row *pool, now time.Time) {
@@ -192,8 +231,8 @@
 		turnOf(ticket).end(expired.WithRetryAfter(retryAfterBusy))
 	}
 	room := g.rooms.Pool(document, needOf(key), now)
-	for row.passed < room.Room {
-		ticket, ok := row.queue.Pop(lavqueue.AnyRoom, now)
+	for {
+		ticket, ok := row.queue.Pop(roomLeft(room, row.passed), now)
 		if !ok {
 			return
 		}
@@ -203,6 +242,18 @@
 	}
 }
 
+// roomLeft says what room a pool has after some requests have passed.
+func roomLeft(room lavfleet.Pool, passed int) lavqueue.Room {
+	switch {
+	case passed < room.Room:
+		return lavqueue.AnyRoom
+	case passed < room.ReservedRoom:
+		return lavqueue.ReservedRoom
+	default:
+		return lavqueue.NoRoom
+	}
+}
+
 func turnOf(ticket *lavqueue.Ticket) *waiting {
 	place, ok := ticket.Value.(*waiting)
 	if !ok {
