Log and time each request; split the service from the work on one request

Cause: the log named failing attempts only, so that a request's account, version and end had to be pieced together; serve.go had grown to hold the service, the work on one request and planning again.

--- a/entry/services/lavserve/serve.go
+++ b/entry/services/lavserve/serve.go
@@ -11,9 +11,7 @@
 	"lavenderswitch/core/modules/laverror"
 	"lavenderswitch/core/modules/lavmetric"
 	"lavenderswitch/core/services/lavbill"
-	"lavenderswitch/core/services/lavevidence"
 	"lavenderswitch/core/services/lavledger"
-	"lavenderswitch/core/services/lavplan"
 	"lavenderswitch/core/services/lavretry"
 	"lavenderswitch/entry/models/lavrequest"
 	"lavenderswitch/entry/services/lavattempt"
@@ -36,6 +34,7 @@
 	metricElapsed    = "Elapsed"
 	metricPinElapsed = "PinElapsed"
 	metricQueued     = "Queued"
+	metricFirstByte  = "FirstByte"
 	metricHedges     = "Hedges"
 )
 
@@ -118,106 +117,7 @@
 	defer end()
 	work := &work{Service: s, document: document, request: request, sink: sink}
 	work.trace = s.Traces.Begin(request.ID, request.Account, document.Number, request.Arrived)
-	err = work.serve(ctx)
-	err = work.stateRun(err)
-	s.Metrics.Observe(metricElapsed, time.Since(request.Arrived))
-	if err != nil {
-		s.Metrics.Count(metricFailed, 1)
-		work.note(lavtrace.Step{Kind: lavtrace.StepFailed, Reason: err.Error()})
-		return err
-	}
-	s.Metrics.Count(metricAnswered, 1)
-	work.note(lavtrace.Step{Kind: lavtrace.StepAnswered})
-	return nil
-}
-
-// work is one request on its way.
-type work struct {
-	*Service
-	document *lavconfig.Document
-	request  *lavrequest.Request
-	sink     lavrequest.Sink
-	trace    *lavtrace.Trace
-	// earlier sums the stages before the present one.
-	earlier earlierStages
-	// key names the present stage in the evidence.
-	key lavevidence.Key
-	// lastCost is the cost of the last stage that answered.
-	lastCost lavid.NanoUnits
-	// checkedBill bills the last checked stage when it turns out to end the request.
-	checkedBill func()
-	// excluded versions had no server with room.
-	excluded []lavid.VersionID
-	// run is what earlier attempts and stages may have done.
-	run laverror.RunState
-}
-
-// stateRun corrects an error that says not run when an earlier attempt or stage may have.
-func (w *work) stateRun(err error) error {
-	if err == nil || w.run == "" {
-		return err
-	}
-	typed := laverror.As(err)
-	if typed.Run != laverror.NotRun {
-		return err
-	}
-	return typed.WithRun(w.run)
-}
-
-type earlierStages struct {
-	count int
-	cost  lavid.NanoUnits
-}
-
-func (w *work) note(step lavtrace.Step) {
-	step.At = time.Now()
-	w.trace.Add(step)
-}
-
-func (w *work) serve(ctx context.Context) error {
-	if w.request.Service != "" {
-		return w.serveStage(ctx, stage{})
-	}
-	return w.servePlans(ctx)
-}
-
-// maxPlans bounds the plans tried for one request.
-const maxPlans = 6
-
-// servePlans takes another plan while the pools of the one before have no server with room, or its version was withdrawn.
-func (w *work) servePlans(ctx context.Context) error {
-	var last error
-	for range maxPlans {
-		plan, err := w.plan(ctx)
-		if err != nil {
-			return firstOf(last, err)
-		}
-		err = w.serveStages(ctx, plan)
-		switch {
-		case err == nil:
-			return nil
-		case isErrPlanOutdated(err):
-		case w.mayReplan(err, plan):
-			w.excluded = append(w.excluded, plan.Stages[len(plan.Stages)-1].Version)
-		default:
-			return err
-		}
-		last = err
-	}
-	return last
-}
-
-// mayReplan tells whether another version may serve instead: nothing ran, and neither caller nor session asks for this one.
-func (w *work) mayReplan(err error, plan lavplan.Plan) bool {
-	typed := laverror.As(err)
-	lacking := typed.Kind == laverror.KindNoServer || typed.Kind == laverror.KindOverloaded
-	keeps := w.request.Session != "" && !w.request.FirstTurn
-	return lacking && !keeps && typed.Run == laverror.NotRun && w.run == "" && w.request.Version == "" && plan.Reason != lavplan.ReasonPinned
-}
-
-func firstOf(first, second error) error {
-	if first != nil {
-		return first
-	}
-	return second
+	err = work.stateRun(work.serve(ctx))
+	work.finish(err, time.Now())
+	return err
 }
--- a/entry/services/lavserve/stages.go
+++ b/entry/services/lavserve/stages.go
@@ -50,7 +50,7 @@
 	}
 	version := plan.Stages[last].Version
 	w.key.Version = version
-	tee := &tee{Sink: w.sink}
+	tee := &tee{Sink: w.sink, started: func() { w.Metrics.Observe(metricFirstByte, time.Since(w.request.Arrived)) }}
 	if err := w.serveStage(ctx, stage{version: version, sink: tee}); err != nil {
 		return err
 	}
@@ -127,6 +127,8 @@
 type tee struct {
 	lavrequest.Sink
 	body []byte
+	// started is called when the answer begins.
+	started func()
 }
 
 const maxRatedBytes = 64 << 10
@@ -137,6 +139,12 @@
 	return ok && starter.Started()
 }
 
+// Head passes the head on.
+func (t *tee) Head(head lavrequest.Head) error {
+	t.started()
+	return t.Sink.Head(head)
+}
+
 // Chunk passes data on and keeps it while there is room.
 func (t *tee) Chunk(data []byte) error {
 	if room := maxRatedBytes - len(t.body); room > 0 {
