--- a/entry/services/lavexposure/reporter.go
+++ b/entry/services/lavexposure/reporter.go
@@ -20,6 +20,7 @@
 )
 
 const (
+	// reportInterval separates two reports when there are few hosts.
 	reportInterval = 500 * time.Millisecond
 	// quietInterval separates reports of a model without new counts.
 	quietInterval = 4 * time.Second
@@ -72,7 +73,14 @@
 // Run reports and runs the local owner's tests until ctx ends.
 func (r *Reporter) Run(ctx context.Context) {
 	defer r.Finish()
-	lavlife.Tick(ctx, reportInterval, func(now time.Time) { r.Tick(ctx, now) })
+	for lavlife.Pause(ctx, r.interval(time.Now())) {
+		r.Tick(ctx, time.Now())
+	}
+}
+
+// interval grows with the entry hosts, each of which then has a smaller part of the answers to report.
+func (r *Reporter) interval(now time.Time) time.Duration {
+	return lavlife.SharedInterval(reportInterval, len(r.Members.Entries(now)))
 }
 
 // Tick reports each model that has new counts, or whose owner was not asked for long.
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -20,8 +20,8 @@
 call $callers/v1/models; echo
 
 title "a plain request"
-call -D - -o /tmp/lavender-demo-answer -d '{"model":"auto","messages":[{"role":"user","content":"draft a dossier"}]}' $callers/v1/chat/completions | grep -iE '^(HTTP|lavender)'
-head -c 160 /tmp/lavender-demo-answer; echo ' ...'; rm -f /tmp/lavender-demo-answer
+call -D - -o .run/answer -d '{"model":"auto","messages":[{"role":"user","content":"draft a dossier"}]}' $callers/v1/chat/completions | grep -iE '^(HTTP|lavender)'
+head -c 160 .run/answer; echo ' ...'; rm -f .run/answer
 
 title "a streamed request, at the other entry host"
 call -N -d '{"model":"large","stream":true,"messages":[{"role":"user","content":"draft a letter"}]}' $other_callers/v1/chat/completions | sed -n '1p;$!d' 
