--- a/fake/services/lavrelay/relay.go
+++ b/fake/services/lavrelay/relay.go
@@ -102,7 +102,7 @@
 
 func (m Mode) valid() bool {
 	switch m {
-	case Pass, CutOnce, Cut, SilentExisting, SilentAll, Hold, HoldBack:
+	case Pass, CutOnce, Cut, SilentExisting, SilentAll, Hold, HoldBack, Refuse:
 		return true
 	default:
 		return false
--- a/fake/services/lavrelay/relay_test.go
+++ b/fake/services/lavrelay/relay_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"net"
 	"os"
+	"syscall"
 	"testing"
 	"time"
 
@@ -104,3 +105,36 @@
 	_, err = New([]string{"0.0.0.0:1=127.0.0.1:80"})
 	is.True(err != nil)
 }
+
+func TestRefuseHasNoListenerUntilItPassesAgain(t *testing.T) {
+	is := is.New(t)
+	route, address := startRoute(t)
+	route.Set(Refuse)
+	var err error
+	for range 100 {
+		var early net.Conn
+		if early, err = net.Dial("tcp", address); errors.Is(err, syscall.ECONNREFUSED) {
+			break
+		}
+		if err == nil {
+			early.Close()
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	is.True(errors.Is(err, syscall.ECONNREFUSED))
+	route.Set(Pass)
+	var connection net.Conn
+	for range 100 {
+		if connection, err = net.Dial("tcp", address); err == nil {
+			break
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	is.NoErr(err)
+	defer connection.Close()
+	_, err = connection.Write([]byte("hello\n"))
+	is.NoErr(err)
+	line, err := bufio.NewReader(connection).ReadString('\n')
+	is.NoErr(err)
+	is.Equal(line, "hello\n")
+}
--- a/fake/services/lavrelay/route.go
+++ b/fake/services/lavrelay/route.go
@@ -9,6 +9,7 @@
 
 	"github.com/sourcegraph/conc"
 
+	"lavenderswitch/core/modules/lavlife"
 	"lavenderswitch/fake/models/lavtruth"
 )
 
@@ -29,6 +30,8 @@
 	SilentAll Mode = "SilentAll"
 	// Hold keeps bytes back until another mode is set, and loses none.
 	Hold Mode = "Hold"
+	// Refuse closes the listener, so that the kernel refuses connections as it does when the target is gone.
+	Refuse Mode = "Refuse"
 	// HoldBack keeps only the bytes towards the dialling end back.
 	HoldBack Mode = "HoldBack"
 )
@@ -38,6 +41,8 @@
 	copyBytes      = 16 << 10
 	dialTimeout    = time.Second
 	maxLineBytes   = 80
+	// listenPause separates tries to listen again on an address.
+	listenPause = 20 * time.Millisecond
 )
 
 // Route carries connections from one address to another.
@@ -51,6 +56,8 @@
 	truth   lavtruth.Route
 	lines   map[*string]struct{}
 	work    conc.WaitGroup
+	// listener takes connections now; closed while the route refuses.
+	listener net.Listener
 }
 
 // pair is one connection and its continuation.
@@ -64,23 +71,58 @@
 	return &Route{listen: listen, target: target, mode: Pass, changed: make(chan struct{}), open: make(map[*pair]struct{}), lines: make(map[*string]struct{})}
 }
 
-// serve takes connections until ctx ends.
+// serve takes connections until ctx ends; while the route refuses, it has no listener.
 func (r *Route) serve(ctx context.Context, listener net.Listener) {
-	stop := context.AfterFunc(ctx, func() {
-		listener.Close()
-		r.Set(Cut)
-	})
+	stop := context.AfterFunc(ctx, func() { r.Set(Cut) })
 	defer stop()
-	for {
+	defer r.work.Wait()
+	for ctx.Err() == nil {
+		if listener != nil {
+			r.accept(ctx, listener)
+		}
+		listener = r.listenAgain(ctx)
+	}
+}
+
+// accept takes connections until ctx ends or the route refuses.
+func (r *Route) accept(ctx context.Context, listener net.Listener) {
+	stop := context.AfterFunc(ctx, func() { listener.Close() })
+	defer stop()
+	defer listener.Close()
+	r.mu.Lock()
+	r.listener = listener
+	refuses := r.mode == Refuse
+	r.mu.Unlock()
+	for !refuses {
 		near, err := listener.Accept()
 		if err != nil {
-			r.work.Wait()
 			return
 		}
 		r.work.Go(func() { r.carry(ctx, near) })
 	}
 }
 
+// listenAgain opens the listener once the route no longer refuses, or returns nil to be called again.
+func (r *Route) listenAgain(ctx context.Context) net.Listener {
+	r.mu.Lock()
+	mode, changed := r.mode, r.changed
+	r.mu.Unlock()
+	if mode == Refuse {
+		select {
+		case <-ctx.Done():
+		case <-changed:
+		}
+		return nil
+	}
+	var setup net.ListenConfig
+	listener, err := setup.Listen(ctx, "tcp", r.listen)
+	if err != nil {
+		lavlife.Pause(ctx, listenPause)
+		return nil
+	}
+	return listener
+}
+
 // Set changes the mode of the route and of its connections.
 func (r *Route) Set(mode Mode) {
 	r.mu.Lock()
@@ -98,6 +140,9 @@
 		mode = Pass
 	}
 	r.mode = mode
+	if mode == Refuse && r.listener != nil {
+		r.listener.Close()
+	}
 	close(r.changed)
 	r.changed = make(chan struct{})
 }
--- a/tests/modules/lavmatrix/fault.go
+++ b/tests/modules/lavmatrix/fault.go
@@ -54,7 +54,7 @@
 		{Name: noFault, apply: func(*Case) {}},
 		killFault("kill entry", entryOf),
 		losesOutcome(killFault("kill side", sideOf)),
-		losesOutcome(killFault("kill backend", backendOf)),
+		losesOutcome(killBackend()),
 		freezeFault("freeze entry", entryOf),
 		freezeFault("freeze side", sideOf),
 		freezeFault("freeze backend", backendOf),
@@ -88,6 +88,21 @@
 	}
 }
 
+// killBackend also takes the relay's listener away, because the kernel refuses connections to a server that is gone.
+func killBackend() Fault {
+	fault := killFault("kill backend", backendOf)
+	kill, start := fault.apply, fault.heal
+	fault.apply = func(c *Case) {
+		c.SetRoute(lavcluster.HopBackends, backendOf(c), lavrelay.Refuse)
+		kill(c)
+	}
+	fault.heal = func(c *Case) {
+		c.SetRoute(lavcluster.HopBackends, backendOf(c), lavrelay.Pass)
+		start(c)
+	}
+	return fault
+}
+
 func losesOutcome(fault Fault) Fault {
 	fault.LosesOutcome = true
 	return fault
