Callers state how long they wait; tests of the callers' interface

Cause: a patient caller was refused after the host's queue time like any other, though its letter may come late; wrong requests were not tested at the router.

Change: Lavender-Timeout sets the deadline, and such a request may queue until then. Tests of wrong keys, bodies, sizes, timeouts and calls, of a broken stream, and a fuzz target for chat bodies.

--- a/entry/models/lavrequest/request.go
+++ b/entry/models/lavrequest/request.go
@@ -37,6 +37,8 @@
 	EstimatedTokens lavid.Tokens
 	Arrived         time.Time
 	Deadline        time.Time
+	// Patient says that the caller stated how long it waits, so that the request may queue until its deadline.
+	Patient bool
 }
 
 // Head starts an answer.
--- a/entry/routers/lavcaller/body.go
+++ b/entry/routers/lavcaller/body.go
@@ -19,6 +19,8 @@
 	// bodyTimeout bounds how slowly a caller may send a body.
 	bodyTimeout = 30 * time.Second
 	maxKeyBytes = 256
+	// maxTimeout bounds how long a caller may wait.
+	maxTimeout = 10 * time.Minute
 )
 
 // begin reads what every kind of request has: body, ids and deadline.
@@ -35,6 +37,10 @@
 		return nil, laverror.New(laverror.KindTooLarge, "body is too large or was cut: "+err.Error(), "send a whole body within the account's limit")
 	}
 	now := time.Now()
+	timeout, patient, err := r.timeout(request)
+	if err != nil {
+		return nil, err
+	}
 	requestID := request.Header.Get(HeaderIdempotencyKey)
 	if len(requestID) > maxKeyBytes || len(request.Header.Get(HeaderSession)) > maxKeyBytes {
 		return nil, laverror.New(laverror.KindBadRequest, "Idempotency-Key or Lavender-Session is too long", "send at most 256 bytes")
@@ -52,6 +58,20 @@
 		Body:        body,
 		Fingerprint: xxhash.Sum64(body),
 		Arrived:     now,
-		Deadline:    now.Add(r.RequestTimeout),
+		Deadline:    now.Add(timeout),
+		Patient:     patient,
 	}, nil
 }
+
+// timeout returns how long the caller waits, and whether it said so itself.
+func (r *Router) timeout(request *http.Request) (time.Duration, bool, error) {
+	text := request.Header.Get(HeaderTimeout)
+	if text == "" {
+		return r.RequestTimeout, false, nil
+	}
+	timeout, err := time.ParseDuration(text)
+	if err != nil || timeout <= 0 || timeout > maxTimeout {
+		return 0, false, laverror.New(laverror.KindBadRequest, "Lavender-Timeout is not a time above zero and up to 10m", "send text such as 90s")
+	}
+	return timeout, true, nil
+}
--- a/entry/routers/lavcaller/router.go
+++ b/entry/routers/lavcaller/router.go
@@ -20,6 +20,7 @@
 	HeaderIdempotencyKey = "Idempotency-Key"
 	HeaderSession        = "Lavender-Session"
 	HeaderTaskClass      = "Lavender-Task-Class"
+	HeaderTimeout        = "Lavender-Timeout"
 	HeaderVersion        = "Lavender-Version"
 	HeaderRequest        = "Lavender-Request"
 	HeaderSessionMoved   = "Lavender-Session-Moved"
--- /dev/null
+++ b/entry/routers/lavcaller/router_test.go
@@ -0,0 +1,138 @@
+package lavcaller
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"lavenderswitch/core/models/lavconfig"
+	"lavenderswitch/core/models/lavid"
+	"lavenderswitch/core/modules/laverror"
+	"lavenderswitch/core/modules/lavhttp"
+	"lavenderswitch/core/modules/lavkey"
+	"lavenderswitch/entry/models/lavrequest"
+)
+
+// fake is the configuration and a server that remembers the last request.
+type fake struct {
+	document *lavconfig.Document
+	served   *lavrequest.Request
+	answer   func(sink lavrequest.Sink) error
+}
+
+func (f *fake) Document() *lavconfig.Document { return f.document }
+
+func (f *fake) Serve(_ context.Context, request *lavrequest.Request, sink lavrequest.Sink) error {
+	f.served = request
+	return f.answer(sink)
+}
+
+func newFake() *fake {
+	return &fake{
+		answer: func(sink lavrequest.Sink) error {
+			return (&lavrequest.Whole{Start: lavrequest.Head{StatusCode: http.StatusOK}, Body: []byte("{}")}).Replay(sink)
+		},
+		document: &lavconfig.Document{
+			Versions: map[lavid.VersionID]lavconfig.Version{"small-1": {Model: "small"}},
+			Services: map[lavid.ServiceID]lavconfig.Service{"claims": {Calls: map[lavid.CallID]lavconfig.Call{"submit": {Method: http.MethodPost, Path: "/submit"}}}},
+			ClientAccounts: map[lavid.AccountID]lavconfig.ClientAccount{"a": {
+				KeyHashes: []string{lavkey.Hash("key")}, AllowedVersions: []lavid.VersionID{"small-1"}, AllowedServices: []lavid.ServiceID{"claims"}, MaxBodyBytes: 100,
+			}},
+		},
+	}
+}
+
+func send(f *fake, method, path, body string, headers ...string) *httptest.ResponseRecorder {
+	router := &Router{Configs: f, Server: f, RequestTimeout: time.Minute}
+	request := httptest.NewRequest(method, path, strings.NewReader(body))
+	request.Header.Set("Authorization", "Bearer key")
+	for i := 0; i < len(headers); i += 2 {
+		request.Header.Set(headers[i], headers[i+1])
+	}
+	recorder := httptest.NewRecorder()
+	router.Routes().ServeHTTP(recorder, request)
+	return recorder
+}
+
+func TestWrongRequestsAreNotRunAndSayWhy(t *testing.T) {
+	const chat = `{"model":"auto","messages":[{"role":"user","content":"x"}]}`
+	tests := []struct {
+		name    string
+		path    string
+		body    string
+		headers []string
+		status  int
+	}{
+		{"unknown key", pathChat, chat, []string{"Authorization", "Bearer other"}, http.StatusUnauthorized},
+		{"no key", pathChat, chat, []string{"Authorization", ""}, http.StatusUnauthorized},
+		{"not JSON", pathChat, "{", nil, http.StatusBadRequest},
+		{"no messages", pathChat, `{"messages":[]}`, nil, http.StatusBadRequest},
+		{"messages of another type", pathChat, `{"messages":7}`, nil, http.StatusBadRequest},
+		{"too large", pathChat, strings.Repeat("x", 200), nil, http.StatusRequestEntityTooLarge},
+		{"long idempotency key", pathChat, chat, []string{HeaderIdempotencyKey, strings.Repeat("k", 300)}, http.StatusBadRequest},
+		{"wrong timeout", pathChat, chat, []string{HeaderTimeout, "soon"}, http.StatusBadRequest},
+		{"negative timeout", pathChat, chat, []string{HeaderTimeout, "-1s"}, http.StatusBadRequest},
+		{"call without idempotency key", "/services/claims/submit", "x", nil, http.StatusBadRequest},
+		{"unknown call", "/services/claims/delete", "x", nil, http.StatusNotFound},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			f := newFake()
+			reply := send(f, http.MethodPost, test.path, test.body, test.headers...)
+			is.Equal(reply.Code, test.status)
+			var body lavhttp.ErrorBody
+			is.NoErr(json.Unmarshal(reply.Body.Bytes(), &body))
+			is.Equal(body.Error.RunState, laverror.NotRun)
+			is.True(body.Error.Remedy != "")
+			is.True(f.served == nil)
+		})
+	}
+}
+
+func TestRequestCarriesWhatItsCallerSaid(t *testing.T) {
+	is := is.New(t)
+	f := newFake()
+	reply := send(f, http.MethodPost, "/services/claims/submit", "claim", HeaderIdempotencyKey, "k1", HeaderTimeout, "90s")
+	is.Equal(reply.Code, http.StatusOK)
+	is.Equal(f.served.ID, lavid.RequestID("k1"))
+	is.Equal(f.served.Idempotent, false)
+	is.True(f.served.Patient)
+	is.Equal(f.served.Deadline.Sub(f.served.Arrived), 90*time.Second)
+}
+
+// TestBrokenStreamEndsWithAnErrorAndWithoutDone fails after the first event reached the caller.
+func TestBrokenStreamEndsWithAnErrorAndWithoutDone(t *testing.T) {
+	is := is.New(t)
+	f := newFake()
+	f.answer = func(sink lavrequest.Sink) error {
+		_ = sink.Head(lavrequest.Head{StatusCode: http.StatusOK, ContentType: "text/event-stream"})
+		_ = sink.Chunk([]byte("data: {\"choices\":[{}]}\n\ndata: [DONE]\n\n"))
+		return laverror.New(laverror.KindBackendFailed, "broke off", "repeat").WithRun(laverror.Ran)
+	}
+	reply := send(f, http.MethodPost, pathChat, `{"stream":true,"messages":[{"role":"user"}]}`)
+	text, err := io.ReadAll(reply.Body)
+	is.NoErr(err)
+	is.True(strings.Contains(string(text), `"error"`))
+	is.True(!strings.Contains(string(text), "[DONE]"))
+}
+
+func FuzzChatBody(f *testing.F) {
+	f.Add(`{"model":"auto","messages":[{"role":"user","content":"x"}]}`)
+	f.Add(`{"messages":[null],"stream":true}`)
+	f.Add(`{"messages":[{"role":7}],"model":{}}`)
+	f.Add(`[]`)
+	f.Fuzz(func(t *testing.T, body string) {
+		reply := send(newFake(), http.MethodPost, pathChat, body)
+		if reply.Code >= http.StatusInternalServerError {
+			t.Fatalf("status %d", reply.Code)
+		}
+	})
+}
--- a/entry/services/lavgate/gate.go
+++ b/entry/services/lavgate/gate.go
@@ -161,7 +161,7 @@
 // deadline is when a request stops waiting for room.
 func (g *Gate) deadline(request *lavrequest.Request) time.Time {
 	latest := request.Arrived.Add(g.MaxWait)
-	if g.MaxWait <= 0 || request.Deadline.Before(latest) {
+	if g.MaxWait <= 0 || request.Patient || request.Deadline.Before(latest) {
 		return request.Deadline
 	}
 	return latest
--- a/entry/services/lavgate/gate_test.go
+++ b/entry/services/lavgate/gate_test.go
@@ -109,4 +109,6 @@
 	now := time.Now()
 	is.Equal(gate.deadline(&lavrequest.Request{Arrived: now, Deadline: now.Add(time.Minute)}), now.Add(time.Second))
 	is.Equal(gate.deadline(&lavrequest.Request{Arrived: now, Deadline: now.Add(time.Millisecond)}), now.Add(time.Millisecond))
+	patient := &lavrequest.Request{Arrived: now, Deadline: now.Add(time.Minute), Patient: true}
+	is.Equal(gate.deadline(patient), now.Add(time.Minute))
 }
