--- a/core/services/lavlimit/limiter.go
+++ b/core/services/lavlimit/limiter.go
@@ -20,7 +20,7 @@
 
 // The phases of a limit.
 const (
-	// SlowStart doubles the limit while the server answers well.
+	// SlowStart raises the limit by half while the server answers well.
 	SlowStart Phase = "SlowStart"
 	// Steady moves the limit by small steps.
 	Steady Phase = "Steady"
--- a/core/services/lavlimit/tick.go
+++ b/core/services/lavlimit/tick.go
@@ -13,7 +13,7 @@
 	// idleAge without use halves an unused limit.
 	idleAge = 10 * time.Second
 	// slowStartFactor multiplies the limit in each window of a slow start.
-	slowStartFactor = 2
+	slowStartFactor = 1.5
 	// growShare of the target is the latency below which the limit grows.
 	growShare = 0.8
 	// usedShare of the limit has to be in use for it to grow.
--- /dev/null
+++ b/tests/modules/lavport/doc.go
@@ -0,0 +1,2 @@
+// Package lavport hands out loopback addresses on which no other test run listens.
+package lavport
