Rate no request that the engine itself refused

Cause: an answer of 400, such as for a prompt that is too long, was rated like any other and counted against the version.

Change: such an answer is delivered, or the next stage tried, without a rating or a count.

--- a/entry/services/lavserve/stages.go
+++ b/entry/services/lavserve/stages.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"time"
 
 	"lavenderswitch/core/models/lavid"
@@ -55,6 +56,9 @@
 		return err
 	}
 	w.pinLast(ctx, version, last > 0)
+	if isRefusedByEngine(tee.status) {
+		return nil
+	}
 	w.Raters.Observe(w.request, Answered{Key: w.key, Answer: tee.body, Cost: w.lastCost, Rating: lavplan.Unrated, Delivered: true})
 	return nil
 }
@@ -68,6 +72,9 @@
 		return false, w.fatal(ctx, err)
 	}
 	w.run = laverror.Ran
+	if isRefusedByEngine(whole.Start.StatusCode) {
+		return false, nil
+	}
 	rating := w.Raters.Rate(ctx, w.request, w.key, whole.Body)
 	w.note(lavtrace.Step{Kind: lavtrace.StepRated, Version: version, Reason: string(rating)})
 	rejected := rating == lavplan.RatedRejected
@@ -129,6 +136,12 @@
 	body []byte
 	// started is called when the answer begins.
 	started func()
+	status  int
+}
+
+// isRefusedByEngine tells whether the engine refused the request itself, such as a prompt that is too long; that says nothing of the version's quality.
+func isRefusedByEngine(status int) bool {
+	return status >= http.StatusBadRequest
 }
 
 const maxRatedBytes = 64 << 10
@@ -142,6 +155,7 @@
 // Head passes the head on.
 func (t *tee) Head(head lavrequest.Head) error {
 	t.started()
+	t.status = head.StatusCode
 	return t.Sink.Head(head)
 }
 
