--- a/side/routers/lavattempt/chat_test.go
+++ b/side/routers/lavattempt/chat_test.go
@@ -8,6 +8,7 @@
 	"github.com/matryer/is"
 
 	"lavenderswitch/core/models/lavconfig"
+	"lavenderswitch/core/modules/lavplatform"
 	"lavenderswitch/wire/lavwire"
 )
 
@@ -159,3 +160,15 @@
 	gone := newSideAt(t, "engine", "http://127.0.0.1:1", newRows())
 	is.Equal(gone.dispatcher.Metrics.Value("ColdStarts"), int64(1))
 }
+
+func TestHostListMakesTheServerLeaveAndComeBack(t *testing.T) {
+	is := is.New(t)
+	s := newSide(t, "s1", &service{}, newRows())
+	s.dispatcher.FollowHosts([]lavplatform.Host{{BackendServer: "s1", Leaving: true}, {BackendServer: "s2"}})
+	is.True(s.dispatcher.Load().GetLeaving())
+	refusal := s.send(submit("1")).refusal
+	is.Equal(refusal.GetKind(), lavwire.RefusalKind_REFUSAL_KIND_SERVER_LEAVING)
+	is.Equal(refusal.GetRunState(), lavwire.RunState_RUN_STATE_NOT_RUN)
+	s.dispatcher.FollowHosts([]lavplatform.Host{{BackendServer: "s1"}, {BackendServer: "s2", Leaving: true}})
+	is.Equal(string(s.send(submit("2")).body), "receipt")
+}
