Run every test afresh

Cause: the fault matrix builds the programs it starts, which the test cache does not see as its inputs; a whole run after a change of one test took the matrix's result from the cache.

--- a/Makefile
+++ b/Makefile
@@ -22,10 +22,10 @@
 	scripts/fleet.sh down
 
 race: ## unit and integration tests under the race detector
-	go test -race -timeout 10m $(addprefix ./,$(addsuffix /...,$(MODULES)))
+	go test -race -count=1 -timeout 10m $(addprefix ./,$(addsuffix /...,$(MODULES)))
 
 unit: ## the same tests without the race detector
-	go test $(addprefix ./,$(addsuffix /...,$(MODULES)))
+	go test -count=1 $(addprefix ./,$(addsuffix /...,$(MODULES)))
 
 tools: $(TOOLS)/golangci-lint $(TOOLS)/gofumpt $(TOOLS)/buf $(TOOLS)/protoc-gen-go $(TOOLS)/protoc-gen-twirp
 
