Serve the users' platform: entry hosts send to the backend servers directly

Cause: the product ran on its own stand-ins only. The users' platform lists backend servers, configuration and orders in its store of rows and speaks plain HTTP on both sides.

Change: one role on the entry machines. platform/ translates (settings by the deploy template, store client, decoding, HTTP both ways).

Ruled out: a side role, which costs a machine and a hop, while an entry host can check all that the side checks here; net/http's client, which repeats requests by itself and cannot pass over an answer to another request.

--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-MODULES := core ctl entry fake side tests wire
+MODULES := core ctl entry fake platform side tests wire
 PROGRAMS := entry side ctl fake
 TOOLS ?= $(CURDIR)/.tools
 BIN := $(CURDIR)/bin
@@ -48,6 +48,7 @@
 
 generate: tools ## generate the wire types from the schema
 	cd wire && buf generate
+	cd platform && buf generate
 
 check-generated: tools ## fail when the committed wire types differ from the schema
 	@rm -rf .generated && mkdir .generated && cd wire && buf generate -o ../.generated
--- a/core/models/lavid/id.go
+++ b/core/models/lavid/id.go
@@ -21,7 +21,10 @@
 // VersionID names one version of one model.
 type VersionID string
 
-// ServiceID names a plain service.
+// ReleaseID names a version of the software that the backend servers of a service run.
+type ReleaseID string
+
+// ServiceID names a service: a plain one or a pool of model engines.
 type ServiceID string
 
 // CallID names one call of a plain service.
--- /dev/null
+++ b/core/models/lavroute/table.go
@@ -0,0 +1,88 @@
+package lavroute
+
+import (
+	"cmp"
+	"net"
+	"slices"
+	"strings"
+
+	"lavenderswitch/core/models/lavid"
+)
+
+// Table is one whole configuration; it is not changed after NewTable.
+type Table struct {
+	Number   lavid.ConfigNumber
+	Services map[lavid.ServiceID]*Service
+	Limits   Limits
+
+	routes   map[string][]*Route
+	accounts map[string]*Account
+	keyed    bool
+}
+
+// NewTable returns a table of the routes, services and accounts by key; keyed says that requests need a key.
+func NewTable(number lavid.ConfigNumber, routes []*Route, services []*Service, accounts map[string]*Account, limits Limits, keyed bool) *Table {
+	table := &Table{
+		Number:   number,
+		Services: make(map[lavid.ServiceID]*Service, len(services)),
+		Limits:   limits,
+		routes:   make(map[string][]*Route),
+		accounts: accounts,
+		keyed:    keyed,
+	}
+	for _, service := range services {
+		table.Services[service.ID] = service
+	}
+	for _, route := range routes {
+		name := strings.ToLower(route.HostName)
+		table.routes[name] = append(table.routes[name], route)
+	}
+	for _, same := range table.routes {
+		slices.SortStableFunc(same, func(a, b *Route) int { return cmp.Compare(len(b.Prefix), len(a.Prefix)) })
+	}
+	return table
+}
+
+// Route returns the route of the host name with the longest prefix of the path, or false.
+func (t *Table) Route(hostName, path string) (*Route, bool) {
+	name := strings.ToLower(hostName)
+	if host, _, err := net.SplitHostPort(name); err == nil {
+		name = host
+	}
+	for _, route := range t.routes[name] {
+		if strings.HasPrefix(path, route.Prefix) {
+			return route, true
+		}
+	}
+	return nil, false
+}
+
+// Account returns the holder of a key, or false when the key is unknown.
+func (t *Table) Account(key string) (*Account, bool) {
+	account, ok := t.accounts[key]
+	return account, ok
+}
+
+// NeedsKey tells whether requests of the route must carry a key.
+func (t *Table) NeedsKey(route *Route) bool {
+	return t.keyed && !route.Public
+}
+
+// Pick returns the service of a route for a draw in [0, 1).
+func (r *Route) Pick(draw float64) lavid.ServiceID {
+	sum := 0.0
+	for _, split := range r.Splits {
+		sum += split.Weight
+	}
+	left := draw * sum
+	for _, split := range r.Splits {
+		left -= split.Weight
+		if left < 0 {
+			return split.Service
+		}
+	}
+	if len(r.Splits) == 0 {
+		return ""
+	}
+	return r.Splits[len(r.Splits)-1].Service
+}
--- /dev/null
+++ b/core/models/lavserver/doc.go
@@ -0,0 +1,2 @@
+// Package lavserver holds what a backend server says of itself.
+package lavserver
--- /dev/null
+++ b/core/modules/lavevent/splitter.go
@@ -0,0 +1,77 @@
+package lavevent
+
+import (
+	"bytes"
+
+	"github.com/pkg/errors"
+)
+
+// maxEventBytes bounds one event.
+const maxEventBytes = 1 << 20
+
+// ErrEventTooLarge says that an event does not end within its bound.
+var ErrEventTooLarge = errors.New("event of a stream does not end within 1 MiB; the server's answer is damaged")
+
+// Event is one whole event with its separator.
+type Event struct {
+	// ID is empty when the event has none.
+	ID    string
+	Bytes []byte
+}
+
+// Splitter collects the bytes of a stream until an event is whole.
+type Splitter struct {
+	pending []byte
+}
+
+// Add returns the events that data completes; their bytes stay valid until the next call.
+func (s *Splitter) Add(data []byte) ([]Event, error) {
+	s.pending = append(s.pending, data...)
+	var events []Event
+	rest := s.pending
+	for {
+		end := eventEnd(rest)
+		if end < 0 {
+			break
+		}
+		events = append(events, Event{ID: eventID(rest[:end]), Bytes: bytes.Clone(rest[:end])})
+		rest = rest[end:]
+	}
+	s.pending = append(s.pending[:0], rest...)
+	if len(s.pending) > maxEventBytes {
+		return events, ErrEventTooLarge
+	}
+	return events, nil
+}
+
+// Partial tells whether bytes of an event that is not whole are waiting.
+func (s *Splitter) Partial() bool {
+	return len(s.pending) > 0
+}
+
+// eventEnd returns the length of the first event with its empty line, or -1.
+func eventEnd(data []byte) int {
+	for from := 0; ; {
+		line := bytes.IndexByte(data[from:], '\n')
+		if line < 0 {
+			return -1
+		}
+		text := bytes.TrimSuffix(data[from:from+line], []byte("\r"))
+		from += line + 1
+		if len(text) == 0 {
+			return from
+		}
+	}
+}
+
+// eventID returns the value of the last id line.
+func eventID(event []byte) string {
+	id := ""
+	for line := range bytes.Lines(event) {
+		value, found := bytes.CutPrefix(bytes.TrimRight(line, "\r\n"), []byte("id:"))
+		if found {
+			id = string(bytes.TrimPrefix(value, []byte(" ")))
+		}
+	}
+	return id
+}
--- /dev/null
+++ b/core/modules/lavlog/async.go
@@ -0,0 +1,53 @@
+package lavlog
+
+import (
+	"io"
+	"sync/atomic"
+
+	"lavenderswitch/core/modules/lavlife"
+)
+
+// queuedLines bounds the lines that wait for a slow reader of the log.
+const queuedLines = 4096
+
+// Async writes lines behind the caller's back and drops them when too many wait; it never blocks.
+type Async struct {
+	lavlife.Part
+	lines   chan []byte
+	dropped atomic.Int64
+}
+
+// NewAsync returns a writer to w that ends when Close is called.
+func NewAsync(w io.Writer) *Async {
+	async := &Async{lines: make(chan []byte, queuedLines)}
+	go async.run(w)
+	return async
+}
+
+func (a *Async) run(w io.Writer) {
+	defer a.Finish()
+	for line := range a.lines {
+		if _, err := w.Write(line); err != nil {
+			a.dropped.Add(1)
+		}
+	}
+}
+
+// Write queues one line; it always succeeds.
+func (a *Async) Write(line []byte) (int, error) {
+	select {
+	case a.lines <- append([]byte(nil), line...):
+	default:
+		a.dropped.Add(1)
+	}
+	return len(line), nil
+}
+
+// Dropped returns the number of lines that were not written.
+func (a *Async) Dropped() int64 { return a.dropped.Load() }
+
+// Close writes what is queued; Write must not be called any more.
+func (a *Async) Close() {
+	close(a.lines)
+	<-a.Done()
+}
--- a/core/modules/lavring/owner.go
+++ b/core/modules/lavring/owner.go
@@ -31,6 +31,11 @@
 	return ranked[:min(len(ranked), 2)]
 }
 
+// Ranked returns all members, the highest-scoring one of the key first.
+func Ranked(members []Member, key string) []Member {
+	return rank(members, key)
+}
+
 func rank(members []Member, key string) []Member {
 	type scored struct {
 		member Member
--- /dev/null
+++ b/core/services/lavbalance/engine.go
@@ -0,0 +1,121 @@
+package lavbalance
+
+import (
+	"time"
+
+	"lavenderswitch/core/models/lavid"
+)
+
+// Engine is a backend server that may take a request, with the work in progress there over all hosts.
+type Engine struct {
+	ID lavid.BackendServerID
+	// Requests is the number in progress, of which the server works on Slots at once.
+	Requests int
+	Slots    int
+	// Unread is the work of prompts that wait to be read, and Own that of this request there, in tokens.
+	Unread float64
+	Own    float64
+	// Memory is the tokens that the requests in progress hold, with this one, and Capacity what the server has.
+	Memory   lavid.Tokens
+	Capacity lavid.Tokens
+	// Failing is the part of the latest requests that the server failed, beyond what is usual.
+	Failing lavid.Share
+	// Cold servers bear little load.
+	Cold bool
+	// Far servers are in another data centre.
+	Far bool
+}
+
+// The parts of an engine's cost, in tokens of prompt that take as long.
+const (
+	// requestTokens is what each request in progress slows the others by.
+	requestTokens = 300
+	// waitingTokens is what a request without a free slot waits for.
+	waitingTokens = 8000
+	// crowdedTokens is the cost of memory that runs out, by which requests are preempted.
+	crowdedTokens = 40000
+	// failingTokens is the cost of a server that fails every request.
+	failingTokens = 60000
+	// coldTokens is the cost of a cold server.
+	coldTokens = 4000
+	// farTokens keeps equal choices within the data centre.
+	farTokens = 200
+)
+
+// LeastWork returns the index of the engine that is expected to answer first, or -1 when there is none.
+func LeastWork(engines []Engine) int {
+	best, least := -1, 0.0
+	for i := range engines {
+		work := engines[i].work()
+		if best < 0 || work < least {
+			best, least = i, work
+		}
+	}
+	return best
+}
+
+func (e *Engine) work() float64 {
+	work := e.Unread + e.Own + requestTokens*float64(e.Requests)
+	if e.Slots > 0 && e.Requests >= e.Slots {
+		work += waitingTokens * float64(e.Requests-e.Slots+1)
+	}
+	if e.Capacity > 0 && e.Memory > e.Capacity {
+		work += crowdedTokens
+	}
+	work += failingTokens * float64(e.Failing)
+	if e.Cold {
+		work += coldTokens
+	}
+	if e.Far {
+		work += farTokens
+	}
+	return work
+}
+
+// Plain is a backend server of a plain service that may take a request.
+type Plain struct {
+	ID       lavid.BackendServerID
+	Requests int
+	Slots    int
+	Failing  lavid.Share
+	Cold     bool
+	Far      bool
+	// Usual is the smoothed time of an answer; zero when unknown.
+	Usual time.Duration
+}
+
+const (
+	// failingRequests, coldRequests and farRequests are costs in requests in progress.
+	failingRequests = 20
+	coldRequests    = 2
+	farRequests     = 0.3
+	// queuedRequests weighs a request that waits for a slot against one that is worked on.
+	queuedRequests = 2
+)
+
+// LeastBusy returns the index of the plain server with the least in progress, or -1 when there is none.
+func LeastBusy(servers []Plain, random func() float64) int {
+	best, least := -1, 0.0
+	for i := range servers {
+		busy := servers[i].busy() + 0.01*random()
+		if best < 0 || busy < least {
+			best, least = i, busy
+		}
+	}
+	return best
+}
+
+func (p *Plain) busy() float64 {
+	busy := float64(p.Requests)
+	if p.Slots > 0 && p.Requests >= p.Slots {
+		busy += queuedRequests * float64(p.Requests-p.Slots+1)
+	}
+	busy += failingRequests * float64(p.Failing)
+	if p.Cold {
+		busy += coldRequests
+	}
+	if p.Far {
+		busy += farRequests
+	}
+	return busy
+}
--- /dev/null
+++ b/core/services/lavcold/limiter.go
@@ -0,0 +1,85 @@
+package lavcold
+
+import (
+	"math"
+	"sync"
+	"time"
+
+	"lavenderswitch/core/models/lavid"
+	"lavenderswitch/core/modules/lavring"
+)
+
+// window is the span over which the rate of a cold server counts.
+const window = time.Second
+
+// Limiter counts what this host sent to cold backend servers; it is safe for concurrent use.
+type Limiter struct {
+	self lavid.HostID
+
+	mu   sync.Mutex
+	sent map[lavid.BackendServerID][]time.Time
+}
+
+// New returns a limiter of the host self.
+func New(self lavid.HostID) *Limiter {
+	return &Limiter{self: self, sent: make(map[lavid.BackendServerID][]time.Time)}
+}
+
+// Take counts one request to a cold server that bears rate requests per second from all hosts, or returns false.
+//
+// The rate is dealt out as whole requests per window to the hosts that rank
+// first for the server, so that hosts with the same members agree.
+func (l *Limiter) Take(server lavid.BackendServerID, rate float64, hosts []lavring.Member, now time.Time) bool {
+	part := l.part(server, rate, hosts)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	recent := l.recent(server, now)
+	if len(recent) >= part {
+		return false
+	}
+	l.sent[server] = append(recent, now)
+	return true
+}
+
+// Room tells whether Take would succeed.
+func (l *Limiter) Room(server lavid.BackendServerID, rate float64, hosts []lavring.Member, now time.Time) bool {
+	part := l.part(server, rate, hosts)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.recent(server, now)) < part
+}
+
+// part is the number of requests per window that this host may send.
+func (l *Limiter) part(server lavid.BackendServerID, rate float64, hosts []lavring.Member) int {
+	total := int(math.Floor(rate))
+	if total < 1 {
+		total = 1
+	}
+	ranked := lavring.Ranked(hosts, string(server))
+	owners := min(len(ranked), total)
+	if owners == 0 {
+		return 0
+	}
+	for place, member := range ranked[:owners] {
+		if member.ID != l.self {
+			continue
+		}
+		if place < total%owners {
+			return total/owners + 1
+		}
+		return total / owners
+	}
+	return 0
+}
+
+// recent returns what was sent within the window.
+func (l *Limiter) recent(server lavid.BackendServerID, now time.Time) []time.Time {
+	all := l.sent[server]
+	for len(all) > 0 && now.Sub(all[0]) > window {
+		all = all[1:]
+	}
+	if len(all) == 0 {
+		delete(l.sent, server)
+	}
+	return all
+}
--- /dev/null
+++ b/core/services/lavcutover/tally.go
@@ -0,0 +1,168 @@
+package lavcutover
+
+import (
+	"sync"
+	"time"
+
+	"lavenderswitch/core/models/lavid"
+	"lavenderswitch/core/models/lavserver"
+	"lavenderswitch/core/services/lavrollout"
+)
+
+// Outcome is what one send says of the release that ran it.
+type Outcome struct {
+	// Kind groups sends that may be compared with each other.
+	Kind string
+	// Failed says that the server ran the request and failed it.
+	Failed bool
+	// Pace is the time of the whole answer, or between two events of a stream; zero when it is not known.
+	Pace time.Duration
+}
+
+// Key names what is counted together.
+type Key struct {
+	Service lavid.ServiceID
+	Release lavid.ReleaseID
+	Kind    string
+}
+
+// Counts are the answers of one key so far.
+type Counts struct {
+	Failures lavrollout.Sample
+	Slow     lavrollout.Sample
+}
+
+func sum(a, b lavrollout.Sample) lavrollout.Sample {
+	return lavrollout.Sample{Trials: a.Trials + b.Trials, Bad: a.Bad + b.Bad}
+}
+
+const (
+	// slowFactor times the old releases' mean pace counts as slow.
+	slowFactor = 3.5
+	// paceWeight is the part of the newest answer in the mean pace.
+	paceWeight = 0.1
+	// knownPaces are needed before a pace can be slow.
+	knownPaces = 8
+)
+
+type pace struct {
+	mean  float64
+	count int
+}
+
+// tally counts this host's answers and keeps what peers counted.
+type tally struct {
+	mu    sync.Mutex
+	own   map[Key]Counts
+	peers map[lavid.HostID]map[Key]Counts
+	// paces holds the mean pace of each kind over all releases that are not under way.
+	paces map[string]pace
+}
+
+func newTally() *tally {
+	return &tally{own: make(map[Key]Counts), peers: make(map[lavid.HostID]map[Key]Counts), paces: make(map[string]pace)}
+}
+
+// add counts one answer; those of the old releases teach what pace is usual.
+func (t *tally) add(server lavserver.Server, outcome Outcome, old bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	key := Key{Service: server.Service, Release: server.Release, Kind: outcome.Kind}
+	counts := t.own[key]
+	counts.Failures.Trials++
+	if outcome.Failed {
+		counts.Failures.Bad++
+	}
+	if outcome.Pace > 0 {
+		t.addPace(&counts, string(server.Service)+"\x00"+outcome.Kind, outcome.Pace, old)
+	}
+	t.own[key] = counts
+}
+
+func (t *tally) addPace(counts *Counts, kind string, took time.Duration, old bool) {
+	usual := t.paces[kind]
+	if usual.count >= knownPaces {
+		counts.Slow.Trials++
+		if float64(took) > slowFactor*usual.mean {
+			counts.Slow.Bad++
+			return
+		}
+	}
+	if !old {
+		return
+	}
+	if usual.count == 0 {
+		usual.mean = float64(took)
+	}
+	usual.count++
+	usual.mean += paceWeight * (float64(took) - usual.mean)
+	t.paces[kind] = usual
+}
+
+// hear replaces what a peer counted.
+func (t *tally) hear(peer lavid.HostID, counts map[Key]Counts) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.peers[peer] = counts
+}
+
+// ownCounts returns a copy of this host's counts of a service.
+func (t *tally) ownCounts(service lavid.ServiceID) map[Key]Counts {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	counts := make(map[Key]Counts)
+	for key, count := range t.own {
+		if key.Service == service {
+			counts[key] = count
+		}
+	}
+	return counts
+}
+
+// clear forgets a service, as when a new cutover begins.
+func (t *tally) clear(service lavid.ServiceID) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	drop := func(rows map[Key]Counts) {
+		for key := range rows {
+			if key.Service == service {
+				delete(rows, key)
+			}
+		}
+	}
+	drop(t.own)
+	for _, rows := range t.peers {
+		drop(rows)
+	}
+}
+
+type samples map[lavrollout.Stratum]lavrollout.Sample
+
+// evidence returns how strongly the answers of all hosts speak against a release.
+func (t *tally) evidence(progress Progress, settings lavrollout.Settings) float64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	tested := [2]samples{{}, {}}
+	control := [2]samples{{}, {}}
+	visit := func(rows map[Key]Counts) {
+		for key, counts := range rows {
+			if key.Service != progress.Service {
+				continue
+			}
+			target := &control
+			if key.Release == progress.To {
+				target = &tested
+			}
+			stratum := lavrollout.Stratum(key.Kind)
+			target[0][stratum] = sum(target[0][stratum], counts.Failures)
+			target[1][stratum] = sum(target[1][stratum], counts.Slow)
+		}
+	}
+	visit(t.own)
+	for _, rows := range t.peers {
+		visit(rows)
+	}
+	failures := lavrollout.Excess(tested[0], control[0], settings.Failures)
+	slow := lavrollout.Excess(tested[1], control[1], settings.Failures)
+	return max(failures, slow)
+}
--- /dev/null
+++ b/core/services/lavload/ledger.go
@@ -0,0 +1,119 @@
+package lavload
+
+import (
+	"sync"
+	"time"
+
+	"lavenderswitch/core/models/lavid"
+)
+
+// peerAge is how long a peer's report counts; peers report several times in it.
+const peerAge = 1500 * time.Millisecond
+
+// Load is work in progress at one backend server.
+type Load struct {
+	// Requests is the number of requests in progress.
+	Requests int
+	// Unread is the prompt tokens that are not known to be read yet, in tokens of the smallest model's time.
+	Unread float64
+	// Memory is the tokens that the requests hold or will hold.
+	Memory lavid.Tokens
+}
+
+// Plus returns the sum of both loads.
+func (l Load) Plus(other Load) Load {
+	return Load{Requests: l.Requests + other.Requests, Unread: l.Unread + other.Unread, Memory: l.Memory + other.Memory}
+}
+
+// Reporter names one of the parts in which a host reports its loads.
+type Reporter struct {
+	Host lavid.HostID
+	Part uint32
+}
+
+type report struct {
+	loads map[lavid.BackendServerID]Load
+	at    time.Time
+}
+
+// Ledger is safe for concurrent use.
+type Ledger struct {
+	mu    sync.Mutex
+	own   map[lavid.BackendServerID]Load
+	peers map[Reporter]report
+}
+
+// New returns an empty ledger.
+func New() *Ledger {
+	return &Ledger{own: make(map[lavid.BackendServerID]Load), peers: make(map[Reporter]report)}
+}
+
+// Job is one request in progress at a backend server.
+type Job struct {
+	ledger *Ledger
+	server lavid.BackendServerID
+	load   Load
+}
+
+// Start adds a request with a prompt of unread tokens that will hold memory tokens.
+func (l *Ledger) Start(server lavid.BackendServerID, unread float64, memory lavid.Tokens) *Job {
+	job := &Job{ledger: l, server: server, load: Load{Requests: 1, Unread: unread, Memory: memory}}
+	l.add(server, job.load)
+	return job
+}
+
+// Read records that the prompt has been read, as the first event shows.
+func (j *Job) Read() {
+	j.ledger.add(j.server, Load{Unread: -j.load.Unread})
+	j.load.Unread = 0
+}
+
+// End takes the request out.
+func (j *Job) End() {
+	j.ledger.add(j.server, Load{Requests: -j.load.Requests, Unread: -j.load.Unread, Memory: -j.load.Memory})
+	j.load = Load{}
+}
+
+func (l *Ledger) add(server lavid.BackendServerID, load Load) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	sum := l.own[server].Plus(load)
+	if sum.Requests == 0 {
+		delete(l.own, server)
+		return
+	}
+	l.own[server] = sum
+}
+
+// Own returns a copy of this host's loads.
+func (l *Ledger) Own() map[lavid.BackendServerID]Load {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	loads := make(map[lavid.BackendServerID]Load, len(l.own))
+	for server, load := range l.own {
+		loads[server] = load
+	}
+	return loads
+}
+
+// Hear replaces one part of what a peer has in progress.
+func (l *Ledger) Hear(peer Reporter, loads map[lavid.BackendServerID]Load, now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.peers[peer] = report{loads: loads, at: now}
+}
+
+// At returns what all hosts together have in progress at a backend server.
+func (l *Ledger) At(server lavid.BackendServerID, now time.Time) Load {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	sum := l.own[server]
+	for peer, report := range l.peers {
+		if now.Sub(report.at) > peerAge {
+			delete(l.peers, peer)
+			continue
+		}
+		sum = sum.Plus(report.loads[server])
+	}
+	return sum
+}
--- /dev/null
+++ b/entry/services/lavforward/forwarder.go
@@ -0,0 +1,90 @@
+package lavforward
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"lavenderswitch/core/models/lavid"
+	"lavenderswitch/core/models/lavserver"
+	"lavenderswitch/core/modules/lavmetric"
+	"lavenderswitch/core/modules/lavring"
+	"lavenderswitch/core/services/lavcold"
+	"lavenderswitch/core/services/lavcutover"
+	"lavenderswitch/core/services/lavdirectory"
+	"lavenderswitch/core/services/lavload"
+)
+
+// Settings are the bounds of forwarding.
+type Settings struct {
+	// ColdOverage is the part of a cold server's stated rate that all hosts together use.
+	ColdOverage float64
+	// RepeatShare of the requests for a service may be sent once more, beyond RepeatSlack within RepeatWindow.
+	RepeatShare  float64
+	RepeatSlack  float64
+	RepeatWindow time.Duration
+	// AcceptConfidence is the least confidence at which the answer of a smaller model is delivered.
+	AcceptConfidence int
+}
+
+// Releases says which releases of a service may serve a session, and learns how they answer.
+type Releases interface {
+	Allowed(service lavid.ServiceID, session string, now time.Time) func(lavid.ReleaseID) lavcutover.Preference
+	Seat(server lavserver.Server, session string, now time.Time)
+	Observe(server lavserver.Server, outcome lavcutover.Outcome, now time.Time)
+}
+
+// Hosts lists the entry hosts that may send work, this one among them.
+type Hosts interface {
+	Hosts(now time.Time) []lavring.Member
+}
+
+// Parts are what a Forwarder works with.
+type Parts struct {
+	Directory *lavdirectory.Directory
+	Loads     *lavload.Ledger
+	Cold      *lavcold.Limiter
+	Releases  Releases
+	Hosts     Hosts
+	Sender    Sender
+	// DataCentre is this host's.
+	DataCentre lavid.DataCentreID
+	Metrics    *lavmetric.Set
+	Log        logrus.FieldLogger
+	Clock      func() time.Time
+}
+
+// Forwarder serves requests; it is safe for concurrent use.
+type Forwarder struct {
+	Parts
+	settings Settings
+	health   *healths
+	repeats  *repeats
+	prompts  *prompts
+	random   func() float64
+}
+
+// New returns a forwarder.
+func New(settings Settings, parts Parts) *Forwarder {
+	return &Forwarder{
+		Parts:    parts,
+		settings: settings,
+		health:   newHealths(),
+		repeats:  newRepeats(settings),
+		prompts:  newPrompts(),
+		random:   rand.Float64,
+	}
+}
+
+// Serve answers the request and returns how it ended; it stops when ctx ends.
+func (f *Forwarder) Serve(ctx context.Context, request *Request, answer Answer) Result {
+	f.repeats.first(request.Service.ID, f.Clock())
+	work := &work{Forwarder: f, request: request, answer: answer, excluded: make(map[lavid.BackendServerID]bool)}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	result := work.run(ctx)
+	work.report(ctx, result)
+	return result
+}
