--- a/core/services/lavbalance/engine.go
+++ b/core/services/lavbalance/engine.go
@@ -28,6 +28,8 @@
 
 // The parts of an engine's cost, in tokens of prompt that take as long.
 const (
+	// addedWeight weighs the work that a request adds against what it waits for, as others wait for it in turn.
+	addedWeight = 6
 	// requestTokens is what each request in progress slows the others by.
 	requestTokens = 300
 	// waitingTokens is what a request without a free slot waits for.
@@ -55,7 +57,7 @@
 }
 
 func (e *Engine) work() float64 {
-	work := e.Unread + e.Own + requestTokens*float64(e.Requests)
+	work := e.Unread + addedWeight*e.Own + requestTokens*float64(e.Requests)
 	if e.Slots > 0 && e.Requests >= e.Slots {
 		work += waitingTokens * float64(e.Requests-e.Slots+1)
 	}
