Leave only servers that are silent to all; accept answers by the outlook of a larger model

Change: a send is given up for silence only when its server has sent this host nothing at all for the time.

--- a/core/models/lavroute/route.go
+++ b/core/models/lavroute/route.go
@@ -72,6 +72,8 @@
 type Engine struct {
 	Slots    int
 	Capacity lavid.Tokens
+	// EventTokens is the number of tokens in one event of a stream.
+	EventTokens float64
 	// Costs is the price of 1,000 generated tokens for each model, in the operator's unit of worth.
 	Costs map[lavid.ModelID]float64
 }
--- a/entry/services/lavforward/choose.go
+++ b/entry/services/lavforward/choose.go
@@ -24,8 +24,10 @@
 // choice is a backend server chosen for one send.
 type choice struct {
 	lavdirectory.Row
-	model  lavid.ModelID
+	model lavid.ModelID
+	// unread is the work that the request adds, and ahead what it waits for.
 	unread float64
+	ahead  float64
 }
 
 // choose returns the backend server for the next send, or false when none may take it now.
@@ -107,7 +109,7 @@
 	if best < 0 {
 		return choice{}, false
 	}
-	return choice{Row: rows[best], model: model, unread: engines[best].Own}, true
+	return choice{Row: rows[best], model: model, unread: engines[best].Own, ahead: engines[best].Unread}, true
 }
 
 // home returns the server that all hosts prefer for the shared part of the prompt.
--- a/entry/services/lavforward/deliver.go
+++ b/entry/services/lavforward/deliver.go
@@ -15,6 +15,7 @@
 	"lavenderswitch/core/modules/lavevent"
 	"lavenderswitch/core/services/lavcutover"
 	"lavenderswitch/core/services/lavload"
+	"lavenderswitch/core/services/lavplan"
 )
 
 // maxWholeBytes bounds an answer that is held until it is whole.
@@ -41,7 +42,7 @@
 		return w.serverFailed(ctx, chosen, reply)
 	}
 	if w.request.Route.Kind == lavroute.Streaming && reply.Status == http.StatusOK {
-		return w.deliverStream(ctx, chosen, model, job, stall, reply)
+		return w.deliverStream(ctx, chosen, model, job, stall, reply, sent)
 	}
 	return w.deliverWhole(ctx, chosen, stall, reply, sent)
 }
@@ -123,22 +124,26 @@
 }
 
 // deliverStream passes on whole events as they arrive; a stream that breaks off goes on elsewhere after its last event.
-func (w *work) deliverStream(ctx context.Context, chosen choice, model lavid.ModelID, job *lavload.Job, stall *stall, reply *Reply) (step, Result) {
+func (w *work) deliverStream(ctx context.Context, chosen choice, model lavid.ModelID, job *lavload.Job, stall *stall, reply *Reply, sent time.Time) (step, Result) {
 	if !reply.Genuine {
 		w.excluded[chosen.ID] = true
 		return w.again("stream without the server's proof")
 	}
+	job.Read()
+	w.speeds.first(w.request.Service.ID, chosen.unread+chosen.ahead, w.Clock().Sub(sent))
 	if w.wantsLarger(reply) {
 		w.escalate(chosen, reply)
 		return stepAgain, Result{}
 	}
 	w.settled = model
+	w.confidence = reply.Confidence
 	w.stream = streamState{}
 	buffer := make([]byte, readBytes)
 	for {
 		count, err := reply.Body.Read(buffer)
 		if count > 0 {
-			if failure := w.pass(chosen, job, reply, buffer[:count]); failure != nil {
+			w.health.hear(chosen.ID, w.Clock())
+			if failure := w.pass(chosen, reply, buffer[:count]); failure != nil {
 				return stepDone, Result{Broken: true}
 			}
 			if w.mayResume() {
@@ -155,14 +160,14 @@
 }
 
 // pass delivers the events that data completes.
-func (w *work) pass(chosen choice, job *lavload.Job, reply *Reply, data []byte) error {
+func (w *work) pass(chosen choice, reply *Reply, data []byte) error {
 	events, err := w.stream.splitter.Add(data)
 	if err != nil {
 		return err
 	}
 	for _, event := range events {
 		if !w.begun {
-			if err := w.begin(job, reply); err != nil {
+			if err := w.begin(reply); err != nil {
 				return err
 			}
 		}
@@ -177,9 +182,8 @@
 	return nil
 }
 
-func (w *work) begin(job *lavload.Job, reply *Reply) error {
+func (w *work) begin(reply *Reply) error {
 	now := w.Clock()
-	job.Read()
 	w.begun = true
 	w.first = now.Sub(w.request.Arrived)
 	return w.answer.Begin(reply.Status, reply.Header, -1)
@@ -204,6 +208,7 @@
 	outcome := lavcutover.Outcome{Kind: w.kind(chosen)}
 	if w.stream.events > 0 {
 		outcome.Pace = now.Sub(w.stream.started) / time.Duration(w.stream.events)
+		w.speeds.pause(w.settled, outcome.Pace)
 	}
 	w.observe(chosen, outcome, now)
 }
@@ -253,10 +258,39 @@
 	if w.begun || w.request.Model != "" || w.settled != "" || w.model >= len(models)-1 {
 		return false
 	}
-	if !reply.HasConfidence || reply.Confidence >= w.settings.AcceptConfidence {
+	if !reply.HasConfidence || w.runs >= w.request.Route.Attempts {
+		return false
+	}
+	outlook, ok := w.outlook(models[len(models)-1])
+	if !ok || lavplan.Accept(lavplan.Confidence(reply.Confidence), outlook) {
 		return false
 	}
-	return w.runs < w.request.Route.Attempts && w.repeats.take(w.request.Service.ID, w.Clock())
+	return w.repeats.take(w.request.Service.ID, w.Clock())
+}
+
+// outlook is what asking a model would mean, or false when no server may take the request.
+func (w *work) outlook(model lavid.ModelID) (lavplan.Outlook, bool) {
+	now := w.Clock()
+	chosen, ok := w.choose(model, now)
+	if !ok {
+		return lavplan.Outlook{}, false
+	}
+	first, whole := w.speeds.expect(w.request.Service.ID, model, chosen.unread+chosen.ahead, w.events())
+	return lavplan.Outlook{
+		First:        first,
+		Whole:        whole,
+		TargetLeft:   w.request.Arrived.Add(w.request.Route.LatencyTarget).Sub(now),
+		DeadlineLeft: w.request.Deadline.Sub(now),
+	}, true
+}
+
+// events is the expected number of events of the answer.
+func (w *work) events() float64 {
+	engine := w.request.Service.Engine
+	if engine == nil || engine.EventTokens <= 0 {
+		return 0
+	}
+	return float64(w.memory()-w.request.Prompt.Input) / engine.EventTokens
 }
 
 // escalate goes on with the largest model.
--- a/entry/services/lavforward/forwarder.go
+++ b/entry/services/lavforward/forwarder.go
@@ -25,8 +25,6 @@
 	RepeatShare  float64
 	RepeatSlack  float64
 	RepeatWindow time.Duration
-	// AcceptConfidence is the least confidence at which the answer of a smaller model is delivered.
-	AcceptConfidence int
 }
 
 // Releases says which releases of a service may serve a session, and learns how they answer.
@@ -63,6 +61,7 @@
 	health   *healths
 	repeats  *repeats
 	prompts  *prompts
+	speeds   *speeds
 	random   func() float64
 }
 
@@ -74,6 +73,7 @@
 		health:   newHealths(),
 		repeats:  newRepeats(settings),
 		prompts:  newPrompts(),
+		speeds:   newSpeeds(),
 		random:   rand.Float64,
 	}
 }
--- a/entry/services/lavforward/health.go
+++ b/entry/services/lavforward/health.go
@@ -21,6 +21,8 @@
 type health struct {
 	lavbalance.Health
 	failing float64
+	// heard is when the server last sent anything.
+	heard time.Time
 }
 
 // healths holds the health of the backend servers that this host sends to.
@@ -75,6 +77,22 @@
 	h.rows.Add(server, row)
 }
 
+// hear records that the server sent something.
+func (h *healths) hear(server lavid.BackendServerID, now time.Time) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	row := h.row(server)
+	row.heard = now
+	h.rows.Add(server, row)
+}
+
+// silent tells whether the server has sent nothing since a time.
+func (h *healths) silent(server lavid.BackendServerID, since time.Time) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.row(server).heard.Before(since)
+}
+
 // usable tells whether the server may be chosen, and how often it failed lately.
 func (h *healths) usable(server lavid.BackendServerID, now time.Time) (bool, float64) {
 	h.mu.Lock()
--- a/entry/services/lavforward/stall.go
+++ b/entry/services/lavforward/stall.go
@@ -2,34 +2,75 @@
 
 import (
 	"context"
-	"sync/atomic"
+	"sync"
 	"time"
 )
 
-// stall ends a send whose server stands still.
+// stall ends a send whose server stands still: it has sent this host nothing at all since the time was started.
 type stall struct {
-	timer *time.Timer
-	ended atomic.Bool
+	cancel context.CancelFunc
+	// silent tells whether the server has sent nothing since a time.
+	silent func(since time.Time) bool
+	clock  func() time.Time
+
+	mu      sync.Mutex
+	timer   *time.Timer
+	started time.Time
+	length  time.Duration
+	ended   bool
 }
 
-func newStall(cancel context.CancelFunc) *stall {
-	s := &stall{}
-	s.timer = time.AfterFunc(time.Hour, func() {
-		s.ended.Store(true)
-		cancel()
-	})
-	s.timer.Stop()
-	return s
+func newStall(cancel context.CancelFunc, silent func(since time.Time) bool, clock func() time.Time) *stall {
+	return &stall{cancel: cancel, silent: silent, clock: clock}
 }
 
 // reset starts the time anew.
 func (s *stall) reset(length time.Duration) {
-	if !s.ended.Load() {
-		s.timer.Reset(length)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.ended {
+		return
+	}
+	s.started, s.length = s.clock(), length
+	if s.timer == nil {
+		s.timer = time.AfterFunc(length, s.check)
+		return
+	}
+	s.timer.Reset(length)
+}
+
+// check ends the send, or waits on while the server answers others.
+func (s *stall) check() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.ended {
+		return
 	}
+	now := s.clock()
+	if left := s.length - now.Sub(s.started); left > 0 {
+		s.timer.Reset(left)
+		return
+	}
+	if !s.silent(now.Add(-s.length)) {
+		s.timer.Reset(s.length)
+		return
+	}
+	s.ended = true
+	s.cancel()
 }
 
-func (s *stall) stop() { s.timer.Stop() }
+// stop ends the watch.
+func (s *stall) stop() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.timer != nil {
+		s.timer.Stop()
+	}
+}
 
 // fired tells whether the server stood still for too long.
-func (s *stall) fired() bool { return s.ended.Load() }
+func (s *stall) fired() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.ended
+}
--- a/entry/services/lavforward/work.go
+++ b/entry/services/lavforward/work.go
@@ -19,9 +19,9 @@
 	extraTries = 3
 	// minLeft is the least time in which a server can answer anything.
 	minLeft = 20 * time.Millisecond
-	// stallTargets is how many latency targets a repeatable request waits for its first event before it goes elsewhere.
-	stallTargets = 1.5
-	// stallPauses is how many pause targets a stream may stand still before it is resumed elsewhere.
+	// stallTargets is how many latency targets a repeatable request waits for a server that sends nothing to anybody.
+	stallTargets = 1
+	// stallPauses is how many pause targets a stream waits for such a server before it is resumed elsewhere.
 	stallPauses = 2
 )
 
@@ -40,12 +40,13 @@
 	begun bool
 	after string
 	// settled is the model whose answer has begun.
-	settled lavid.ModelID
-	stream  streamState
-	last    string
-	server  lavid.BackendServerID
-	first   time.Duration
-	failure *Reply
+	settled    lavid.ModelID
+	confidence int
+	stream     streamState
+	last       string
+	server     lavid.BackendServerID
+	first      time.Duration
+	failure    *Reply
 }
 
 // step is what follows a send.
@@ -106,7 +107,7 @@
 	left := w.request.Deadline.Sub(now)
 	ctx, cancel := context.WithTimeout(ctx, left)
 	defer cancel()
-	stall := newStall(cancel)
+	stall := newStall(cancel, func(since time.Time) bool { return w.health.silent(chosen.ID, since) }, w.Clock)
 	defer stall.stop()
 	if w.mayRepeat() {
 		stall.reset(w.firstStall())
@@ -123,6 +124,7 @@
 		return w.failed(ctx, chosen, stall, err)
 	}
 	defer reply.Body.Close()
+	w.health.hear(chosen.ID, w.Clock())
 	if reply.NotRun {
 		return w.refused(chosen, reply)
 	}
@@ -294,6 +296,7 @@
 	}
 	if w.settled != "" {
 		fields["model"] = w.settled
+		fields["confidence"] = w.confidence
 	}
 	w.Metrics.Count("Requests "+outcome, 1)
 	w.Metrics.Observe("Request", now.Sub(w.request.Arrived))
