Tests of serving on the platform; a release without a control can be stopped

Cause: the new packages had no tests. One of them showed a fault: with no answers of the old release, the evidence against a new one stayed at 1, whatever it failed, since both samples then have the same likeliest rate.

Change: the assumed rate stands in for a control that has not answered.

--- /dev/null
+++ b/core/models/lavroute/table_test.go
@@ -0,0 +1,52 @@
+package lavroute
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+func TestLongestPrefixOfTheHostNameWins(t *testing.T) {
+	is := is.New(t)
+	short := &Route{Name: "short", HostName: "a.example", Prefix: "/x/"}
+	long := &Route{Name: "long", HostName: "a.example", Prefix: "/x/y/"}
+	other := &Route{Name: "other", HostName: "b.example", Prefix: "/"}
+	table := NewTable(1, []*Route{short, long, other}, nil, nil, Limits{}, false)
+	for _, want := range []struct{ host, path, name string }{
+		{"a.example", "/x/z", "short"}, {"A.example:80", "/x/y/z", "long"}, {"a.example", "/x/y", "short"},
+		{"b.example", "/x/y/z", "other"}, {"a.example", "/xx/", ""}, {"a.example", "/x", ""}, {"c.example", "/x/", ""},
+	} {
+		route, ok := table.Route(want.host, want.path)
+		is.Equal(ok, want.name != "")
+		if ok {
+			is.Equal(route.Name, want.name)
+		}
+	}
+}
+
+func TestKeysAreNeededUnlessTheRouteIsPublic(t *testing.T) {
+	is := is.New(t)
+	table := NewTable(1, nil, nil, map[string]*Account{"key": {ID: "account"}}, Limits{}, true)
+	is.True(table.NeedsKey(&Route{}))
+	is.True(!table.NeedsKey(&Route{Public: true}))
+	_, known := table.Account("")
+	is.True(!known)
+	is.True(!NewTable(1, nil, nil, nil, Limits{}, false).NeedsKey(&Route{}))
+}
+
+func TestSplitsFollowTheirWeights(t *testing.T) {
+	is := is.New(t)
+	route := &Route{Splits: []Split{{"a", 90}, {"b", 10}}}
+	is.Equal(string(route.Pick(0)), "a")
+	is.Equal(string(route.Pick(0.89)), "a")
+	is.Equal(string(route.Pick(0.91)), "b")
+	is.Equal(string((&Route{}).Pick(0.5)), "")
+}
+
+func TestOnlyResumableStreamsAndIdempotentRequestsMayBeRepeated(t *testing.T) {
+	is := is.New(t)
+	is.True(!(&Route{}).Repeatable())
+	is.True(!(&Route{Kind: Streaming}).Repeatable())
+	is.True((&Route{Kind: Streaming, Resumable: true}).Repeatable())
+	is.True((&Route{Kind: Idempotent}).Repeatable())
+}
--- /dev/null
+++ b/core/modules/lavevent/splitter_test.go
@@ -0,0 +1,35 @@
+package lavevent
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+func TestEventsComeOutWhole(t *testing.T) {
+	is := is.New(t)
+	const stream = "id: 1\ndata: a\n\nid:2\r\ndata: b\r\n\r\ndata: no id\n\n: comment\nid: 4\ndata: half"
+	for size := 1; size < len(stream); size++ {
+		var splitter Splitter
+		var ids, text string
+		for from := 0; from < len(stream); from += size {
+			events, err := splitter.Add([]byte(stream[from:min(from+size, len(stream))]))
+			is.NoErr(err)
+			for _, event := range events {
+				ids += event.ID + ","
+				text += string(event.Bytes)
+			}
+		}
+		is.Equal(ids, "1,2,,")
+		is.True(strings.HasPrefix(stream, text)) // nothing is changed
+		is.True(splitter.Partial())
+	}
+}
+
+func TestEndlessEventIsAnError(t *testing.T) {
+	is := is.New(t)
+	var splitter Splitter
+	_, err := splitter.Add(make([]byte, maxEventBytes+1))
+	is.Equal(err, ErrEventTooLarge)
+}
--- /dev/null
+++ b/core/services/lavcutover/cutover_test.go
@@ -0,0 +1,223 @@
+package lavcutover
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"lavenderswitch/core/models/lavid"
+	"lavenderswitch/core/models/lavserver"
+	"lavenderswitch/core/services/lavrollout"
+)
+
+const (
+	pool  = lavid.ServiceID("pool")
+	trial = 0.1
+)
+
+var start = time.Unix(1000, 0)
+
+func cutovers() *Cutovers {
+	c := New(Settings{TrialShare: trial, SessionSpan: 5 * time.Second, Test: lavrollout.DefaultSettings(), StopAt: 100})
+	c.Clock(0, start)
+	c.Read()
+	return c
+}
+
+// begun returns cutovers in which v2 replaces v1 within 24 s from start.
+func begun() *Cutovers {
+	c := cutovers()
+	c.Ordered([]Order{{Service: pool, To: "v2", Duration: 24 * time.Second}}, start)
+	c.Hear(Progress{Service: pool, To: "v2", State: Running, Duration: 24 * time.Second}, 1, start)
+	return c
+}
+
+func on(release lavid.ReleaseID) lavserver.Server {
+	return lavserver.Server{ID: lavid.BackendServerID("server-" + string(release)), Service: pool, Release: release}
+}
+
+// taking returns the part of new sessions that prefer v2 at a time after the start.
+func taking(c *Cutovers, after time.Duration) float64 {
+	const sessions = 2000
+	count := 0.0
+	for i := range sessions {
+		if c.Allowed(pool, fmt.Sprintf("%v-%d", after, i), start.Add(after))("v2") == Preferred {
+			count++
+		}
+	}
+	return count / sessions
+}
+
+func first(lavid.ServiceID) int                  { return 0 }
+func idle(lavid.ServiceID, lavid.ReleaseID) bool { return false }
+func busy(lavid.ServiceID, lavid.ReleaseID) bool { return true }
+
+func TestNothingGoesToAReleaseBeforeItsCutoverBegins(t *testing.T) {
+	is := is.New(t)
+	c := cutovers()
+	c.Ordered([]Order{{Service: pool, To: "v2", Duration: 24 * time.Second}}, start)
+	allowed := c.Allowed(pool, "session", start)
+	is.Equal(allowed("v2"), Never)
+	is.Equal(allowed("v1"), Preferred)
+}
+
+func TestSharesGrowAfterTheTrial(t *testing.T) {
+	is := is.New(t)
+	c := begun()
+	is.True(taking(c, time.Second) > 0.06 && taking(c, time.Second) < 0.14)
+	is.True(taking(c, 12*time.Second) < 0.14) // the first half is the trial
+	is.True(taking(c, 12400*time.Millisecond) > 0.2)
+	is.Equal(taking(c, 15*time.Second), 1.0)
+}
+
+func TestSessionStaysDuringTheTrial(t *testing.T) {
+	is := is.New(t)
+	c := begun()
+	for i := range 200 {
+		session := fmt.Sprint(i)
+		c.Seat(on("v1"), session, start.Add(time.Second))
+		is.Equal(c.Allowed(pool, session, start.Add(2*time.Second))("v2"), Never)
+	}
+}
+
+func TestSessionNeverReturnsToTheOldRelease(t *testing.T) {
+	is := is.New(t)
+	c := begun()
+	for i := range 200 {
+		session := fmt.Sprint(i)
+		c.Seat(on("v2"), session, start.Add(time.Second))
+		is.Equal(c.Allowed(pool, session, start.Add(2*time.Second))("v2"), Preferred)
+	}
+}
+
+func TestStoppedReleaseGetsNothingAndCompleteOneAll(t *testing.T) {
+	is := is.New(t)
+	c := begun()
+	c.Hear(Progress{Service: pool, To: "v2", State: Stopped}, 2, start)
+	is.Equal(c.Allowed(pool, "s", start)("v2"), Never)
+	c = begun()
+	c.Hear(Progress{Service: pool, To: "v2", State: Complete}, 2, start)
+	is.Equal(c.Allowed(pool, "s", start)("v2"), Preferred)
+	is.Equal(c.Allowed(pool, "s", start)("v1"), Fallback)
+}
+
+func TestOlderRowIsPassedOver(t *testing.T) {
+	is := is.New(t)
+	c := begun()
+	is.True(c.Hear(Progress{Service: pool, To: "v2", State: Stopped}, 3, start))
+	is.True(!c.Hear(Progress{Service: pool, To: "v2", State: Running}, 2, start))
+	is.Equal(c.Allowed(pool, "s", start)("v2"), Never)
+}
+
+// feed counts answers of v1 without failures, and of v2 with a part of failures.
+func feed(c *Cutovers, answers, failures int) {
+	for i := range 100 {
+		c.Observe(on("v1"), Outcome{Kind: "chat", Pace: time.Duration(20+i%5) * time.Millisecond}, start)
+	}
+	for i := range answers {
+		c.Observe(on("v2"), Outcome{Kind: "chat", Failed: i < failures, Pace: 22 * time.Millisecond}, start)
+	}
+}
+
+func TestFailingReleaseIsStoppedAtOnce(t *testing.T) {
+	is := is.New(t)
+	c := begun()
+	feed(c, 8, 3)
+	changes := c.Tick(first, idle, start.Add(time.Second))
+	is.Equal(len(changes), 1)
+	is.Equal(changes[0].Progress.State, Stopped)
+	is.Equal(changes[0].Version, 1.0)
+	// This host stops it whether or not the row can be written.
+	is.Equal(c.Allowed(pool, "s", start)("v2"), Never)
+}
+
+func TestFailuresThatPeersSawCount(t *testing.T) {
+	is := is.New(t)
+	c := begun()
+	feed(c, 3, 1)
+	is.Equal(len(c.Tick(first, idle, start)), 0) // one failure says little
+	counts := Counts{Failures: lavrollout.Sample{Trials: 5, Bad: 2}}
+	c.HearCounts("peer", map[Key]Counts{{Service: pool, Release: "v2", Kind: "chat"}: counts})
+	is.Equal(c.Tick(first, idle, start)[0].Progress.State, Stopped)
+}
+
+func TestSlowReleaseIsStopped(t *testing.T) {
+	is := is.New(t)
+	c := begun()
+	feed(c, 0, 0)
+	for range 6 {
+		c.Observe(on("v2"), Outcome{Kind: "chat", Pace: 160 * time.Millisecond}, start)
+	}
+	is.Equal(c.Tick(first, idle, start)[0].Progress.State, Stopped)
+}
+
+func TestFailuresOfAllReleasesStopNone(t *testing.T) {
+	is := is.New(t)
+	c := begun()
+	for i := range 200 {
+		c.Observe(on("v1"), Outcome{Kind: "lookup", Failed: i%5 == 0}, start)
+	}
+	for i := range 25 {
+		c.Observe(on("v2"), Outcome{Kind: "lookup", Failed: i%5 == 0}, start)
+	}
+	is.Equal(len(c.Tick(first, idle, start)), 0)
+}
+
+func TestGoodReleaseCompletesOnceTheOldServersAreIdle(t *testing.T) {
+	is := is.New(t)
+	c := begun()
+	feed(c, 40, 0)
+	is.Equal(len(c.Tick(first, busy, start.Add(16*time.Second))), 0)
+	is.Equal(len(c.Tick(first, idle, start.Add(17*time.Second))), 0)
+	changes := c.Tick(first, idle, start.Add(18*time.Second))
+	is.Equal(len(changes), 1)
+	is.Equal(changes[0].Progress.State, Complete)
+}
+
+func TestGoodReleaseCompletesInTimeThoughOldServersAreBusy(t *testing.T) {
+	is := is.New(t)
+	c := begun()
+	is.Equal(len(c.Tick(first, busy, start.Add(22*time.Second))), 0)
+	is.Equal(c.Tick(first, busy, start.Add(22500*time.Millisecond))[0].Progress.State, Complete)
+}
+
+func TestHostsWriteInTurn(t *testing.T) {
+	is := is.New(t)
+	second := func(lavid.ServiceID) int { return 1 }
+	c := cutovers()
+	c.Ordered([]Order{{Service: pool, To: "v2", Duration: 24 * time.Second}}, start)
+	is.Equal(len(c.Tick(second, idle, start)), 0)
+	changes := c.Tick(second, idle, start.Add(time.Second)) // the first host did not write
+	is.Equal(changes[0].Progress.State, Running)
+	is.Equal(changes[0].Version, 0.0)
+}
+
+func TestNothingIsWrittenBeforeTheRowsAreKnown(t *testing.T) {
+	is := is.New(t)
+	c := New(Settings{Test: lavrollout.DefaultSettings(), StopAt: 100})
+	c.Ordered([]Order{{Service: pool, To: "v2", Duration: 24 * time.Second}}, start)
+	is.Equal(len(c.Tick(first, idle, start.Add(time.Second))), 0)
+}
+
+func TestNextOrderReplacesTheRowOfTheLastOne(t *testing.T) {
+	is := is.New(t)
+	c := begun()
+	c.Hear(Progress{Service: pool, To: "v2", State: Complete}, 7, start)
+	c.Ordered([]Order{{Service: pool, To: "v3", Duration: 24 * time.Second}}, start)
+	is.Equal(c.Allowed(pool, "s", start)("v3"), Never)
+	changes := c.Tick(first, idle, start)
+	is.Equal(changes[0].Progress.To, lavid.ReleaseID("v3"))
+	is.Equal(changes[0].Version, 7.0)
+}
+
+func TestRowOfAnEarlierOrderDoesNotStartTheNewOne(t *testing.T) {
+	is := is.New(t)
+	c := cutovers()
+	c.Ordered([]Order{{Service: pool, To: "v3", Duration: 24 * time.Second}}, start)
+	is.True(!c.Hear(Progress{Service: pool, To: "v2", State: Complete}, 7, start))
+	changes := c.Tick(first, idle, start.Add(time.Second))
+	is.Equal(changes[0].Progress.To, lavid.ReleaseID("v3"))
+	is.Equal(changes[0].Version, 7.0)
+}
--- /dev/null
+++ b/core/services/lavdirectory/directory_test.go
@@ -0,0 +1,112 @@
+package lavdirectory
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"lavenderswitch/core/models/lavid"
+	"lavenderswitch/core/models/lavserver"
+)
+
+const pool = lavid.ServiceID("pool")
+
+var start = time.Unix(1000, 0)
+
+func directory() *Directory {
+	return New(Settings{ReturnGrace: 2 * time.Second, OutageGap: 3 * time.Second})
+}
+
+func server(id string) lavserver.Server {
+	return lavserver.Server{ID: lavid.BackendServerID(id), Service: pool, Address: "10.0.0.1:1", DataCentre: "centre-a", Born: start}
+}
+
+func usable(d *Directory) string {
+	ids := ""
+	for _, row := range d.Usable(pool) {
+		ids += string(row.ID)
+	}
+	return ids
+}
+
+func TestServerThatDrainsOrIsGoneTakesNoNewWork(t *testing.T) {
+	is := is.New(t)
+	d := directory()
+	draining := server("b")
+	draining.Draining = true
+	d.Read([]lavserver.Server{server("a"), draining, server("c")}, start)
+	is.Equal(usable(d), "ac")
+	changes := d.Read([]lavserver.Server{server("a"), draining}, start.Add(time.Second))
+	is.Equal(usable(d), "a")
+	is.Equal(changes, []Change{{server("c"), ChangeGone}})
+}
+
+func TestLapsedServerIsUsedUntilTheGraceEnds(t *testing.T) {
+	is := is.New(t)
+	d := directory()
+	d.Read([]lavserver.Server{server("a")}, start)
+	d.ReadFailed()
+	d.Read(nil, start.Add(time.Second))
+	is.Equal(usable(d), "a") // its entry may have lapsed while the store was away
+	d.Read(nil, start.Add(2*time.Second))
+	is.Equal(usable(d), "a")
+	d.Read(nil, start.Add(3*time.Second+time.Millisecond))
+	is.Equal(usable(d), "")
+}
+
+func TestGapBetweenListingsCountsAsAnOutage(t *testing.T) {
+	is := is.New(t)
+	d := directory()
+	d.Read([]lavserver.Server{server("a")}, start)
+	d.Read(nil, start.Add(4*time.Second)) // this host was frozen
+	is.Equal(usable(d), "a")
+	d.Read(nil, start.Add(7*time.Second))
+	is.Equal(usable(d), "")
+}
+
+func TestDrainingServerStaysOutDuringAnOutage(t *testing.T) {
+	is := is.New(t)
+	d := directory()
+	draining := server("a")
+	draining.Draining = true
+	d.Read([]lavserver.Server{draining}, start)
+	d.ReadFailed()
+	d.Read(nil, start.Add(time.Second))
+	is.Equal(usable(d), "")
+	is.True(!d.MayTake(draining))
+}
+
+func TestEvacuatedDataCentreTakesNoNewWork(t *testing.T) {
+	is := is.New(t)
+	d := directory()
+	d.Read([]lavserver.Server{server("a")}, start)
+	is.True(d.Evacuate([]lavid.DataCentreID{"centre-a"}))
+	is.Equal(usable(d), "")
+	is.True(!d.Evacuate([]lavid.DataCentreID{"centre-a"}))
+	is.True(d.Evacuate(nil))
+	is.Equal(usable(d), "a")
+}
+
+func TestServerStartedAgainUnderItsIDIsAnotherOne(t *testing.T) {
+	is := is.New(t)
+	d := directory()
+	d.Read([]lavserver.Server{server("a")}, start)
+	again := server("a")
+	again.Born = start.Add(time.Second)
+	changes := d.Read([]lavserver.Server{again}, start.Add(2*time.Second))
+	is.Equal(changes, []Change{{again, ChangeAppeared}})
+	is.True(!d.MayTake(server("a")))
+	is.True(d.MayTake(again))
+}
+
+func TestColdTimeCountsFromTheListing(t *testing.T) {
+	is := is.New(t)
+	d := directory()
+	cold := server("a")
+	cold.ColdFor = 3 * time.Second
+	d.Read([]lavserver.Server{cold}, start)
+	row := d.Usable(pool)[0]
+	is.True(row.Cold(start.Add(2 * time.Second)))
+	is.True(!row.Cold(start.Add(3 * time.Second)))
+}
--- a/core/services/lavrollout/excess.go
+++ b/core/services/lavrollout/excess.go
@@ -20,8 +20,10 @@
 			if sample.Trials == 0 {
 				continue
 			}
-			base := control[stratum].rate(stream.Assumed)
-			ratio += twoSample(sample, control[stratum], base, excess)
+			// What is assumed stands in for a control that has not answered yet.
+			compared := control[stratum].plus(Sample{Trials: assumedTrials, Bad: stream.Assumed * assumedTrials})
+			base := compared.Bad / compared.Trials
+			ratio += twoSample(sample, compared, base, excess)
 		}
 		sum += math.Exp(min(ratio, maxLogRatio))
 	}
