--- a/core/models/lavroute/table_test.go
+++ b/core/models/lavroute/table_test.go
@@ -13,8 +13,13 @@
 	other := &Route{Name: "other", HostName: "b.example", Prefix: "/"}
 	table := NewTable(1, []*Route{short, long, other}, nil, nil, Limits{}, false)
 	for _, want := range []struct{ host, path, name string }{
-		{"a.example", "/x/z", "short"}, {"A.example:80", "/x/y/z", "long"}, {"a.example", "/x/y", "short"},
-		{"b.example", "/x/y/z", "other"}, {"a.example", "/xx/", ""}, {"a.example", "/x", ""}, {"c.example", "/x/", ""},
+		{"a.example", "/x/z", "short"},
+		{"A.example:80", "/x/y/z", "long"},
+		{"a.example", "/x/y", "short"},
+		{"b.example", "/x/y/z", "other"},
+		{"a.example", "/xx/", ""},
+		{"a.example", "/x", ""},
+		{"c.example", "/x/", ""},
 	} {
 		route, ok := table.Route(want.host, want.path)
 		is.Equal(ok, want.name != "")
--- a/core/modules/lavexchange/client_test.go
+++ b/core/modules/lavexchange/client_test.go
@@ -62,7 +62,7 @@
 	if err != nil {
 		return "", err
 	}
-	defer answer.Close()
+	defer func() { _ = answer.Close() }()
 	body, err := io.ReadAll(answer)
 	return string(body), err
 }
--- a/entry/services/lavbroadcast/broadcaster_test.go
+++ b/entry/services/lavbroadcast/broadcaster_test.go
@@ -25,7 +25,7 @@
 	free, err := net.ListenPacket("udp4", "127.0.0.1:0")
 	is.New(t).NoErr(err)
 	address := free.LocalAddr().String()
-	free.Close()
+	is.New(t).NoErr(free.Close())
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	b := &Broadcaster{
