--- a/core/services/lavcutover/cutover_test.go
+++ b/core/services/lavcutover/cutover_test.go
@@ -20,7 +20,7 @@
 var start = time.Unix(1000, 0)
 
 func cutovers() *Cutovers {
-	c := New(Settings{TrialShare: trial, SessionSpan: 5 * time.Second, Test: lavrollout.DefaultSettings(), StopAt: 100})
+	c := New(Settings{TrialShare: trial, SessionSpan: 5 * time.Second, Test: lavrollout.DefaultSettings(), StopAt: 100, DoubtAt: 5})
 	c.Clock(0, start)
 	c.Read()
 	return c
@@ -114,10 +114,12 @@
 // feed counts answers of v1 without failures, and of v2 with a part of failures.
 func feed(c *Cutovers, answers, failures int) {
 	for i := range 100 {
-		c.Observe(on("v1"), Outcome{Kind: "chat", Pace: time.Duration(20+i%5) * time.Millisecond}, start)
+		c.Observe(on("v1"), Outcome{Kind: "chat"})
+		// One in ten answers of the old release is slow, as under load.
+		c.ObserveTime(on("v1"), "chat", time.Duration(20+150*(i%10/9))*time.Millisecond)
 	}
 	for i := range answers {
-		c.Observe(on("v2"), Outcome{Kind: "chat", Failed: i < failures, Pace: 22 * time.Millisecond}, start)
+		c.Observe(on("v2"), Outcome{Kind: "chat", Failed: i < failures})
 	}
 }
 
@@ -147,8 +149,9 @@
 	is := is.New(t)
 	c := begun()
 	feed(c, 0, 0)
-	for range 6 {
-		c.Observe(on("v2"), Outcome{Kind: "chat", Pace: 160 * time.Millisecond}, start)
+	// Six in ten answers take several times as long.
+	for i := range 10 {
+		c.ObserveTime(on("v2"), "chat", time.Duration(20+140*(i%5/2))*time.Millisecond)
 	}
 	is.Equal(c.Tick(first, idle, start)[0].Progress.State, Stopped)
 }
@@ -157,10 +160,10 @@
 	is := is.New(t)
 	c := begun()
 	for i := range 200 {
-		c.Observe(on("v1"), Outcome{Kind: "lookup", Failed: i%5 == 0}, start)
+		c.Observe(on("v1"), Outcome{Kind: "lookup", Failed: i%5 == 0})
 	}
 	for i := range 25 {
-		c.Observe(on("v2"), Outcome{Kind: "lookup", Failed: i%5 == 0}, start)
+		c.Observe(on("v2"), Outcome{Kind: "lookup", Failed: i%5 == 0})
 	}
 	is.Equal(len(c.Tick(first, idle, start)), 0)
 }
@@ -221,3 +224,25 @@
 	is.Equal(changes[0].Progress.To, lavid.ReleaseID("v3"))
 	is.Equal(changes[0].Version, 7.0)
 }
+
+func TestReleaseThatIsSlowAsOftenAsTheOldOneGoesOn(t *testing.T) {
+	is := is.New(t)
+	c := begun()
+	feed(c, 0, 0)
+	for i := range 40 {
+		c.ObserveTime(on("v2"), "chat", time.Duration(20+150*(i%8/7))*time.Millisecond)
+	}
+	is.Equal(len(c.Tick(first, idle, start)), 0)
+}
+
+func TestDoubtfulReleaseDoesNotGrow(t *testing.T) {
+	is := is.New(t)
+	c := begun()
+	feed(c, 9, 2)
+	c.Tick(first, idle, start.Add(13*time.Second))
+	is.True(taking(c, 16*time.Second) < 0.14)
+	is.Equal(len(c.Tick(first, idle, start.Add(23*time.Second))), 0) // nor does it complete
+	feed(c, 60, 0)
+	c.Tick(first, idle, start.Add(13*time.Second))
+	is.Equal(taking(c, 16*time.Second), 1.0)
+}
--- a/core/services/lavcutover/cutovers.go
+++ b/core/services/lavcutover/cutovers.go
@@ -19,8 +19,9 @@
 	SessionSpan time.Duration
 	// Test is the test on answers.
 	Test lavrollout.Settings
-	// StopAt is the evidence at which a release is stopped.
-	StopAt float64
+	// StopAt is the evidence at which a release is stopped, and DoubtAt that at which its share no longer grows.
+	StopAt  float64
+	DoubtAt float64
 }
 
 // rememberedSessions bounds the sessions whose release is remembered.
@@ -55,6 +56,8 @@
 	ordered bool
 	// stopped says that this host has stopped the release, whatever the row says.
 	stopped bool
+	// doubtful says that the evidence is not enough to stop the release, but too much to grow its share.
+	doubtful bool
 	// quiet is since when no old server has work in progress.
 	quiet time.Time
 	// due is since when the row should have changed.
@@ -218,7 +221,11 @@
 			return false
 		}
 	}
-	return row.progress.drawn(session) < float64(row.progress.Share(elapsed, c.settings.TrialShare))
+	share := row.progress.Share(elapsed, c.settings.TrialShare)
+	if row.doubtful {
+		share = min(share, c.settings.TrialShare)
+	}
+	return row.progress.drawn(session) < float64(share)
 }
 
 // Seat remembers which release served a session.
@@ -227,10 +234,15 @@
 }
 
 // Observe counts an answer of a backend server.
-func (c *Cutovers) Observe(server lavserver.Server, outcome Outcome, _ time.Time) {
+func (c *Cutovers) Observe(server lavserver.Server, outcome Outcome) {
+	c.tally.add(server, outcome)
+}
+
+// ObserveTime counts how long something took that may be compared with others of its kind.
+func (c *Cutovers) ObserveTime(server lavserver.Server, kind string, took time.Duration) {
 	c.mu.Lock()
 	row, known := c.rows[server.Service]
 	old := !known || row.progress.To != server.Release
 	c.mu.Unlock()
-	c.tally.add(server, outcome, old)
+	c.tally.addTime(server, kind, took, old)
 }
--- a/core/services/lavcutover/tally.go
+++ b/core/services/lavcutover/tally.go
@@ -1,6 +1,7 @@
 package lavcutover
 
 import (
+	"math"
 	"sync"
 	"time"
 
@@ -15,8 +16,6 @@
 	Kind string
 	// Failed says that the server ran the request and failed it.
 	Failed bool
-	// Pace is the time of the whole answer, or between two events of a stream; zero when it is not known.
-	Pace time.Duration
 }
 
 // Key names what is counted together.
@@ -37,16 +36,17 @@
 }
 
 const (
-	// slowFactor times the old releases' mean pace counts as slow.
-	slowFactor = 3.5
-	// paceWeight is the part of the newest answer in the mean pace.
-	paceWeight = 0.1
-	// knownPaces are needed before a pace can be slow.
-	knownPaces = 8
+	// slowFactor times what is usual for the old releases counts as slow; how often they are is counted too.
+	slowFactor = 2.5
+	// timeWeight is the part of the newest answer in the usual time.
+	timeWeight = 0.1
+	// knownTimes are needed before a time can be slow.
+	knownTimes = 5
 )
 
-type pace struct {
-	mean  float64
+// usual is the geometric mean of the times of one kind, which single slow answers move little.
+type usual struct {
+	log   float64
 	count int
 }
 
@@ -55,16 +55,16 @@
 	mu    sync.Mutex
 	own   map[Key]Counts
 	peers map[lavid.HostID]map[Key]Counts
-	// paces holds the mean pace of each kind over all releases that are not under way.
-	paces map[string]pace
+	// times holds what is usual for each kind over all releases that are not under way.
+	times map[string]usual
 }
 
 func newTally() *tally {
-	return &tally{own: make(map[Key]Counts), peers: make(map[lavid.HostID]map[Key]Counts), paces: make(map[string]pace)}
+	return &tally{own: make(map[Key]Counts), peers: make(map[lavid.HostID]map[Key]Counts), times: make(map[string]usual)}
 }
 
-// add counts one answer; those of the old releases teach what pace is usual.
-func (t *tally) add(server lavserver.Server, outcome Outcome, old bool) {
+// add counts one answer.
+func (t *tally) add(server lavserver.Server, outcome Outcome) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	key := Key{Service: server.Service, Release: server.Release, Kind: outcome.Kind}
@@ -73,30 +73,36 @@
 	if outcome.Failed {
 		counts.Failures.Bad++
 	}
-	if outcome.Pace > 0 {
-		t.addPace(&counts, string(server.Service)+"\x00"+outcome.Kind, outcome.Pace, old)
-	}
 	t.own[key] = counts
 }
 
-func (t *tally) addPace(counts *Counts, kind string, took time.Duration, old bool) {
-	usual := t.paces[kind]
-	if usual.count >= knownPaces {
+// addTime counts whether an answer took long; those of the old releases teach what is usual.
+func (t *tally) addTime(server lavserver.Server, kind string, took time.Duration, old bool) {
+	if took <= 0 {
+		return
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	name := string(server.Service) + "\x00" + kind
+	known := t.times[name]
+	if known.count >= knownTimes {
+		key := Key{Service: server.Service, Release: server.Release, Kind: kind}
+		counts := t.own[key]
 		counts.Slow.Trials++
-		if float64(took) > slowFactor*usual.mean {
+		if math.Log(float64(took)) > known.log+math.Log(slowFactor) {
 			counts.Slow.Bad++
-			return
 		}
+		t.own[key] = counts
 	}
 	if !old {
 		return
 	}
-	if usual.count == 0 {
-		usual.mean = float64(took)
+	if known.count == 0 {
+		known.log = math.Log(float64(took))
 	}
-	usual.count++
-	usual.mean += paceWeight * (float64(took) - usual.mean)
-	t.paces[kind] = usual
+	known.count++
+	known.log += timeWeight * (math.Log(float64(took)) - known.log)
+	t.times[name] = known
 }
 
 // hear replaces what a peer counted.
--- a/core/services/lavcutover/tick.go
+++ b/core/services/lavcutover/tick.go
@@ -79,7 +79,8 @@
 		return Change{Progress: next, Version: row.version, Evidence: evidence}, true
 	}
 	elapsed := c.storeTime(now) - row.progress.Began
-	if !row.progress.Moved(elapsed) {
+	row.doubtful = evidence >= c.settings.DoubtAt
+	if row.doubtful || !row.progress.Moved(elapsed) {
 		row.quiet = time.Time{}
 		return Change{}, false
 	}
--- a/entry/services/lavbroadcast/broadcaster_test.go
+++ b/entry/services/lavbroadcast/broadcaster_test.go
@@ -94,7 +94,7 @@
 	a.Cutovers.Ordered([]lavcutover.Order{{Service: "pool", To: "v2", Duration: 20 * time.Second}}, now)
 	a.Cutovers.Hear(progress, 4, now)
 	for range 4 {
-		a.Cutovers.Observe(lavserver.Server{Service: "pool", Release: "v2"}, lavcutover.Outcome{Kind: "chat", Failed: true}, now)
+		a.Cutovers.Observe(lavserver.Server{Service: "pool", Release: "v2"}, lavcutover.Outcome{Kind: "chat", Failed: true})
 	}
 	run(t, a, b)
 	eventually(t, "the cutover", func() bool {
--- a/entry/services/lavforward/deliver.go
+++ b/entry/services/lavforward/deliver.go
@@ -53,7 +53,7 @@
 	w.excluded[chosen.ID] = true
 	w.health.flaw(chosen.ID)
 	w.last = "server failed with " + http.StatusText(reply.Status)
-	w.observe(chosen, lavcutover.Outcome{Kind: w.kind(chosen), Failed: true}, now)
+	w.Releases.Observe(chosen.Server, lavcutover.Outcome{Kind: w.kind(chosen), Failed: true})
 	w.Metrics.Count("ServerFailures", 1)
 	w.decided("server failed", chosen.ID, logrus.Fields{"status": reply.Status, "release": chosen.Release})
 	if !w.begun {
@@ -102,7 +102,8 @@
 		return w.again("answer was damaged")
 	}
 	w.health.succeed(chosen.ID, now)
-	w.observe(chosen, lavcutover.Outcome{Kind: w.kind(chosen), Pace: now.Sub(sent)}, now)
+	w.Releases.Observe(chosen.Server, lavcutover.Outcome{Kind: w.kind(chosen)})
+	w.Releases.ObserveTime(chosen.Server, w.kind(chosen), now.Sub(sent))
 	if err := w.answer.Begin(reply.Status, reply.Header, len(body)); err != nil {
 		return stepDone, Result{Broken: true}
 	}
@@ -130,6 +131,7 @@
 		return w.again("stream without the server's proof")
 	}
 	job.Read()
+	w.Releases.ObserveTime(chosen.Server, w.kind(chosen)+"/first", w.Clock().Sub(sent))
 	w.speeds.first(w.request.Service.ID, chosen.unread+chosen.ahead, w.Clock().Sub(sent))
 	if w.wantsLarger(reply) {
 		w.escalate(chosen, reply)
@@ -205,12 +207,12 @@
 // countStream tells the roll-outs of a stream that works.
 func (w *work) countStream(chosen choice, now time.Time) {
 	w.stream.counted = true
-	outcome := lavcutover.Outcome{Kind: w.kind(chosen)}
+	w.Releases.Observe(chosen.Server, lavcutover.Outcome{Kind: w.kind(chosen)})
 	if w.stream.events > 0 {
-		outcome.Pace = now.Sub(w.stream.started) / time.Duration(w.stream.events)
-		w.speeds.pause(w.settled, outcome.Pace)
+		pause := now.Sub(w.stream.started) / time.Duration(w.stream.events)
+		w.speeds.pause(w.settled, pause)
+		w.Releases.ObserveTime(chosen.Server, "pause/"+string(w.settled), pause)
 	}
-	w.observe(chosen, outcome, now)
 }
 
 // ended ends a stream whose server has sent all of it.
@@ -304,8 +306,3 @@
 func (w *work) kind(chosen choice) string {
 	return w.request.Route.Name + "/" + string(chosen.model)
 }
-
-// observe tells the roll-outs how a send ended.
-func (w *work) observe(chosen choice, outcome lavcutover.Outcome, now time.Time) {
-	w.Releases.Observe(chosen.Server, outcome, now)
-}
--- a/entry/services/lavforward/forwarder.go
+++ b/entry/services/lavforward/forwarder.go
@@ -31,7 +31,8 @@
 type Releases interface {
 	Allowed(service lavid.ServiceID, session string, now time.Time) func(lavid.ReleaseID) lavcutover.Preference
 	Seat(server lavserver.Server, session string, now time.Time)
-	Observe(server lavserver.Server, outcome lavcutover.Outcome, now time.Time)
+	Observe(server lavserver.Server, outcome lavcutover.Outcome)
+	ObserveTime(server lavserver.Server, kind string, took time.Duration)
 }
 
 // Hosts lists the entry hosts that may send work, this one among them.
