Move a release's traffic late, when the rest of the time fits the exposure

Nothing in a trial proves a release good.

Ruled out: a trial on one or two of the new servers, so that they are loaded; they answered well there too (0 failures in 250 answers).

Hosts tell each other their sends.

--- a/core/services/lavcutover/cutovers.go
+++ b/core/services/lavcutover/cutovers.go
@@ -15,6 +15,8 @@
 type Settings struct {
 	// TrialShare is the part of new sessions that a release takes during its trial.
 	TrialShare lavid.Share
+	// Exposure bounds what a release takes before its time ends.
+	Exposure Exposure
 	// SessionSpan is the longest pause within one session.
 	SessionSpan time.Duration
 	// Test is the test on answers.
@@ -56,8 +58,8 @@
 	ordered bool
 	// stopped says that this host has stopped the release, whatever the row says.
 	stopped bool
-	// doubtful says that the evidence is not enough to stop the release, but too much to grow its share.
-	doubtful bool
+	// moved says that the release takes everything.
+	moved bool
 	// quiet is since when no old server has work in progress.
 	quiet time.Time
 	// due is since when the row should have changed.
@@ -191,7 +193,7 @@
 	if c.takesNew(row, session, now) {
 		return prefer(isNew, Preferred, Fallback)
 	}
-	if row.progress.InTrial(c.storeTime(now) - row.progress.Began) {
+	if row.progress.inTrial(c.storeTime(now) - row.progress.Began) {
 		return prefer(isNew, Never, Preferred)
 	}
 	return prefer(isNew, Fallback, Preferred)
@@ -217,20 +219,17 @@
 		if placed.release == row.progress.To {
 			return true
 		}
-		if row.progress.InTrial(elapsed) {
+		if row.progress.inTrial(elapsed) {
 			return false
 		}
 	}
-	share := row.progress.Share(elapsed, c.settings.TrialShare)
-	if row.doubtful {
-		share = min(share, c.settings.TrialShare)
-	}
-	return row.progress.drawn(session) < float64(share)
+	return row.moved || row.progress.drawn(session) < float64(c.settings.TrialShare)
 }
 
-// Seat remembers which release served a session.
+// Seat records a send and remembers which release served the session.
 func (c *Cutovers) Seat(server lavserver.Server, session string, now time.Time) {
 	c.sessions.Add(sessionKey{server.Service, session}, seat{release: server.Release, used: now})
+	c.tally.addSend(server)
 }
 
 // Observe counts an answer of a backend server.
--- a/core/services/lavcutover/tally.go
+++ b/core/services/lavcutover/tally.go
@@ -29,8 +29,13 @@
 type Counts struct {
 	Failures lavrollout.Sample
 	Slow     lavrollout.Sample
+	// Sends are counted when they go out, whatever becomes of them.
+	Sends float64
 }
 
+// kindSends is the kind under which sends are counted.
+const kindSends = ""
+
 func sum(a, b lavrollout.Sample) lavrollout.Sample {
 	return lavrollout.Sample{Trials: a.Trials + b.Trials, Bad: a.Bad + b.Bad}
 }
@@ -105,6 +110,38 @@
 	t.times[name] = known
 }
 
+// addSend counts a send.
+func (t *tally) addSend(server lavserver.Server) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	key := Key{Service: server.Service, Release: server.Release, Kind: kindSends}
+	counts := t.own[key]
+	counts.Sends++
+	t.own[key] = counts
+}
+
+// sends returns the sends of all hosts to a service, and those to the new release.
+func (t *tally) sends(progress Progress) (sent, exposed float64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	visit := func(rows map[Key]Counts) {
+		for key, counts := range rows {
+			if key.Service != progress.Service {
+				continue
+			}
+			sent += counts.Sends
+			if key.Release == progress.To {
+				exposed += counts.Sends
+			}
+		}
+	}
+	visit(t.own)
+	for _, rows := range t.peers {
+		visit(rows)
+	}
+	return sent, exposed
+}
+
 // hear replaces what a peer counted.
 func (t *tally) hear(peer lavid.HostID, counts map[Key]Counts) {
 	t.mu.Lock()
--- a/core/services/lavcutover/tick.go
+++ b/core/services/lavcutover/tick.go
@@ -79,8 +79,8 @@
 		return Change{Progress: next, Version: row.version, Evidence: evidence}, true
 	}
 	elapsed := c.storeTime(now) - row.progress.Began
-	row.doubtful = evidence >= c.settings.DoubtAt
-	if row.doubtful || !row.progress.Moved(elapsed) {
+	row.moved = c.moves(row, evidence, elapsed)
+	if !row.moved {
 		row.quiet = time.Time{}
 		return Change{}, false
 	}
@@ -90,7 +90,7 @@
 		row.quiet = now
 	}
 	done := !row.quiet.IsZero() && now.Sub(row.quiet) >= quietTime
-	if !done && !row.progress.Due(elapsed) {
+	if !done && !row.progress.due(elapsed) {
 		row.due = now
 		return Change{}, false
 	}
@@ -102,6 +102,18 @@
 	return Change{Progress: next, Version: row.version, Evidence: evidence}, true
 }
 
+// moves tells whether the release takes everything now; a doubtful one does not.
+func (c *Cutovers) moves(row *cutover, evidence float64, elapsed time.Duration) bool {
+	if evidence >= c.settings.DoubtAt || row.progress.inTrial(elapsed) {
+		return false
+	}
+	if row.moved {
+		return true
+	}
+	sent, exposed := c.tally.sends(row.progress)
+	return c.settings.Exposure.fits(sent, exposed, elapsed, row.progress.Duration)
+}
+
 // Shown is a cutover as peers and the state dump see it.
 type Shown struct {
 	Progress Progress
--- a/entry/services/lavbroadcast/broadcaster.go
+++ b/entry/services/lavbroadcast/broadcaster.go
@@ -157,6 +157,7 @@
 			Failed:    counts.Failures.Bad,
 			Paced:     counts.Slow.Trials,
 			Slow:      counts.Slow.Bad,
+			Sends:     counts.Sends,
 		})
 	}
 	return state
@@ -226,6 +227,7 @@
 		counts[key] = lavcutover.Counts{
 			Failures: sample(count.GetAnswers(), count.GetFailed()),
 			Slow:     sample(count.GetPaced(), count.GetSlow()),
+			Sends:    count.GetSends(),
 		}
 	}
 }
