--- a/core/services/lavdirectory/directory.go
+++ b/core/services/lavdirectory/directory.go
@@ -28,6 +28,8 @@
 	FirstSeen time.Time
 	// ColdUntil is zero for servers that are warm.
 	ColdUntil time.Time
+	// Displaced says that another server answered at the address.
+	Displaced bool
 }
 
 // Cold tells whether the server is still in its cold start.
@@ -128,7 +130,7 @@
 	old, known := d.rows[server.ID]
 	row := Row{Server: server, Listed: true, FirstSeen: now}
 	if known && old.SameStart(server) {
-		row.FirstSeen = old.FirstSeen
+		row.FirstSeen, row.Displaced = old.FirstSeen, old.Displaced
 	}
 	if server.ColdFor > 0 {
 		row.ColdUntil = now.Add(server.ColdFor)
@@ -165,7 +167,7 @@
 	defer d.mu.Unlock()
 	var usable []Row
 	for _, row := range d.rows {
-		if row.Service == service && !row.Draining && !d.evacuated[row.DataCentre] {
+		if row.Service == service && d.open(row) {
 			usable = append(usable, row)
 		}
 	}
@@ -178,7 +180,22 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	row, known := d.rows[server.ID]
-	return known && row.SameStart(server) && !row.Draining && !d.evacuated[row.DataCentre]
+	return known && row.SameStart(server) && d.open(row)
+}
+
+func (d *Directory) open(row Row) bool {
+	return !row.Draining && !row.Displaced && !d.evacuated[row.DataCentre]
+}
+
+// Displace records that another server answered at a server's address; this start of it takes no work any more.
+func (d *Directory) Displace(server lavserver.Server) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	row, known := d.rows[server.ID]
+	if known && row.SameStart(server) {
+		row.Displaced = true
+		d.rows[server.ID] = row
+	}
 }
 
 // All returns every backend server that is known, in order of their ids.
--- a/core/services/lavdirectory/directory_test.go
+++ b/core/services/lavdirectory/directory_test.go
@@ -110,3 +110,17 @@
 	is.True(row.Cold(start.Add(2 * time.Second)))
 	is.True(!row.Cold(start.Add(3 * time.Second)))
 }
+
+func TestDisplacedServerTakesNoWorkUntilItStartsAgain(t *testing.T) {
+	is := is.New(t)
+	d := directory()
+	d.Read([]lavserver.Server{server("a")}, start)
+	d.Displace(server("a"))
+	is.Equal(usable(d), "")
+	d.Read([]lavserver.Server{server("a")}, start.Add(time.Second)) // its old entry has not lapsed yet
+	is.Equal(usable(d), "")
+	again := server("a")
+	again.Born = start.Add(time.Second)
+	d.Read([]lavserver.Server{again}, start.Add(2*time.Second))
+	is.Equal(usable(d), "a")
+}
--- a/entry/services/lavforward/forward_test.go
+++ b/entry/services/lavforward/forward_test.go
@@ -232,3 +232,20 @@
 		cancel()
 	}
 }
+
+func TestServerWhoseAddressAnotherOneHasIsLeftOutForAll(t *testing.T) {
+	is := is.New(t)
+	other := func(dispatch Dispatch) (*Reply, error) {
+		reply, err := refuses(http.StatusMisdirectedRequest)(dispatch)
+		reply.OtherServer = true
+		return reply, err
+	}
+	done := answers(http.StatusOK, "done")
+	w := newWorld(2, other, done, done, done, done)
+	for range 4 {
+		w.serve(request(lavroute.Idempotent))
+	}
+	for _, send := range w.sends[1:] {
+		is.True(send.Server.ID != w.sends[0].Server.ID)
+	}
+}
--- a/entry/services/lavforward/work.go
+++ b/entry/services/lavforward/work.go
@@ -207,13 +207,18 @@
 	w.excluded[chosen.ID] = true
 	w.last = "server refused with " + http.StatusText(reply.Status)
 	w.Metrics.Count("ServerRefusals", 1)
-	if !reply.OtherServer {
+	if reply.OtherServer {
+		w.Directory.Displace(chosen.Server)
+	} else {
 		w.health.flaw(chosen.ID)
 	}
 	w.decided("server refused", chosen.ID, logrus.Fields{"status": reply.Status, "other_server": reply.OtherServer})
-	if w.tries >= w.request.Route.Attempts+extraTries || !w.repeats.take(w.request.Service.ID, w.Clock()) {
+	if w.tries >= w.request.Route.Attempts+extraTries {
 		return stepDone, w.giveUp("servers refused")
 	}
+	if !w.repeats.take(w.request.Service.ID, w.Clock()) {
+		return stepDone, w.giveUp("servers refused and the budget for repeats is used up")
+	}
 	return stepAgain, Result{}
 }
 
--- a/entry/services/lavwatch/cutover.go
+++ b/entry/services/lavwatch/cutover.go
@@ -37,7 +37,7 @@
 	// cutoverTick is the interval of decisions on cutovers.
 	cutoverTick = 150 * time.Millisecond
 	// cutoverRead is the interval of reads of the rows while a cutover is under way; peers tell changes sooner.
-	cutoverRead = 1200 * time.Millisecond
+	cutoverRead = 2400 * time.Millisecond
 )
 
 // Conductor drives the cutovers with the other hosts until its context ends.
