Count waits as slow while they last; a release under suspicion does not complete

The trial saw 20 to 40 answers of which few were slow. After the move the servers fell behind, but an answer counts only once it has come, and the cutover completed 1.2 s later with evidence 0.3 to 3. The old servers end with that.

Ruled out: more sessions in the trial; what they take is lost to the time in which the old servers finish.

--- a/core/services/lavcutover/cutover_test.go
+++ b/core/services/lavcutover/cutover_test.go
@@ -20,7 +20,7 @@
 var start = time.Unix(1000, 0)
 
 func cutovers() *Cutovers {
-	c := New(Settings{TrialShare: trial, Exposure: Exposure{Share: 0.15, Slack: 30}, SessionSpan: 5 * time.Second, Test: lavrollout.DefaultSettings(), StopAt: 100, DoubtAt: 5})
+	c := New(Settings{TrialShare: trial, Exposure: Exposure{Share: 0.15, Slack: 30}, SessionSpan: 5 * time.Second, Test: lavrollout.DefaultSettings(), StopAt: 100, DoubtAt: 5, CompleteBelow: 2})
 	c.Clock(0, start)
 	c.Read()
 	return c
@@ -264,8 +264,59 @@
 	send(c, 22*time.Second)
 	c.Tick(first, idle, start.Add(22*time.Second))
 	is.True(taking(c, 22*time.Second) < 0.14)
-	is.Equal(len(c.Tick(first, idle, start.Add(23*time.Second))), 0) // nor does it complete
 	feed(c, 60, 0)
-	c.Tick(first, idle, start.Add(23*time.Second))
-	is.Equal(taking(c, 23*time.Second), 1.0)
+	c.Tick(first, idle, start.Add(22500*time.Millisecond))
+	is.Equal(taking(c, 22500*time.Millisecond), 1.0)
+}
+
+func TestReleaseThatIsDoubtfulAtTheEndIsStopped(t *testing.T) {
+	is := is.New(t)
+	c := begun()
+	feed(c, 9, 2)
+	is.Equal(len(c.Tick(first, idle, start.Add(22*time.Second))), 0)
+	changes := c.Tick(first, idle, start.Add(23*time.Second))
+	is.Equal(changes[0].Progress.State, Stopped)
+	is.Equal(c.Allowed(pool, "s", start.Add(23*time.Second))("v2"), Never)
+}
+
+func TestAnswersThatDoNotComeCountWhileTheyAreWaitedFor(t *testing.T) {
+	is := is.New(t)
+	c := begun()
+	for range 20 {
+		c.Time(on("v1"), "chat", start).Answered(start.Add(100 * time.Millisecond))
+	}
+	waiting := make([]*Timing, 0, 10)
+	for range 10 {
+		waiting = append(waiting, c.Time(on("v2"), "chat", start))
+	}
+	is.Equal(len(c.Tick(first, busy, start.Add(200*time.Millisecond))), 0)
+	is.Equal(c.Tick(first, busy, start.Add(300*time.Millisecond))[0].Progress.State, Stopped)
+	for _, timing := range waiting {
+		timing.Answered(start.Add(time.Second)) // an answer does not count twice
+	}
+	is.Equal(c.tally.ownCounts(pool)[Key{Service: pool, Release: "v2", Kind: "chat"}].Slow.Trials, 10.0)
+}
+
+func TestDroppedWaitsDoNotCount(t *testing.T) {
+	is := is.New(t)
+	c := begun()
+	for range 20 {
+		c.Time(on("v1"), "chat", start).Answered(start.Add(100 * time.Millisecond))
+	}
+	for range 10 {
+		c.Time(on("v2"), "chat", start).Dropped()
+	}
+	is.Equal(len(c.Tick(first, busy, start.Add(time.Second))), 0)
+}
+
+func TestReleaseDoesNotCompleteWhileItIsUnderSuspicion(t *testing.T) {
+	is := is.New(t)
+	c := begun()
+	feed(c, 20, 1)
+	evidence := c.Rows()[0].Evidence
+	is.True(evidence > 2 && evidence < 5)
+	send(c, 22*time.Second)
+	is.Equal(len(c.Tick(first, busy, start.Add(23*time.Second))), 0)
+	feed(c, 60, 0)
+	is.Equal(c.Tick(first, busy, start.Add(23500*time.Millisecond))[0].Progress.State, Complete)
 }
--- a/core/services/lavcutover/cutovers.go
+++ b/core/services/lavcutover/cutovers.go
@@ -24,6 +24,8 @@
 	// StopAt is the evidence at which a release is stopped, and DoubtAt that at which its share no longer grows.
 	StopAt  float64
 	DoubtAt float64
+	// CompleteBelow is the evidence below which a release may complete, as the old servers end with it.
+	CompleteBelow float64
 }
 
 // rememberedSessions bounds the sessions whose release is remembered.
@@ -239,9 +241,17 @@
 
 // ObserveTime counts how long something took that may be compared with others of its kind.
 func (c *Cutovers) ObserveTime(server lavserver.Server, kind string, took time.Duration) {
+	c.tally.addTime(server, kind, took, c.isOld(server))
+}
+
+// Time starts the wait for an answer that may be compared with others of its kind.
+func (c *Cutovers) Time(server lavserver.Server, kind string, now time.Time) *Timing {
+	return c.tally.timing(server, kind, c.isOld(server), now)
+}
+
+func (c *Cutovers) isOld(server lavserver.Server) bool {
 	c.mu.Lock()
+	defer c.mu.Unlock()
 	row, known := c.rows[server.Service]
-	old := !known || row.progress.To != server.Release
-	c.mu.Unlock()
-	c.tally.addTime(server, kind, took, old)
+	return !known || row.progress.To != server.Release
 }
--- a/core/services/lavcutover/tally.go
+++ b/core/services/lavcutover/tally.go
@@ -1,7 +1,6 @@
 package lavcutover
 
 import (
-	"math"
 	"sync"
 	"time"
 
@@ -62,10 +61,12 @@
 	peers map[lavid.HostID]map[Key]Counts
 	// times holds what is usual for each kind over all releases that are not under way.
 	times map[string]usual
+	// waiting holds the answers that this host waits for.
+	waiting map[*Timing]struct{}
 }
 
 func newTally() *tally {
-	return &tally{own: make(map[Key]Counts), peers: make(map[lavid.HostID]map[Key]Counts), times: make(map[string]usual)}
+	return &tally{own: make(map[Key]Counts), peers: make(map[lavid.HostID]map[Key]Counts), times: make(map[string]usual), waiting: make(map[*Timing]struct{})}
 }
 
 // add counts one answer.
@@ -81,33 +82,15 @@
 	t.own[key] = counts
 }
 
-// addTime counts whether an answer took long; those of the old releases teach what is usual.
+// addTime counts a time that is known at once.
 func (t *tally) addTime(server lavserver.Server, kind string, took time.Duration, old bool) {
-	if took <= 0 {
-		return
-	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	name := string(server.Service) + "\x00" + kind
-	known := t.times[name]
-	if known.count >= knownTimes {
-		key := Key{Service: server.Service, Release: server.Release, Kind: kind}
-		counts := t.own[key]
-		counts.Slow.Trials++
-		if math.Log(float64(took)) > known.log+math.Log(slowFactor) {
-			counts.Slow.Bad++
-		}
-		t.own[key] = counts
-	}
-	if !old {
-		return
-	}
-	if known.count == 0 {
-		known.log = math.Log(float64(took))
+	t.count(Key{Service: server.Service, Release: server.Release, Kind: kind}, name, took)
+	if old {
+		t.learn(name, took)
 	}
-	known.count++
-	known.log += timeWeight * (math.Log(float64(took)) - known.log)
-	t.times[name] = known
 }
 
 // addSend counts a send.
--- a/core/services/lavcutover/tick.go
+++ b/core/services/lavcutover/tick.go
@@ -33,6 +33,7 @@
 // A stop is written by whoever sees the evidence; everything else by the hosts
 // in their turn.
 func (c *Cutovers) Tick(place Place, busy Busy, now time.Time) []Change {
+	c.tally.countWaiting(now)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	var changes []Change
@@ -72,13 +73,15 @@
 // judge stops a release that answers worse, and completes one that has taken over.
 func (c *Cutovers) judge(row *cutover, place Place, busy Busy, now time.Time) (Change, bool) {
 	evidence := c.tally.evidence(row.progress, c.settings.Test)
-	if row.stopped || evidence >= c.settings.StopAt {
+	elapsed := c.storeTime(now) - row.progress.Began
+	// A release that is still doubtful when its time is over cannot complete, and would go on answering its sessions.
+	overdue := row.progress.due(elapsed) && evidence >= c.settings.DoubtAt
+	if row.stopped || evidence >= c.settings.StopAt || overdue {
 		row.stopped = true
 		next := row.progress
 		next.State = Stopped
 		return Change{Progress: next, Version: row.version, Evidence: evidence}, true
 	}
-	elapsed := c.storeTime(now) - row.progress.Began
 	row.moved = c.moves(row, evidence, elapsed)
 	if !row.moved {
 		row.quiet = time.Time{}
@@ -94,7 +97,7 @@
 		row.due = now
 		return Change{}, false
 	}
-	if now.Sub(row.due) < time.Duration(place(row.progress.Service))*takeover {
+	if evidence >= c.settings.CompleteBelow || now.Sub(row.due) < time.Duration(place(row.progress.Service))*takeover {
 		return Change{}, false
 	}
 	next := row.progress
--- a/entry/services/lavforward/deliver.go
+++ b/entry/services/lavforward/deliver.go
@@ -44,7 +44,7 @@
 	if w.request.Route.Kind == lavroute.Streaming && reply.Status == http.StatusOK {
 		return w.deliverStream(ctx, chosen, model, job, stall, reply, sent)
 	}
-	return w.deliverWhole(ctx, chosen, stall, reply, sent)
+	return w.deliverWhole(ctx, chosen, stall, reply)
 }
 
 // serverFailed repeats a request that a server ran and failed, or delivers the failure.
@@ -84,7 +84,7 @@
 }
 
 // deliverWhole holds an answer until it is whole, so that a broken one can be asked for again.
-func (w *work) deliverWhole(ctx context.Context, chosen choice, stall *stall, reply *Reply, sent time.Time) (step, Result) {
+func (w *work) deliverWhole(ctx context.Context, chosen choice, stall *stall, reply *Reply) (step, Result) {
 	body, err := readWhole(reply.Body)
 	now := w.Clock()
 	if err != nil || !reply.Genuine && reply.Status < http.StatusMultipleChoices {
@@ -103,7 +103,7 @@
 	}
 	w.health.succeed(chosen.ID, now)
 	w.Releases.Observe(chosen.Server, lavcutover.Outcome{Kind: w.kind(chosen)})
-	w.Releases.ObserveTime(chosen.Server, w.kind(chosen), now.Sub(sent))
+	w.timing.Answered(now)
 	if err := w.answer.Begin(reply.Status, reply.Header, len(body)); err != nil {
 		return stepDone, Result{Broken: true}
 	}
@@ -131,7 +131,7 @@
 		return w.again("stream without the server's proof")
 	}
 	job.Read()
-	w.Releases.ObserveTime(chosen.Server, w.kind(chosen)+"/first", w.Clock().Sub(sent))
+	w.timing.Answered(w.Clock())
 	w.speeds.first(w.request.Service.ID, chosen.unread+chosen.ahead, w.Clock().Sub(sent))
 	if w.wantsLarger(reply) {
 		w.escalate(chosen, reply)
--- a/entry/services/lavforward/work.go
+++ b/entry/services/lavforward/work.go
@@ -11,6 +11,7 @@
 	"lavenderswitch/core/models/lavid"
 	"lavenderswitch/core/modules/lavexchange"
 	"lavenderswitch/core/modules/lavlog"
+	"lavenderswitch/core/services/lavcutover"
 	"lavenderswitch/core/services/lavload"
 )
 
@@ -47,6 +48,8 @@
 	server     lavid.BackendServerID
 	first      time.Duration
 	failure    *Reply
+	// timing is the wait for the answer of the present send.
+	timing *lavcutover.Timing
 }
 
 // step is what follows a send.
@@ -109,6 +112,8 @@
 	defer cancel()
 	stall := newStall(cancel, func(since time.Time) bool { return w.health.silent(chosen.ID, since) }, w.Clock)
 	defer stall.stop()
+	w.timing = w.Releases.Time(chosen.Server, w.kind(chosen)+"/first", now)
+	defer w.timing.Dropped()
 	if w.mayRepeat() {
 		stall.reset(w.firstStall())
 	}
