--- a/entry/services/lavwatch/cutover.go
+++ b/entry/services/lavwatch/cutover.go
@@ -38,6 +38,8 @@
 	cutoverTick = 150 * time.Millisecond
 	// cutoverRead is the interval of reads of the rows while a cutover is under way; peers tell changes sooner.
 	cutoverRead = 2400 * time.Millisecond
+	// cutoverFirstRead is the interval until the rows are known for the first time.
+	cutoverFirstRead = 400 * time.Millisecond
 )
 
 // Conductor drives the cutovers with the other hosts until its context ends.
@@ -60,7 +62,11 @@
 	defer c.Finish()
 	for ctx.Err() == nil {
 		now := c.Clock()
-		if !c.Cutovers.Known() || c.Cutovers.Running() && now.Sub(c.lastRead) >= cutoverRead {
+		interval := cutoverRead
+		if !c.Cutovers.Known() {
+			interval = cutoverFirstRead
+		}
+		if (!c.Cutovers.Known() || c.Cutovers.Running()) && now.Sub(c.lastRead) >= interval {
 			c.read(ctx)
 		}
 		for _, change := range c.Cutovers.Tick(c.Place, c.Busy, c.Clock()) {
--- a/entry/services/lavwatch/watcher.go
+++ b/entry/services/lavwatch/watcher.go
@@ -35,8 +35,9 @@
 	CallTimeout time.Duration
 	// ChangeWait is how long the store is asked to wait for a change.
 	ChangeWait time.Duration
-	// RetryPause separates two tries while the store gives no answer.
-	RetryPause time.Duration
+	// RetryPause separates the first two tries while the store gives no answer; it doubles up to LongestPause.
+	RetryPause   time.Duration
+	LongestPause time.Duration
 }
 
 // Watcher reads the store until its context ends.
@@ -64,12 +65,14 @@
 }
 
 func (w *Watcher) watchServers(ctx context.Context) {
+	retry := w.newRetry()
 	for ctx.Err() == nil {
-		pause := w.Settings.ListInterval
 		if !w.list(ctx) {
-			pause = w.Settings.RetryPause
+			retry.wait(ctx)
+			continue
 		}
-		lavlife.Sleep(ctx, pause)
+		retry.reset()
+		lavlife.Sleep(ctx, w.Settings.ListInterval)
 	}
 }
 
@@ -109,10 +112,11 @@
 
 func (w *Watcher) watchOperations(ctx context.Context) {
 	known, after := false, Version(0)
+	retry := w.newRetry()
 	for ctx.Err() == nil {
 		if !known {
 			if after, known = w.readOperations(ctx); !known {
-				lavlife.Sleep(ctx, w.Settings.RetryPause)
+				retry.wait(ctx)
 				continue
 			}
 		}
@@ -122,9 +126,10 @@
 		if err != nil {
 			// Whatever was missed is in the rows themselves.
 			known = false
-			lavlife.Sleep(ctx, w.Settings.RetryPause)
+			retry.wait(ctx)
 			continue
 		}
+		retry.reset()
 		w.Current.Heard(w.Clock())
 		after, known = next, !changed
 	}
