--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,4 @@
 MODULES := core ctl entry fake platform side tests wire
-PROGRAMS := entry side ctl fake
 TOOLS ?= $(CURDIR)/.tools
 BIN := $(CURDIR)/bin
 VERSION ?= $(shell git describe --always --dirty 2>/dev/null || echo unknown)
@@ -8,11 +7,12 @@
 
 .PHONY: build test smoke unit race tools lint format generate check-generated tidy clean demo up down
 
-build: ## build the four programs into bin/
+build: ## build the programs into bin/, that of the platform into target/ as its deploy file does
 	@mkdir -p $(BIN)
 	go build $(GOFLAGS_LINK) -o $(BIN)/lavenderswitch-entry ./entry
 	go build $(GOFLAGS_LINK) -o $(BIN)/lavenderswitch-side ./side
 	go build $(GOFLAGS_LINK) -o $(BIN)/lavenderctl ./ctl
+	go build -ldflags=-linkmode=external -o target/lavenderswitch-platform ./platform
 	go build $(GOFLAGS_LINK) -o $(BIN)/lavenderfake ./fake
 
 test: check-generated lint build race smoke ## all that CI runs
@@ -51,8 +51,11 @@
 	cd platform && buf generate
 
 check-generated: tools ## fail when the committed wire types differ from the schema
-	@rm -rf .generated && mkdir .generated && cd wire && buf generate -o ../.generated
+	@rm -rf .generated && mkdir .generated
+	@cd wire && buf generate -o ../.generated
+	@cd platform && buf generate -o ../.generated
 	@for f in .generated/lavwire/*.go; do cmp $$f wire/lavwire/$$(basename $$f) || { echo "run make generate and commit"; exit 1; }; done
+	@for f in .generated/lavplatformwire/*.go; do cmp $$f platform/lavplatformwire/$$(basename $$f) || { echo "run make generate and commit"; exit 1; }; done
 	@rm -rf .generated
 
 tidy:
--- a/core/services/lavbalance/engine.go
+++ b/core/services/lavbalance/engine.go
@@ -40,8 +40,8 @@
 	failingTokens = 60000
 	// coldTokens is the cost of a cold server.
 	coldTokens = 4000
-	// farTokens keeps equal choices within the data centre.
-	farTokens = 200
+	// farTokens is the price of an answer's bytes between data centres, against that of prompts read again.
+	farTokens = 2000
 )
 
 // LeastWork returns the index of the engine that is expected to answer first, or -1 when there is none.
