--- a/core/models/lavroute/route.go
+++ b/core/models/lavroute/route.go
@@ -1,6 +1,7 @@
 package lavroute
 
 import (
+	"slices"
 	"time"
 
 	"lavenderswitch/core/models/lavid"
@@ -48,6 +49,8 @@
 	Attempts int
 	// Public routes take requests without a key.
 	Public bool
+	// Regions are those that a request of the route may reach; none says all.
+	Regions []lavid.Region
 	// Resumable streams may go on at another backend server after the last event that was delivered.
 	Resumable bool
 }
@@ -84,6 +87,16 @@
 	// Urgency takes the place of the route's when HasUrgency is set.
 	Urgency    int
 	HasUrgency bool
+	// Regions are those that the account's requests may reach, beside the route's; none says all.
+	Regions []lavid.Region
+}
+
+// MayReach tells whether a request of the route, for an account or none, may reach a region.
+func (r *Route) MayReach(account *Account, region lavid.Region) bool {
+	if len(r.Regions) > 0 && !slices.Contains(r.Regions, region) {
+		return false
+	}
+	return account == nil || len(account.Regions) == 0 || slices.Contains(account.Regions, region)
 }
 
 // Limits bound what a client may send and how long it may take.
--- a/core/models/lavroute/table_test.go
+++ b/core/models/lavroute/table_test.go
@@ -4,6 +4,8 @@
 	"testing"
 
 	"github.com/matryer/is"
+
+	"lavenderswitch/core/models/lavid"
 )
 
 func TestLongestPrefixOfTheHostNameWins(t *testing.T) {
@@ -55,3 +57,13 @@
 	is.True((&Route{Kind: Streaming, Resumable: true}).Repeatable())
 	is.True((&Route{Kind: Idempotent}).Repeatable())
 }
+
+func TestRegionsOfRouteAndAccountBothBind(t *testing.T) {
+	is := is.New(t)
+	route, account := &Route{Regions: []lavid.Region{"a", "b"}}, &Account{Regions: []lavid.Region{"b", "c"}}
+	is.True(route.MayReach(nil, "a"))
+	is.True(!route.MayReach(account, "a"))
+	is.True(route.MayReach(account, "b"))
+	is.True(!route.MayReach(account, "c"))
+	is.True((&Route{}).MayReach(&Account{}, "d"))
+}
--- a/entry/services/lavforward/choose.go
+++ b/entry/services/lavforward/choose.go
@@ -52,6 +52,9 @@
 		if w.excluded[row.ID] || preference == lavcutover.Never {
 			continue
 		}
+		if !w.request.Route.MayReach(w.request.Account, w.Regions[row.DataCentre]) {
+			continue
+		}
 		if row.Cold(now) && !w.Cold.Room(row.ID, w.coldRate(), hosts, now) {
 			continue
 		}
--- a/entry/services/lavforward/forwarder.go
+++ b/entry/services/lavforward/forwarder.go
@@ -51,9 +51,11 @@
 	Sender    Sender
 	// DataCentre is this host's.
 	DataCentre lavid.DataCentreID
-	Metrics    *lavmetric.Set
-	Log        logrus.FieldLogger
-	Clock      func() time.Time
+	// Regions holds the region of each data centre; one that is missing lies in a region without a name.
+	Regions map[lavid.DataCentreID]lavid.Region
+	Metrics *lavmetric.Set
+	Log     logrus.FieldLogger
+	Clock   func() time.Time
 }
 
 // Forwarder serves requests; it is safe for concurrent use.
--- a/entry/services/lavwatch/watcher.go
+++ b/entry/services/lavwatch/watcher.go
@@ -131,7 +131,8 @@
 		}
 		retry.reset()
 		w.Current.Heard(w.Clock())
-		after, known = next, !changed
+		// A lower version is another store's, as after a change of its address.
+		after, known = next, !changed && next >= after
 	}
 }
 
