Keep only entries that can have lapsed; the grace ends on time

The host had it in its first listing, missed it in the second, and used it for the whole grace and until the next listing after that, 2.4 s in all.

Change: the grace holds only for servers that no listing has had since the store's return, and ends by time, not with the next listing.

--- a/core/services/lavdirectory/directory.go
+++ b/core/services/lavdirectory/directory.go
@@ -22,8 +22,9 @@
 // Row is a backend server with what this host knows of it.
 type Row struct {
 	lavserver.Server
-	// Listed says that the newest listing has it.
-	Listed bool
+	// Listed says that the newest listing has it, and LastListed when one last had it.
+	Listed     bool
+	LastListed time.Time
 	// FirstSeen is when this start of the server was first listed.
 	FirstSeen time.Time
 	// ColdUntil is zero for servers that are warm.
@@ -41,12 +42,13 @@
 type Directory struct {
 	settings Settings
 
-	mu         sync.Mutex
-	rows       map[lavid.BackendServerID]Row
-	evacuated  map[lavid.DataCentreID]bool
-	lastRead   time.Time
-	failed     bool
-	graceUntil time.Time
+	mu        sync.Mutex
+	rows      map[lavid.BackendServerID]Row
+	evacuated map[lavid.DataCentreID]bool
+	lastRead  time.Time
+	failed    bool
+	// returned is when the first listing after an outage was had.
+	returned time.Time
 }
 
 // New returns a directory without backend servers.
@@ -83,12 +85,12 @@
 // Read takes over a whole listing and returns what it changed.
 //
 // A server missing from it is gone, except shortly after listings could not be
-// had: then its entry may have lapsed although it lives.
+// had, unless one since then had it: its entry may have lapsed although it lives.
 func (d *Directory) Read(servers []lavserver.Server, now time.Time) []Change {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if d.interrupted(now) {
-		d.graceUntil = now.Add(d.settings.ReturnGrace)
+		d.returned = now
 	}
 	d.failed, d.lastRead = false, now
 	var changes []Change
@@ -103,7 +105,7 @@
 		if listed[id] {
 			continue
 		}
-		if now.Before(d.graceUntil) {
+		if d.lapsed(row, now) {
 			if row.Listed {
 				changes = append(changes, Change{row.Server, ChangeMissing})
 			}
@@ -117,6 +119,11 @@
 	return changes
 }
 
+// lapsed tells whether the entry of a server that is not listed may come back.
+func (d *Directory) lapsed(row Row, now time.Time) bool {
+	return row.LastListed.Before(d.returned) && now.Before(d.returned.Add(d.settings.ReturnGrace))
+}
+
 // interrupted tells whether entries may have lapsed since the last listing.
 func (d *Directory) interrupted(now time.Time) bool {
 	if d.lastRead.IsZero() {
@@ -128,7 +135,7 @@
 // take stores a listed server and tells whether that is a change.
 func (d *Directory) take(server lavserver.Server, now time.Time) (Change, bool) {
 	old, known := d.rows[server.ID]
-	row := Row{Server: server, Listed: true, FirstSeen: now}
+	row := Row{Server: server, Listed: true, LastListed: now, FirstSeen: now}
 	if known && old.SameStart(server) {
 		row.FirstSeen, row.Displaced = old.FirstSeen, old.Displaced
 	}
@@ -162,12 +169,12 @@
 }
 
 // Usable returns the backend servers of a service that may take new work, in order of their ids.
-func (d *Directory) Usable(service lavid.ServiceID) []Row {
+func (d *Directory) Usable(service lavid.ServiceID, now time.Time) []Row {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	var usable []Row
 	for _, row := range d.rows {
-		if row.Service == service && d.open(row) {
+		if row.Service == service && d.open(row, now) {
 			usable = append(usable, row)
 		}
 	}
@@ -176,8 +183,8 @@
 }
 
 // open tells whether a server may take new work; the caller holds the lock.
-func (d *Directory) open(row Row) bool {
-	return !row.Draining && !row.Displaced && !d.evacuated[row.DataCentre]
+func (d *Directory) open(row Row, now time.Time) bool {
+	return (row.Listed || d.lapsed(row, now)) && !row.Draining && !row.Displaced && !d.evacuated[row.DataCentre]
 }
 
 // Displace records that another server answered at a server's address; this start of it takes no work any more.
--- a/core/services/lavdirectory/directory_test.go
+++ b/core/services/lavdirectory/directory_test.go
@@ -22,9 +22,9 @@
 	return lavserver.Server{ID: lavid.BackendServerID(id), Service: pool, Address: "10.0.0.1:1", DataCentre: "centre-a", Born: start}
 }
 
-func usable(d *Directory) string {
+func usable(d *Directory, now time.Time) string {
 	ids := ""
-	for _, row := range d.Usable(pool) {
+	for _, row := range d.Usable(pool, now) {
 		ids += string(row.ID)
 	}
 	return ids
@@ -36,9 +36,9 @@
 	draining := server("b")
 	draining.Draining = true
 	d.Read([]lavserver.Server{server("a"), draining, server("c")}, start)
-	is.Equal(usable(d), "ac")
+	is.Equal(usable(d, start), "ac")
 	changes := d.Read([]lavserver.Server{server("a"), draining}, start.Add(time.Second))
-	is.Equal(usable(d), "a")
+	is.Equal(usable(d, start), "a")
 	is.Equal(changes, []Change{{server("c"), ChangeGone}})
 }
 
@@ -48,11 +48,11 @@
 	d.Read([]lavserver.Server{server("a")}, start)
 	d.ReadFailed()
 	d.Read(nil, start.Add(time.Second))
-	is.Equal(usable(d), "a") // its entry may have lapsed while the store was away
+	is.Equal(usable(d, start.Add(time.Second)), "a") // its entry may have lapsed while the store was away
 	d.Read(nil, start.Add(2*time.Second))
-	is.Equal(usable(d), "a")
+	is.Equal(usable(d, start.Add(2*time.Second)), "a")
 	d.Read(nil, start.Add(3*time.Second+time.Millisecond))
-	is.Equal(usable(d), "")
+	is.Equal(usable(d, start.Add(3*time.Second+time.Millisecond)), "")
 }
 
 func TestGapBetweenListingsCountsAsAnOutage(t *testing.T) {
@@ -60,9 +60,9 @@
 	d := directory()
 	d.Read([]lavserver.Server{server("a")}, start)
 	d.Read(nil, start.Add(4*time.Second)) // this host was frozen
-	is.Equal(usable(d), "a")
+	is.Equal(usable(d, start.Add(4*time.Second)), "a")
 	d.Read(nil, start.Add(7*time.Second))
-	is.Equal(usable(d), "")
+	is.Equal(usable(d, start.Add(7*time.Second)), "")
 }
 
 func TestDrainingServerStaysOutDuringAnOutage(t *testing.T) {
@@ -73,9 +73,9 @@
 	d.Read([]lavserver.Server{draining}, start)
 	d.ReadFailed()
 	d.Read(nil, start.Add(time.Second))
-	is.Equal(usable(d), "")
+	is.Equal(usable(d, start), "")
 	d.Read([]lavserver.Server{draining}, start.Add(2*time.Second))
-	is.Equal(usable(d), "")
+	is.Equal(usable(d, start), "")
 }
 
 func TestEvacuatedDataCentreTakesNoNewWork(t *testing.T) {
@@ -83,10 +83,10 @@
 	d := directory()
 	d.Read([]lavserver.Server{server("a")}, start)
 	is.True(d.Evacuate([]lavid.DataCentreID{"centre-a"}))
-	is.Equal(usable(d), "")
+	is.Equal(usable(d, start), "")
 	is.True(!d.Evacuate([]lavid.DataCentreID{"centre-a"}))
 	is.True(d.Evacuate(nil))
-	is.Equal(usable(d), "a")
+	is.Equal(usable(d, start), "a")
 }
 
 func TestServerStartedAgainUnderItsIDIsAnotherOne(t *testing.T) {
@@ -97,8 +97,8 @@
 	again.Born = start.Add(time.Second)
 	changes := d.Read([]lavserver.Server{again}, start.Add(2*time.Second))
 	is.Equal(changes, []Change{{again, ChangeAppeared}})
-	is.Equal(d.Usable(pool)[0].Server, again)
-	is.Equal(d.Usable(pool)[0].FirstSeen, start.Add(2*time.Second))
+	is.Equal(d.Usable(pool, start)[0].Server, again)
+	is.Equal(d.Usable(pool, start)[0].FirstSeen, start.Add(2*time.Second))
 }
 
 func TestColdTimeCountsFromTheListing(t *testing.T) {
@@ -107,7 +107,7 @@
 	cold := server("a")
 	cold.ColdFor = 3 * time.Second
 	d.Read([]lavserver.Server{cold}, start)
-	row := d.Usable(pool)[0]
+	row := d.Usable(pool, start)[0]
 	is.True(row.Cold(start.Add(2 * time.Second)))
 	is.True(!row.Cold(start.Add(3 * time.Second)))
 }
@@ -117,11 +117,35 @@
 	d := directory()
 	d.Read([]lavserver.Server{server("a")}, start)
 	d.Displace(server("a"))
-	is.Equal(usable(d), "")
+	is.Equal(usable(d, start), "")
 	d.Read([]lavserver.Server{server("a")}, start.Add(time.Second)) // its old entry has not lapsed yet
-	is.Equal(usable(d), "")
+	is.Equal(usable(d, start), "")
 	again := server("a")
 	again.Born = start.Add(time.Second)
 	d.Read([]lavserver.Server{again}, start.Add(2*time.Second))
-	is.Equal(usable(d), "a")
+	is.Equal(usable(d, start), "a")
+}
+
+func TestServerListedAfterTheReturnIsGoneOnceItIsMissing(t *testing.T) {
+	is := is.New(t)
+	d := directory()
+	d.Read([]lavserver.Server{server("a"), server("b")}, start)
+	d.ReadFailed()
+	back := start.Add(time.Second)
+	d.Read([]lavserver.Server{server("a")}, back)
+	is.Equal(usable(d, back), "ab")
+	// Its entry was there after the store's return, so it did not lapse while the store was away.
+	d.Read(nil, back.Add(800*time.Millisecond))
+	is.Equal(usable(d, back.Add(800*time.Millisecond)), "b")
+}
+
+func TestGraceEndsWithoutAnotherListing(t *testing.T) {
+	is := is.New(t)
+	d := directory()
+	d.Read([]lavserver.Server{server("a")}, start)
+	d.ReadFailed()
+	back := start.Add(time.Second)
+	d.Read(nil, back)
+	is.Equal(usable(d, back.Add(1999*time.Millisecond)), "a")
+	is.Equal(usable(d, back.Add(2*time.Second)), "")
 }
--- a/entry/services/lavforward/choose.go
+++ b/entry/services/lavforward/choose.go
@@ -47,7 +47,7 @@
 	allowed := w.Releases.Allowed(w.request.Service.ID, w.sessionKey(), now)
 	hosts := w.Hosts.Hosts(now)
 	var ranked [4][]lavdirectory.Row
-	for _, row := range w.Directory.Usable(w.request.Service.ID) {
+	for _, row := range w.Directory.Usable(w.request.Service.ID, now) {
 		preference := allowed(row.Release)
 		if w.excluded[row.ID] || preference == lavcutover.Never {
 			continue
--- a/entry/services/lavwatch/watcher_test.go
+++ b/entry/services/lavwatch/watcher_test.go
@@ -138,7 +138,7 @@
 func TestServersOfAnOutageAreKept(t *testing.T) {
 	source := &scripted{servers: []lavserver.Server{{ID: "a", Service: "pool", DataCentre: "centre-a"}}}
 	watcher := watch(t, source)
-	usable := func() int { return len(watcher.Directory.Usable("pool")) }
+	usable := func() int { return len(watcher.Directory.Usable("pool", time.Now())) }
 	eventually(t, "the server", func() bool { return usable() == 1 })
 	source.set(func(s *scripted) { s.down = true })
 	time.Sleep(30 * time.Millisecond)
@@ -150,9 +150,9 @@
 func TestEvacuationIsTakenOver(t *testing.T) {
 	source := &scripted{servers: []lavserver.Server{{ID: "a", Service: "pool", DataCentre: "centre-a"}}}
 	watcher := watch(t, source)
-	eventually(t, "the server", func() bool { return len(watcher.Directory.Usable("pool")) == 1 })
+	eventually(t, "the server", func() bool { return len(watcher.Directory.Usable("pool", time.Now())) == 1 })
 	source.set(func(s *scripted) { s.operations.Evacuated = []lavid.DataCentreID{"centre-a"} })
-	eventually(t, "the evacuation", func() bool { return len(watcher.Directory.Usable("pool")) == 0 })
+	eventually(t, "the evacuation", func() bool { return len(watcher.Directory.Usable("pool", time.Now())) == 0 })
 }
 
 // cutoverRows is a store of cutovers that loses some replies.
