Complete a release only while its answers speak for it

Change: completion up to evidence 1, where the answers are as likely from a good release as from a bad one; without answers it is exactly that. A release above goes on to take everything, and completes or is stopped later.

--- a/core/services/lavcutover/cutover_test.go
+++ b/core/services/lavcutover/cutover_test.go
@@ -20,7 +20,7 @@
 var start = time.Unix(1000, 0)
 
 func cutovers() *Cutovers {
-	c := New(Settings{TrialShare: trial, Exposure: Exposure{Share: 0.15, Slack: 30}, SessionSpan: 5 * time.Second, Test: lavrollout.DefaultSettings(), StopAt: 100, DoubtAt: 5, CompleteBelow: 2})
+	c := New(Settings{TrialShare: trial, Exposure: Exposure{Share: 0.15, Slack: 30}, SessionSpan: 5 * time.Second, Test: lavrollout.DefaultSettings(), StopAt: 100, DoubtAt: 5, CompleteUpTo: 1})
 	c.Clock(0, start)
 	c.Read()
 	return c
@@ -314,7 +314,7 @@
 	c := begun()
 	feed(c, 20, 1)
 	evidence := c.Rows()[0].Evidence
-	is.True(evidence > 2 && evidence < 5)
+	is.True(evidence > 1 && evidence < 5)
 	send(c, 22*time.Second)
 	is.Equal(len(c.Tick(first, busy, start.Add(23*time.Second))), 0)
 	feed(c, 60, 0)
--- a/core/services/lavcutover/cutovers.go
+++ b/core/services/lavcutover/cutovers.go
@@ -24,8 +24,8 @@
 	// StopAt is the evidence at which a release is stopped, and DoubtAt that at which its share no longer grows.
 	StopAt  float64
 	DoubtAt float64
-	// CompleteBelow is the evidence below which a release may complete, as the old servers end with it.
-	CompleteBelow float64
+	// CompleteUpTo is the evidence up to which a release may complete, as the old servers end with it; without answers it is 1.
+	CompleteUpTo float64
 }
 
 // rememberedSessions bounds the sessions whose release is remembered.
--- a/core/services/lavcutover/tick.go
+++ b/core/services/lavcutover/tick.go
@@ -97,7 +97,7 @@
 		row.due = now
 		return Change{}, false
 	}
-	if evidence >= c.settings.CompleteBelow || now.Sub(row.due) < time.Duration(place(row.progress.Service))*takeover {
+	if evidence > c.settings.CompleteUpTo || now.Sub(row.due) < time.Duration(place(row.progress.Service))*takeover {
 		return Change{}, false
 	}
 	next := row.progress
