Follow the bound for completion in its test

Change: the release answers 300 more before it may complete; that it does not complete before is checked as it was.

--- a/core/services/lavcutover/cutover_test.go
+++ b/core/services/lavcutover/cutover_test.go
@@ -317,6 +317,6 @@
 	is.True(evidence > 1 && evidence < 5)
 	send(c, 22*time.Second)
 	is.Equal(len(c.Tick(first, busy, start.Add(23*time.Second))), 0)
-	feed(c, 60, 0)
+	feed(c, 300, 0) // one failure in 320 speaks against nothing
 	is.Equal(c.Tick(first, busy, start.Add(23500*time.Millisecond))[0].Progress.State, Complete)
 }
