--- a/core/services/lavcutover/cutovers.go
+++ b/core/services/lavcutover/cutovers.go
@@ -21,7 +21,7 @@
 	SessionSpan time.Duration
 	// Test is the test on answers.
 	Test lavrollout.Settings
-	// StopAt is the evidence at which a release is stopped, and DoubtAt that at which its share no longer grows.
+	// StopAt is the evidence at which a release is stopped, and DoubtAt that at which it does not take over.
 	StopAt  float64
 	DoubtAt float64
 	// CompleteUpTo is the evidence up to which a release may complete, as the old servers end with it; without answers it is 1.
--- a/entry/services/lavforward/deliver.go
+++ b/entry/services/lavforward/deliver.go
@@ -268,7 +268,7 @@
 	if !ok || lavplan.Accept(lavplan.Confidence(reply.Confidence), outlook) {
 		return false
 	}
-	return w.repeats.take(w.request.Service.ID, w.Clock())
+	return w.takeRepeat()
 }
 
 // outlook is what asking a model would mean, or false when no server may take the request.
--- a/entry/services/lavforward/forward_test.go
+++ b/entry/services/lavforward/forward_test.go
@@ -198,13 +198,13 @@
 	}
 	taken := 0
 	for range 10 {
-		if budget.take(service, now) {
+		if budget.take(service, 1, now) {
 			taken++
 		}
 	}
 	is.Equal(taken, 4) // half of four requests and two
-	is.True(!budget.take(service, now.Add(9*time.Second)))
-	is.True(budget.take(service, now.Add(11*time.Second))) // the window has passed
+	is.True(!budget.take(service, 1, now.Add(9*time.Second)))
+	is.True(budget.take(service, 1, now.Add(11*time.Second))) // the window has passed
 }
 
 func TestRefusedServerFails(t *testing.T) {
@@ -249,3 +249,18 @@
 		is.True(send.Server.ID != w.sends[0].Server.ID)
 	}
 }
+
+func TestHostsShareTheSlackOfTheBudget(t *testing.T) {
+	is := is.New(t)
+	const hosts = 24
+	now := time.Unix(1000, 0)
+	taken := 0
+	for range hosts {
+		budget := newRepeats(Settings{RepeatShare: 0.5, RepeatSlack: 88, RepeatWindow: 10 * time.Second})
+		for budget.take(service, hosts, now) {
+			taken++
+		}
+	}
+	is.True(taken <= 88)
+	is.True(taken >= 60)
+}
--- a/entry/services/lavforward/forwarder.go
+++ b/entry/services/lavforward/forwarder.go
@@ -21,7 +21,7 @@
 type Settings struct {
 	// ColdOverage is the part of a cold server's stated rate that all hosts together use.
 	ColdOverage float64
-	// RepeatShare of the requests for a service may be sent once more, beyond RepeatSlack within RepeatWindow.
+	// RepeatShare of a host's requests for a service may be sent once more, beyond RepeatSlack of all hosts within RepeatWindow.
 	RepeatShare  float64
 	RepeatSlack  float64
 	RepeatWindow time.Duration
--- a/entry/services/lavforward/repeats.go
+++ b/entry/services/lavforward/repeats.go
@@ -43,8 +43,8 @@
 	row.requests[row.slot%repeatSlots]++
 }
 
-// take counts one further send, or returns false when the budget of the window is used up.
-func (r *repeats) take(service lavid.ServiceID, now time.Time) bool {
+// take counts one further send, or returns false when this host's part of the window's budget is used up.
+func (r *repeats) take(service lavid.ServiceID, hosts int, now time.Time) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	row := r.row(service, now)
@@ -53,7 +53,7 @@
 		requests += row.requests[i]
 		sends += row.sends[i]
 	}
-	if sends+1 > r.share*requests+r.slack {
+	if sends+1 > r.share*requests+r.slack/float64(max(hosts, 1)) {
 		return false
 	}
 	row.sends[row.slot%repeatSlots]++
--- a/entry/services/lavforward/work.go
+++ b/entry/services/lavforward/work.go
@@ -201,7 +201,7 @@
 	case !route.Repeatable():
 	case w.runs >= route.Attempts:
 	case w.tries >= route.Attempts+extraTries:
-	case !w.repeats.take(w.request.Service.ID, w.Clock()):
+	case !w.takeRepeat():
 		w.Metrics.Count("RepeatsRefused", 1)
 	default:
 		w.Metrics.Count("Repeats", 1)
@@ -210,6 +210,12 @@
 	return stepDone, w.giveUp(reason)
 }
 
+// takeRepeat takes a further send from this host's part of the budget that all hosts share.
+func (w *work) takeRepeat() bool {
+	now := w.Clock()
+	return w.repeats.take(w.request.Service.ID, len(w.Hosts.Hosts(now)), now)
+}
+
 // refused decides after a server refused the request without running it.
 func (w *work) refused(chosen choice, reply *Reply) (step, Result) {
 	w.excluded[chosen.ID] = true
@@ -224,7 +230,7 @@
 	if w.tries >= w.request.Route.Attempts+extraTries {
 		return stepDone, w.giveUp("servers refused")
 	}
-	if !w.repeats.take(w.request.Service.ID, w.Clock()) {
+	if !w.takeRepeat() {
 		return stepDone, w.giveUp("servers refused and the budget for repeats is used up")
 	}
 	return stepAgain, Result{}
