Sessions keep their version while the store is down

Cause: the logs of a failed run show that each entry host decided alone. Their first read of the host list came before the list was filled, the next one 2 s later; each knew side processes by then and so asked no seed. The patch did not reach the second host for the same reason, and it pinned the session anew under the older configuration. Ruled out: owners that do not answer in time (no such line in any log), a replica that was lost.

Change: seeds are asked, and the host list is read each 250 ms within the same bound of bytes, as long as no other entry host is known.

Two more ways for a session to move were found while reading, each proved by a test that failed first: two requests at the same time with unlike proposals each pinned their own while the store was down; a cascade pinned the session after its answer had begun, and did not look at the answer.

--- a/core/services/lavmembership/poller.go
+++ b/core/services/lavmembership/poller.go
@@ -24,6 +24,8 @@
 	listBytesPerSecond = 2 << 10
 	// shortestPoll separates reads while there are few hosts.
 	shortestPoll = 2 * time.Second
+	// shortestPollAlone separates them while no other entry host is known, so that hosts that start together soon share what one alone would decide.
+	shortestPollAlone = 250 * time.Millisecond
 )
 
 // Poller reads the host list into a table.
@@ -39,7 +41,7 @@
 	defer p.Finish()
 	for ctx.Err() == nil {
 		p.read(ctx)
-		lavlife.Sleep(ctx, jitter(PollInterval(p.Table.Count())))
+		lavlife.Sleep(ctx, jitter(PollInterval(p.Table.Count(), p.Table.KnowsEntry(time.Now()))))
 	}
 }
 
@@ -52,9 +54,13 @@
 	p.Table.Merge(hosts, time.Now())
 }
 
-// PollInterval returns the time between two reads of a list of count hosts.
-func PollInterval(count int) time.Duration {
-	return max(shortestPoll, time.Duration(count)*hostBytes*time.Second/listBytesPerSecond)
+// PollInterval returns the time between two reads of a list of count hosts, which is shorter while no other entry host is known.
+func PollInterval(count int, knowsEntry bool) time.Duration {
+	shortest := shortestPollAlone
+	if knowsEntry {
+		shortest = shortestPoll
+	}
+	return max(shortest, time.Duration(count)*hostBytes*time.Second/listBytesPerSecond)
 }
 
 // jitter returns between three quarters and five quarters of interval.
--- a/core/services/lavmembership/table.go
+++ b/core/services/lavmembership/table.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -115,6 +116,11 @@
 	return t.rows.Len() + 1
 }
 
+// KnowsEntry tells whether a live entry host besides this one is known.
+func (t *Table) KnowsEntry(now time.Time) bool {
+	return slices.ContainsFunc(t.Live(now), func(member Member) bool { return member.Role == lavplatform.RoleEntry })
+}
+
 // Owners returns the live entry hosts that can own keys, with this one when it is an entry host that is not leaving.
 func (t *Table) Owners(now time.Time) []lavring.Member {
 	var owners []lavring.Member
--- a/core/services/lavmembership/table_test.go
+++ b/core/services/lavmembership/table_test.go
@@ -83,6 +83,9 @@
 
 func TestListCostsEachHostABoundedRate(t *testing.T) {
 	is := is.New(t)
-	is.Equal(PollInterval(3), shortestPoll)
-	is.True(1020*hostBytes/PollInterval(1020).Seconds() <= listBytesPerSecond)
+	is.Equal(PollInterval(3, true), shortestPoll)
+	is.Equal(PollInterval(3, false), shortestPollAlone)
+	for _, knowsEntry := range []bool{true, false} {
+		is.True(1020*hostBytes/PollInterval(1020, knowsEntry).Seconds() <= listBytesPerSecond)
+	}
 }
--- a/core/services/lavspread/fleet_test.go
+++ b/core/services/lavspread/fleet_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -26,6 +27,7 @@
 // fleet is a set of hosts over loopback and their table service.
 type fleet struct {
 	rows      *memoryRows
+	hosts     []lavplatform.Host
 	spreaders []*Spreader
 	servers   []*httptest.Server
 	// cut separates the hosts of one data centre from all others.
@@ -51,17 +53,22 @@
 	return l.RoundTripper.RoundTrip(request)
 }
 
-// startFleet runs hosts in three data centres until the test ends.
+// startFleet runs hosts in three data centres, which are all listed, until the test ends.
 func startFleet(t *testing.T, count int) *fleet {
+	roles := slices.Repeat([]lavplatform.HostRole{lavplatform.RoleEntry}, count)
+	return startFleetWith(t, roles, func(f *fleet, _ int) ([]lavplatform.Host, []string) { return f.hosts, nil })
+}
+
+// startFleetWith runs a host of each role that begins with the hosts and seeds that known returns for each.
+func startFleetWith(t *testing.T, roles []lavplatform.HostRole, known func(f *fleet, i int) ([]lavplatform.Host, []string)) *fleet {
 	f := &fleet{rows: newMemoryRows()}
 	log := logrus.New()
 	log.SetOutput(io.Discard)
-	var hosts []lavplatform.Host
 	dataCentres := make(map[string]lavid.DataCentreID)
-	for i := range count {
+	for i, role := range roles {
 		server := httptest.NewUnstartedServer(nil)
 		host := lavplatform.Host{
-			ID: lavid.HostID(fmt.Sprint("host-", i)), Role: lavplatform.RoleEntry,
+			ID: lavid.HostID(fmt.Sprint("host-", i)), Role: role,
 			Address: server.Listener.Addr().String(), DataCentre: lavid.DataCentreID(fmt.Sprint("dc-", i%3+1)),
 		}
 		table := lavmembership.New(lavmembership.Member{ID: host.ID, Role: host.Role, Address: host.Address, DataCentre: host.DataCentre})
@@ -69,14 +76,16 @@
 		client := &http.Client{Transport: link{f, host.DataCentre, dataCentres, NewHTTPClient(nil).Transport}}
 		spreader := New(Options{Rows: f.rows, Peers: table, Current: NewCurrent(), Client: client, Scheme: "http://", Log: log})
 		server.Config.Handler = spreader.Handler()
-		hosts = append(hosts, host)
+		f.hosts = append(f.hosts, host)
 		f.spreaders = append(f.spreaders, spreader)
 		f.servers = append(f.servers, server)
 	}
 	ctx, stop := context.WithCancel(context.Background())
 	var parts conc.WaitGroup
 	for i, spreader := range f.spreaders {
+		hosts, seeds := known(f, i)
 		spreader.options.Peers.(*lavmembership.Table).Merge(hosts, time.Now())
+		spreader.options.Seeds = seeds
 		f.servers[i].Start()
 		parts.Go(func() { spreader.Run(ctx) })
 	}
@@ -216,3 +225,14 @@
 	calls.Wait()
 	is.True(f.spreaders[1].metrics.Value("StoreReads")-before < 10)
 }
+
+func TestEntryHostsThatKnowOnlyASideProcessFindEachOther(t *testing.T) {
+	roles := []lavplatform.HostRole{lavplatform.RoleEntry, lavplatform.RoleEntry, lavplatform.RoleSide}
+	f := startFleetWith(t, roles, func(f *fleet, _ int) ([]lavplatform.Host, []string) {
+		return f.hosts[2:], []string{f.hosts[0].Address, f.hosts[1].Address}
+	})
+	for i, spreader := range f.spreaders[:2] {
+		table := spreader.options.Peers.(*lavmembership.Table)
+		eventually(t, 5*time.Second, fmt.Sprintf("host %d knows both owners", i), func() bool { return len(table.Owners(time.Now())) == 2 })
+	}
+}
--- a/core/services/lavspread/spreader.go
+++ b/core/services/lavspread/spreader.go
@@ -44,6 +44,8 @@
 	PickRemote(count int, random *rand.Rand, now time.Time) []lavmembership.Member
 	Heard(member lavmembership.Member, now time.Time)
 	Failed(id lavid.HostID, now time.Time)
+	// KnowsEntry tells whether an entry host besides this one is known.
+	KnowsEntry(now time.Time) bool
 }
 
 // Options are what a Spreader works with.
@@ -55,7 +57,7 @@
 	Client *http.Client
 	// Scheme precedes the address of a peer, such as "http://".
 	Scheme string
-	// Seeds are addresses of hosts to ask while no peer is known.
+	// Seeds are addresses of hosts to ask while no other entry host is known.
 	Seeds []string
 	Log   *logrus.Logger
 }
@@ -139,14 +141,14 @@
 	})
 }
 
-// pick returns live peers, or a seed while there is none.
+// pick returns live peers, and a seed while no other entry host is known.
 func (s *Spreader) pick(count int, now time.Time) []lavmembership.Member {
 	peers := s.options.Peers.Pick(count, newRandom(), now)
-	if len(peers) > 0 || len(s.options.Seeds) == 0 {
+	if len(s.options.Seeds) == 0 || s.options.Peers.KnowsEntry(now) {
 		return peers
 	}
 	seed := s.options.Seeds[rand.IntN(len(s.options.Seeds))]
-	return []lavmembership.Member{{Address: seed}}
+	return append(peers, lavmembership.Member{Address: seed})
 }
 
 func newRandom() *rand.Rand {
--- a/entry/services/lavpin/owner.go
+++ b/entry/services/lavpin/owner.go
@@ -84,24 +84,41 @@
 
 // decide settles a session's version; a provisional session stays in memory until its second turn.
 func (o *Owner) decide(ctx context.Context, proposal lavsession.Proposal, provisional bool, now time.Time) lavsession.Pin {
-	known, exists := o.Pins.Known(proposal.Key)
-	if !exists && !provisional {
-		known, exists = o.read(ctx, proposal.Key)
+	var stored lavsession.Pin
+	var inStore bool
+	if _, exists := o.Pins.Known(proposal.Key); !exists && !provisional {
+		stored, inStore = o.read(ctx, proposal.Key)
 	}
-	if !exists && proposal.Proposed == "" {
-		return lavsession.Pin{}
+	pin, changed := o.settle(proposal, stored, inStore, now)
+	if pin.Version == "" {
+		return pin
 	}
-	pin, changed := lavsession.Decide(known, exists, proposal, now)
 	if !provisional && !pin.Stored {
 		pin = o.write(ctx, proposal, pin)
+		o.Pins.Store(proposal.Key, pin)
 	}
-	o.Pins.Store(proposal.Key, pin)
 	if changed {
 		o.Replicas.Replicate(ctx, proposal.Key, pin.Version)
 	}
 	return pin
 }
 
+// settle holds the pin in memory before the table service has it, so that requests at the same time agree also while that is down.
+func (o *Owner) settle(proposal lavsession.Proposal, stored lavsession.Pin, inStore bool, now time.Time) (lavsession.Pin, bool) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	known, exists := o.Pins.Known(proposal.Key)
+	if !exists {
+		known, exists = stored, inStore
+	}
+	if !exists && proposal.Proposed == "" {
+		return lavsession.Pin{}, false
+	}
+	pin, changed := lavsession.Decide(known, exists, proposal, now)
+	o.Pins.Store(proposal.Key, pin)
+	return pin, changed
+}
+
 func (o *Owner) read(ctx context.Context, key lavsession.Key) (lavsession.Pin, bool) {
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
--- a/entry/services/lavpin/pin_test.go
+++ b/entry/services/lavpin/pin_test.go
@@ -135,6 +135,33 @@
 	is.Equal(len(rows.rows), 1)
 }
 
+// slowRows is a table that is down and says so only after everyone asked.
+type slowRows struct {
+	fakeRows
+	asked chan struct{}
+	tell  chan struct{}
+}
+
+func (s *slowRows) Get(ctx context.Context, table, key string) (lavplatform.Row, error) {
+	s.asked <- struct{}{}
+	<-s.tell
+	return s.fakeRows.Get(ctx, table, key)
+}
+
+func TestRequestsAtTheSameTimeAgreeWhileTheStoreIsDown(t *testing.T) {
+	is := is.New(t)
+	rows := &slowRows{fakeRows: fakeRows{down: true}, asked: make(chan struct{}), tell: make(chan struct{})}
+	owner := newOwner(t, "h1", rows)
+	versions := make(chan string, 2)
+	for _, proposed := range []string{"v1", "v2"} {
+		go func() { versions <- pin(t, owner, &lavwire.PinRequest{ProposedVersionId: proposed}) }()
+	}
+	<-rows.asked
+	<-rows.asked
+	close(rows.tell)
+	is.Equal(<-versions, <-versions)
+}
+
 type members []lavring.Member
 
 func (m members) Entries(time.Time) []lavring.Member { return m }
--- a/entry/services/lavserve/plan.go
+++ b/entry/services/lavserve/plan.go
@@ -22,13 +22,7 @@
 
 // plan returns the stages of a request; a session that has a version keeps it while that may serve.
 func (w *work) plan(ctx context.Context) (lavplan.Plan, error) {
-	query := lavplan.Query{
-		Account:  w.request.Account,
-		Model:    w.request.Model,
-		Version:  w.request.Version,
-		Class:    w.request.Class,
-		CanCheck: w.Raters.CanCheck(time.Now()),
-	}
+	query := w.query()
 	if w.request.Session == "" || w.request.Version != "" {
 		query.Excluded = append(w.withoutServers(query), w.excluded...)
 		return w.choose(query)
@@ -46,6 +40,16 @@
 	return w.pinFirst(ctx, plan, pinned, query)
 }
 
+func (w *work) query() lavplan.Query {
+	return lavplan.Query{
+		Account:  w.request.Account,
+		Model:    w.request.Model,
+		Version:  w.request.Version,
+		Class:    w.request.Class,
+		CanCheck: w.Raters.CanCheck(time.Now()),
+	}
+}
+
 // pinFirst pins the version before any work runs, so that requests at other hosts agree on it.
 func (w *work) pinFirst(ctx context.Context, plan lavplan.Plan, replaced lavid.VersionID, query lavplan.Query) (lavplan.Plan, error) {
 	proposed := plan.Stages[len(plan.Stages)-1].Version
--- a/entry/services/lavserve/serve_test.go
+++ b/entry/services/lavserve/serve_test.go
@@ -36,12 +36,14 @@
 	ledgerUp bool
 	pinned   lavid.VersionID
 	asks     []lavpin.Ask
-	plan     lavplan.Plan
-	verdicts []lavplan.Rating
-	answered []Answered
-	bills    *lavbill.Pending
-	held     []*lavwire.Bill
-	enters   int
+	// pinnedOnRate is what another request pins the session to while an answer is rated.
+	pinnedOnRate lavid.VersionID
+	plan         lavplan.Plan
+	verdicts     []lavplan.Rating
+	answered     []Answered
+	bills        *lavbill.Pending
+	held         []*lavwire.Bill
+	enters       int
 }
 
 type reply struct {
@@ -102,6 +104,9 @@
 func (f *fake) Rate(context.Context, *lavrequest.Request, lavevidence.Key, []byte) lavplan.Rating {
 	next := f.verdicts[0]
 	f.verdicts = f.verdicts[1:]
+	if f.pinned == "" {
+		f.pinned = f.pinnedOnRate
+	}
 	return next
 }
 
@@ -292,6 +297,56 @@
 	is.Equal(len(f.held), 1)
 }
 
+// lateSink pins the session elsewhere or reads the pin when the first byte of an answer arrives.
+type lateSink struct {
+	lavrequest.Whole
+	fake    *fake
+	atStart lavid.VersionID
+}
+
+func (l *lateSink) Head(head lavrequest.Head) error {
+	l.atStart = l.fake.pinned
+	return l.Whole.Head(head)
+}
+
+func TestServePinsTheSessionBeforeTheAnswerOfACascadeBegins(t *testing.T) {
+	for _, rating := range []lavplan.Rating{lavplan.RatedAccepted, lavplan.RatedRejected} {
+		t.Run(string(rating), func(t *testing.T) {
+			is := is.New(t)
+			f := newFake(whole, whole)
+			f.plan = lavplan.Plan{Stages: []lavplan.Stage{{Version: "small", Checked: true}, {Version: "large"}}}
+			f.verdicts = []lavplan.Rating{rating}
+			request := chatRequest()
+			request.Session = "s"
+			sink := &lateSink{fake: f}
+			is.NoErr(f.service().Serve(t.Context(), request, sink))
+			is.True(sink.atStart != "")
+			is.Equal(sink.atStart, sink.Start.Version)
+		})
+	}
+}
+
+func TestServeKeepsASessionThatWasPinnedWhileItsCascadeRan(t *testing.T) {
+	for _, test := range []struct {
+		pinned lavid.VersionID
+		rating lavplan.Rating
+	}{{"large", lavplan.RatedAccepted}, {"small", lavplan.RatedRejected}} {
+		t.Run(string(test.rating), func(t *testing.T) {
+			is := is.New(t)
+			f := newFake(whole, whole)
+			f.plan = lavplan.Plan{Stages: []lavplan.Stage{{Version: "small", Checked: true}, {Version: "large"}}}
+			f.verdicts = []lavplan.Rating{test.rating}
+			f.pinnedOnRate = test.pinned
+			request := chatRequest()
+			request.Session = "s"
+			sink := &lavrequest.Whole{}
+			is.NoErr(f.service().Serve(t.Context(), request, sink))
+			is.Equal(sink.Start.Version, test.pinned)
+			is.Equal(f.pinned, test.pinned)
+		})
+	}
+}
+
 func TestServeKeepsASessionOnItsVersion(t *testing.T) {
 	tests := []struct {
 		name      string
--- a/entry/services/lavserve/stages.go
+++ b/entry/services/lavserve/stages.go
@@ -50,12 +50,14 @@
 		w.Metrics.Count(metricEscalated, 1)
 	}
 	version := plan.Stages[last].Version
+	if last > 0 {
+		version = w.pinBefore(ctx, version)
+	}
 	w.key.Version = version
 	tee := &tee{Sink: w.sink, started: func() { w.Metrics.Observe(metricFirstByte, time.Since(w.request.Arrived)) }}
 	if err := w.serveStage(ctx, stage{version: version, sink: tee}); err != nil {
 		return err
 	}
-	w.pinLast(ctx, version, last > 0)
 	if isRefusedByEngine(tee.status) {
 		return nil
 	}
@@ -83,8 +85,10 @@
 		w.key.After = version
 		return false, nil
 	}
+	if w.pinBefore(ctx, version) != version {
+		return false, planOutdated()
+	}
 	w.checkedBill()
-	w.pinLast(ctx, version, true)
 	return true, whole.Replay(w.sink)
 }
 
@@ -99,12 +103,16 @@
 	return nil
 }
 
-// pinLast pins a session to the version that answered a plan of several stages.
-func (w *work) pinLast(ctx context.Context, version lavid.VersionID, several bool) {
-	if !several || w.request.Session == "" || w.request.Version != "" {
-		return
+// pinBefore pins a session to a version of a plan of several stages before the caller gets any of its answer, and returns the version that the session must have.
+func (w *work) pinBefore(ctx context.Context, version lavid.VersionID) lavid.VersionID {
+	if w.request.Session == "" || w.request.Version != "" {
+		return version
+	}
+	pinned, _ := w.resolve(ctx, lavpin.Ask{Proposed: version})
+	if pinned == "" || !w.mayServe(pinned, w.query()) {
+		return version
 	}
-	w.resolve(ctx, lavpin.Ask{Proposed: version})
+	return pinned
 }
 
 // bill records the bill of a stage's answer; a checked stage is billed only when it ends the request.
