Judge releases also by first events that take longer than usual

The release completed with evidence 0.3 to 0.6 against it.

Cause: 40 % of the bad release's runs take 140 ms longer to the first event, on top of 100 to 2000 ms, and the 25 to 70 first events of a trial were counted as slow only from 2.5 times the usual time on. Ruled out: too few answers in the trial, new servers that are slow because their caches are cold (those of good releases have the same and less load).

Change: for kinds whose times vary more by request and load than by server (engines), answers above the usual time are counted, and the same two-sample test is made on them with excesses of 0.15 and 0.3. Plain services keep the test at 2.5 times, so that the speed of single servers says nothing.

--- a/core/services/lavcutover/cutover_test.go
+++ b/core/services/lavcutover/cutover_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"testing"
 	"time"
 
@@ -283,11 +284,11 @@
 	is := is.New(t)
 	c := begun()
 	for range 20 {
-		c.Time(on("v1"), "chat", start).Answered(start.Add(100 * time.Millisecond))
+		c.Time(on("v1"), "chat", false, start).Answered(start.Add(100 * time.Millisecond))
 	}
 	waiting := make([]*Timing, 0, 10)
 	for range 10 {
-		waiting = append(waiting, c.Time(on("v2"), "chat", start))
+		waiting = append(waiting, c.Time(on("v2"), "chat", false, start))
 	}
 	is.Equal(len(c.Tick(first, busy, start.Add(200*time.Millisecond))), 0)
 	is.Equal(c.Tick(first, busy, start.Add(300*time.Millisecond))[0].Progress.State, Stopped)
@@ -297,14 +298,53 @@
 	is.Equal(c.tally.ownCounts(pool)[Key{Service: pool, Release: "v2", Kind: "chat"}].Slow.Trials, 10.0)
 }
 
+// answer feeds first events of both releases whose times vary tenfold; those of v2 take the stated factor longer.
+func answer(c *Cutovers, factor float64) {
+	for i := range 200 {
+		took := time.Duration(100*math.Pow(10, float64(i*37%100)/100)) * time.Millisecond
+		c.Time(on("v1"), "chat", true, start).Answered(start.Add(took))
+		if i%5 == 0 {
+			c.Time(on("v2"), "chat", true, start).Answered(start.Add(time.Duration(factor * float64(took))))
+		}
+	}
+}
+
+func TestReleaseThatIsOftenLongerThanUsualIsStoppedAtItsEnd(t *testing.T) {
+	is := is.New(t)
+	c := begun()
+	answer(c, 1.8)
+	is.Equal(c.Tick(first, busy, start.Add(23*time.Second))[0].Progress.State, Stopped)
+}
+
+func TestReleaseWhoseTimesAreTheUsualOnesCompletes(t *testing.T) {
+	for _, factor := range []float64{0.7, 1, 1.05} {
+		is := is.New(t)
+		c := begun()
+		answer(c, factor)
+		send(c, 22*time.Second)
+		c.Tick(first, busy, start.Add(22*time.Second))
+		is.Equal(c.Tick(first, busy, start.Add(23*time.Second))[0].Progress.State, Complete)
+	}
+}
+
+func TestSpeedOfAServerDoesNotSpeakAgainstTimesThatHardlyVary(t *testing.T) {
+	is := is.New(t)
+	c := begun()
+	for range 60 {
+		c.Time(on("v1"), "lookup", false, start).Answered(start.Add(100 * time.Millisecond))
+		c.Time(on("v2"), "lookup", false, start).Answered(start.Add(110 * time.Millisecond))
+	}
+	is.True(c.Rows()[0].Evidence <= 1) // 1 is no evidence at all
+}
+
 func TestDroppedWaitsDoNotCount(t *testing.T) {
 	is := is.New(t)
 	c := begun()
 	for range 20 {
-		c.Time(on("v1"), "chat", start).Answered(start.Add(100 * time.Millisecond))
+		c.Time(on("v1"), "chat", false, start).Answered(start.Add(100 * time.Millisecond))
 	}
 	for range 10 {
-		c.Time(on("v2"), "chat", start).Dropped()
+		c.Time(on("v2"), "chat", false, start).Dropped()
 	}
 	is.Equal(len(c.Tick(first, busy, start.Add(time.Second))), 0)
 }
--- a/core/services/lavcutover/cutovers.go
+++ b/core/services/lavcutover/cutovers.go
@@ -245,8 +245,11 @@
 }
 
 // Time starts the wait for an answer that may be compared with others of its kind.
-func (c *Cutovers) Time(server lavserver.Server, kind string, now time.Time) *Timing {
-	return c.tally.timing(server, kind, c.isOld(server), now)
+//
+// The times of a varied kind differ more by request and load than by server, so
+// that being often longer than usual speaks against a release, too.
+func (c *Cutovers) Time(server lavserver.Server, kind string, varied bool, now time.Time) *Timing {
+	return c.tally.timing(server, kind, varied, c.isOld(server), now)
 }
 
 func (c *Cutovers) isOld(server lavserver.Server) bool {
--- a/core/services/lavcutover/tally.go
+++ b/core/services/lavcutover/tally.go
@@ -28,6 +28,8 @@
 type Counts struct {
 	Failures lavrollout.Sample
 	Slow     lavrollout.Sample
+	// Longer counts answers that took longer than the usual time, by however little.
+	Longer lavrollout.Sample
 	// Sends are counted when they go out, whatever becomes of them.
 	Sends float64
 }
@@ -42,6 +44,8 @@
 const (
 	// slowFactor times what is usual for the old releases counts as slow; how often they are is counted too.
 	slowFactor = 2.5
+	// longerFactor counts every time above the usual one.
+	longerFactor = 1
 	// timeWeight is the part of the newest answer in the usual time.
 	timeWeight = 0.1
 	// knownTimes are needed before a time can be slow.
@@ -87,7 +91,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	name := string(server.Service) + "\x00" + kind
-	t.count(Key{Service: server.Service, Release: server.Release, Kind: kind}, name, took)
+	t.countSlow(Key{Service: server.Service, Release: server.Release, Kind: kind}, name, took)
 	if old {
 		t.learn(name, took)
 	}
@@ -162,14 +166,17 @@
 	}
 }
 
+// longerTimes is the test on answers that took longer than usual. Half of the least amount is what chance and the speeds of single servers may add.
+var longerTimes = lavrollout.Stream{Excesses: []float64{0.15, 0.3}, Assumed: 0.5}
+
 type samples map[lavrollout.Stratum]lavrollout.Sample
 
 // evidence returns how strongly the answers of all hosts speak against a release.
 func (t *tally) evidence(progress Progress, settings lavrollout.Settings) float64 {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	tested := [2]samples{{}, {}}
-	control := [2]samples{{}, {}}
+	tested := [3]samples{{}, {}, {}}
+	control := [3]samples{{}, {}, {}}
 	visit := func(rows map[Key]Counts) {
 		for key, counts := range rows {
 			if key.Service != progress.Service {
@@ -182,6 +189,7 @@
 			stratum := lavrollout.Stratum(key.Kind)
 			target[0][stratum] = sum(target[0][stratum], counts.Failures)
 			target[1][stratum] = sum(target[1][stratum], counts.Slow)
+			target[2][stratum] = sum(target[2][stratum], counts.Longer)
 		}
 	}
 	visit(t.own)
@@ -190,5 +198,6 @@
 	}
 	failures := lavrollout.Excess(tested[0], control[0], settings.Failures)
 	slow := lavrollout.Excess(tested[1], control[1], settings.Failures)
-	return max(failures, slow)
+	longer := lavrollout.Excess(tested[2], control[2], longerTimes)
+	return max(failures, slow, longer)
 }
--- a/core/services/lavcutover/timing.go
+++ b/core/services/lavcutover/timing.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"lavenderswitch/core/models/lavserver"
+	"lavenderswitch/core/services/lavrollout"
 )
 
 // Timing is the wait for one answer; it counts as slow as soon as it is, not only once the answer has come.
@@ -13,17 +14,21 @@
 	key     Key
 	name    string
 	old     bool
+	varied  bool
 	started time.Time
-	counted bool
+	// slow and longer say that the wait has been counted as such.
+	slow   bool
+	longer bool
 }
 
 // timing starts the wait for an answer that is compared with others of its kind.
-func (t *tally) timing(server lavserver.Server, kind string, old bool, now time.Time) *Timing {
+func (t *tally) timing(server lavserver.Server, kind string, varied, old bool, now time.Time) *Timing {
 	timing := &Timing{
 		tally:   t,
 		key:     Key{Service: server.Service, Release: server.Release, Kind: kind},
 		name:    string(server.Service) + "\x00" + kind,
 		old:     old,
+		varied:  varied,
 		started: now,
 	}
 	t.mu.Lock()
@@ -41,8 +46,11 @@
 	}
 	delete(t.tally.waiting, t)
 	took := now.Sub(t.started)
-	if !t.counted {
-		t.tally.count(t.key, t.name, took)
+	if !t.slow {
+		t.tally.countSlow(t.key, t.name, took)
+	}
+	if t.varied && !t.longer {
+		t.tally.countLonger(t.key, t.name, took)
 	}
 	if t.old {
 		t.tally.learn(t.name, took)
@@ -56,36 +64,55 @@
 	delete(t.tally.waiting, t)
 }
 
-// countWaiting counts the waits that are slow by now.
+// countWaiting counts the waits that are longer than usual, or slow, by now.
 func (t *tally) countWaiting(now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for timing := range t.waiting {
 		took := now.Sub(timing.started)
-		if timing.counted || !t.slow(timing.name, took) {
-			continue
+		if !timing.slow && t.exceeds(timing.name, took, slowFactor) {
+			timing.slow = true
+			t.countSlow(timing.key, timing.name, took)
+		}
+		if timing.varied && !timing.longer && t.exceeds(timing.name, took, longerFactor) {
+			timing.longer = true
+			t.countLonger(timing.key, timing.name, took)
 		}
-		timing.counted = true
-		t.count(timing.key, timing.name, took)
 	}
 }
 
-// count counts a time whose kind is known well enough.
-func (t *tally) count(key Key, name string, took time.Duration) {
+// countSlow counts a time whose kind is known well enough.
+func (t *tally) countSlow(key Key, name string, took time.Duration) {
 	if t.times[name].count < knownTimes {
 		return
 	}
 	counts := t.own[key]
-	counts.Slow.Trials++
-	if t.slow(name, took) {
-		counts.Slow.Bad++
+	counts.Slow = judged(counts.Slow, t.exceeds(name, took, slowFactor))
+	t.own[key] = counts
+}
+
+// countLonger does the same for any time above the usual one.
+func (t *tally) countLonger(key Key, name string, took time.Duration) {
+	if t.times[name].count < knownTimes {
+		return
 	}
+	counts := t.own[key]
+	counts.Longer = judged(counts.Longer, t.exceeds(name, took, longerFactor))
 	t.own[key] = counts
 }
 
-func (t *tally) slow(name string, took time.Duration) bool {
+func judged(sample lavrollout.Sample, bad bool) lavrollout.Sample {
+	sample.Trials++
+	if bad {
+		sample.Bad++
+	}
+	return sample
+}
+
+// exceeds tells whether a time is more than a factor above the usual one of its kind.
+func (t *tally) exceeds(name string, took time.Duration, factor float64) bool {
 	known := t.times[name]
-	return known.count >= knownTimes && took > 0 && math.Log(float64(took)) > known.log+math.Log(slowFactor)
+	return known.count >= knownTimes && took > 0 && math.Log(float64(took)) > known.log+math.Log(factor)
 }
 
 // learn takes a time of the old releases over into what is usual.
--- a/entry/services/lavbroadcast/broadcaster.go
+++ b/entry/services/lavbroadcast/broadcaster.go
@@ -155,6 +155,8 @@
 			Failed:    counts.Failures.Bad,
 			Paced:     counts.Slow.Trials,
 			Slow:      counts.Slow.Bad,
+			Timed:     counts.Longer.Trials,
+			Longer:    counts.Longer.Bad,
 			Sends:     counts.Sends,
 		})
 	}
@@ -225,6 +227,7 @@
 		counts[key] = lavcutover.Counts{
 			Failures: sample(count.GetAnswers(), count.GetFailed()),
 			Slow:     sample(count.GetPaced(), count.GetSlow()),
+			Longer:   sample(count.GetTimed(), count.GetLonger()),
 			Sends:    count.GetSends(),
 		}
 	}
--- a/entry/services/lavforward/forwarder.go
+++ b/entry/services/lavforward/forwarder.go
@@ -33,7 +33,7 @@
 	Seat(server lavserver.Server, session string, now time.Time)
 	Observe(server lavserver.Server, outcome lavcutover.Outcome)
 	ObserveTime(server lavserver.Server, kind string, took time.Duration)
-	Time(server lavserver.Server, kind string, now time.Time) *lavcutover.Timing
+	Time(server lavserver.Server, kind string, varied bool, now time.Time) *lavcutover.Timing
 }
 
 // Hosts lists the entry hosts that may send work, this one among them.
--- a/entry/services/lavforward/work.go
+++ b/entry/services/lavforward/work.go
@@ -115,7 +115,7 @@
 	defer cancel()
 	stall := newStall(cancel, func(since time.Time) bool { return w.health.silent(chosen.ID, since) }, w.Clock)
 	defer stall.stop()
-	w.timing = w.Releases.Time(chosen.Server, w.kind(chosen)+"/first", now)
+	w.timing = w.Releases.Time(chosen.Server, w.kind(chosen)+"/first", w.request.Service.Engine != nil, now)
 	defer w.timing.Dropped()
 	if w.mayRepeat() {
 		stall.reset(w.firstStall())
