Logs with the story of failed requests, metrics of a library, lavenderctl explain

Cause: an engineer with logs and metrics only saw that a send had failed, but not where a request had been sent and why; times had whole seconds, lines no host; the metrics had neither labels nor ages nor histograms; nothing put the lines of several hosts together.

Change: each send is kept with what decided it, and written when the request fails, is late or was repeated.

--- a/core/models/lavroute/route.go
+++ b/core/models/lavroute/route.go
@@ -20,6 +20,18 @@
 	Streaming
 )
 
+// String returns the kind as it stands in logs and metrics.
+func (k Kind) String() string {
+	switch k {
+	case Idempotent:
+		return "idempotent"
+	case Streaming:
+		return "streaming"
+	default:
+		return "once_only"
+	}
+}
+
 // Split is the part of a route's requests that goes to one service.
 type Split struct {
 	Service lavid.ServiceID
--- a/core/modules/lavlog/async.go
+++ b/core/modules/lavlog/async.go
@@ -33,8 +33,11 @@
 	}
 }
 
-// Write queues one line; it always succeeds.
+// Write queues one line, or nothing when the line is empty; it always succeeds.
 func (a *Async) Write(line []byte) (int, error) {
+	if len(line) == 0 {
+		return 0, nil
+	}
 	select {
 	case a.lines <- append([]byte(nil), line...):
 	default:
--- a/core/modules/lavlog/log.go
+++ b/core/modules/lavlog/log.go
@@ -16,6 +16,9 @@
 	FieldServer  = "backend_server_id"
 	FieldPeer    = "peer"
 	FieldVersion = "version_id"
+	FieldHost    = "host_id"
+	// FieldAgo is for how many milliseconds before the line was written its event happened.
+	FieldAgo = "ago_ms"
 )
 
 // New returns a logger that writes JSON lines of at least the level, such as "info", to w.
--- /dev/null
+++ b/ctl/cmd/explain.go
@@ -0,0 +1,99 @@
+package lavcmd
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"maps"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/urfave/cli/v3"
+
+	"lavenderswitch/core/models/lavid"
+	"lavenderswitch/ctl/services/lavstory"
+)
+
+const (
+	flagAround = "around"
+	// defaultAround shows a server's loss that ended a request, which hosts notice within a few readings of the list.
+	defaultAround = 3 * time.Second
+	storyTime     = "15:04:05.000"
+)
+
+func explainCommand() *cli.Command {
+	return &cli.Command{
+		Name:      "explain",
+		Usage:     "tell the story of a request from the logs of the entry hosts",
+		ArgsUsage: "REQUEST-ID [FILE...]",
+		Description: "Reads standard input when no file is given. Shows the lines of the request over all hosts in order of time,\n" +
+			"and what its hosts noted of themselves and of its backend servers around that time.\n\nExample:\n" +
+			"   lavenderctl explain 9c41d07be2a35f68 entry-*.log",
+		Flags:  []cli.Flag{&cli.DurationFlag{Name: flagAround, Usage: "how long before and after the request to look at its hosts", Value: defaultAround}},
+		Action: explain,
+	}
+}
+
+func explain(_ context.Context, command *cli.Command) error {
+	args := command.Args().Slice()
+	if len(args) == 0 {
+		return usageError{errors.New("no request is named; give its id, and then the files to read")}
+	}
+	reader := lavstory.NewReader(lavid.RequestID(args[0]))
+	if err := readLogs(command, reader, args[1:]); err != nil {
+		return err
+	}
+	story, err := reader.Story(command.Duration(flagAround))
+	if err != nil {
+		return err
+	}
+	if command.Bool(flagJSON) {
+		data, err := json.Marshal(story)
+		if err != nil {
+			return errors.Wrap(err, "encode the story")
+		}
+		return printJSON(command, data)
+	}
+	return printTable(command, storyRows(story))
+}
+
+func readLogs(command *cli.Command, reader *lavstory.Reader, files []string) error {
+	if len(files) == 0 {
+		return reader.Read(command.Root().Reader, "standard input")
+	}
+	for _, name := range files {
+		if err := readLog(reader, name); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func readLog(reader *lavstory.Reader, name string) error {
+	file, err := os.Open(name) //nolint:gosec // the operator names the file
+	if err != nil {
+		return errors.Wrap(err, "open the log")
+	}
+	defer file.Close()
+	return reader.Read(file, filepath.Base(name))
+}
+
+func storyRows(story []lavstory.Line) [][]string {
+	rows := [][]string{{"TIME", "HOST", "WHAT", "BACKEND SERVER", "DETAILS"}}
+	for _, line := range story {
+		what := line.What
+		if line.Request == "" {
+			what = "(" + what + ")"
+		}
+		var details []string
+		for _, name := range slices.Sorted(maps.Keys(line.Fields)) {
+			details = append(details, fmt.Sprintf("%s=%v", name, line.Fields[name]))
+		}
+		rows = append(rows, []string{line.At.Format(storyTime), string(line.Host), what, string(line.Server), strings.Join(details, " ")})
+	}
+	return rows
+}
--- a/ctl/cmd/root_test.go
+++ b/ctl/cmd/root_test.go
@@ -4,6 +4,8 @@
 	"bytes"
 	"net/http"
 	"net/http/httptest"
+	"os"
+	"path/filepath"
 	"strings"
 	"testing"
 
@@ -131,3 +133,23 @@
 	_, out, _ := host.run(t, "secret\n", "hash-key")
 	is.Equal(strings.TrimSpace(out), lavkey.Hash("secret"))
 }
+
+func TestExplainReadsFilesAndStandardInput(t *testing.T) {
+	is := is.New(t)
+	host := newEntryHost(t)
+	log := `{"host_id":"entry-1","msg":"refused","request_id":"r-1","status":503,"time":"2026-01-01T00:00:02.000Z"}`
+	path := filepath.Join(t.TempDir(), "entry-1.log")
+	is.NoErr(os.WriteFile(path, []byte(log), 0o600))
+	for _, args := range [][]string{{"explain", "r-1"}, {"explain", "r-1", path}} {
+		code, out, _ := host.run(t, log, args...)
+		is.Equal(code, ExitDone)
+		is.True(strings.Contains(out, "entry-1") && strings.Contains(out, "status=503"))
+	}
+	code, _, message := host.run(t, log, "explain", "r-2")
+	is.Equal(code, ExitFailed)
+	is.True(strings.Contains(message, "no line names request"))
+	code, _, _ = host.run(t, log, "explain")
+	is.Equal(code, ExitWrongUsage)
+	code, _, _ = host.run(t, log, "explain", "r-1", path+".missing")
+	is.Equal(code, ExitFailed)
+}
--- a/entry/services/lavforward/choose.go
+++ b/entry/services/lavforward/choose.go
@@ -28,6 +28,8 @@
 	// unread is the work that the request adds, and ahead what it waits for.
 	unread float64
 	ahead  float64
+	// among is the number of servers that it was chosen from.
+	among int
 }
 
 // choose returns the backend server for the next send, or false when none may take it now.
@@ -112,7 +114,7 @@
 	if best < 0 {
 		return choice{}, false
 	}
-	return choice{Row: rows[best], model: model, unread: engines[best].Own, ahead: engines[best].Unread}, true
+	return choice{Row: rows[best], model: model, unread: engines[best].Own, ahead: engines[best].Unread, among: len(rows)}, true
 }
 
 // home returns the server that all hosts prefer for the shared part of the prompt.
@@ -192,7 +194,7 @@
 	if best < 0 {
 		return choice{}, false
 	}
-	return choice{Row: rows[best]}, true
+	return choice{Row: rows[best], among: len(rows)}, true
 }
 
 // usualFailing is the mean failure rate of the servers.
--- a/entry/services/lavforward/deliver.go
+++ b/entry/services/lavforward/deliver.go
@@ -54,7 +54,7 @@
 	w.health.flaw(chosen.ID)
 	w.last = "server failed with " + http.StatusText(reply.Status)
 	w.Releases.Observe(chosen.Server, lavcutover.Outcome{Kind: w.kind(chosen), Failed: true})
-	w.Metrics.Count("ServerFailures", 1)
+	w.Metrics.send(chosen, sendFailed)
 	w.decided("server failed", chosen.ID, logrus.Fields{"status": reply.Status, "release": chosen.Release})
 	if !w.begun {
 		if body, err := readWhole(reply.Body); err == nil && reply.Genuine {
@@ -98,10 +98,12 @@
 		}
 		w.excluded[chosen.ID] = true
 		w.health.fail(chosen.ID, now)
+		w.Metrics.send(chosen, sendDamaged)
 		w.decided("answer was damaged", chosen.ID, logrus.Fields{"reason": reason})
 		return w.again("answer was damaged")
 	}
 	w.health.succeed(chosen.ID, now)
+	w.Metrics.send(chosen, sendAnswered)
 	w.Releases.Observe(chosen.Server, lavcutover.Outcome{Kind: w.kind(chosen)})
 	w.timing.Answered(now)
 	if err := w.answer.Begin(reply.Status, reply.Header, len(body)); err != nil {
@@ -128,6 +130,7 @@
 func (w *work) deliverStream(ctx context.Context, chosen choice, model lavid.ModelID, job *lavload.Job, stall *stall, reply *Reply, sent time.Time) (step, Result) {
 	if !reply.Genuine {
 		w.excluded[chosen.ID] = true
+		w.Metrics.send(chosen, sendDamaged)
 		w.decided("answer was damaged", chosen.ID, logrus.Fields{"reason": "stream without the server's proof"})
 		return w.again("stream without the server's proof")
 	}
@@ -222,6 +225,7 @@
 		return w.brokeOff(context.Background(), chosen, &stall{}, errors.New("stream ended within an event"))
 	}
 	w.health.succeed(chosen.ID, w.Clock())
+	w.Metrics.send(chosen, sendAnswered)
 	if !w.stream.counted {
 		w.countStream(chosen, w.Clock())
 	}
@@ -241,7 +245,7 @@
 	}
 	w.excluded[chosen.ID] = true
 	w.health.fail(chosen.ID, w.Clock())
-	w.Metrics.Count("StreamsBroken", 1)
+	w.Metrics.send(chosen, sendBrokeOff)
 	w.decided("stream broke off", chosen.ID, logrus.Fields{"after": w.after, "reason": err.Error(), "stalled": stall.fired()})
 	return w.again("stream broke off")
 }
@@ -299,7 +303,8 @@
 // escalate goes on with the largest model.
 func (w *work) escalate(chosen choice, reply *Reply) {
 	w.model = len(w.request.Route.Models) - 1
-	w.Metrics.Count("Escalations", 1)
+	w.Metrics.escalations.WithLabelValues(string(chosen.Service)).Inc()
+	w.Metrics.send(chosen, sendDropped)
 	w.decided("larger model", chosen.ID, logrus.Fields{"confidence": reply.Confidence})
 }
 
--- a/entry/services/lavforward/forwarder.go
+++ b/entry/services/lavforward/forwarder.go
@@ -9,7 +9,6 @@
 
 	"lavenderswitch/core/models/lavid"
 	"lavenderswitch/core/models/lavserver"
-	"lavenderswitch/core/modules/lavmetric"
 	"lavenderswitch/core/modules/lavring"
 	"lavenderswitch/core/services/lavcold"
 	"lavenderswitch/core/services/lavcutover"
@@ -53,7 +52,7 @@
 	DataCentre lavid.DataCentreID
 	// Regions holds the region of each data centre; one that is missing lies in a region without a name.
 	Regions map[lavid.DataCentreID]lavid.Region
-	Metrics *lavmetric.Set
+	Metrics *Metrics
 	Log     logrus.FieldLogger
 	Clock   func() time.Time
 }
@@ -88,6 +87,8 @@
 	work := &work{Forwarder: f, request: request, answer: answer, excluded: make(map[lavid.BackendServerID]bool)}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
+	f.Metrics.inProgress.Inc()
+	defer f.Metrics.inProgress.Dec()
 	result := work.run(ctx)
 	work.report(ctx, result)
 	return result
--- /dev/null
+++ b/entry/services/lavforward/metrics.go
@@ -0,0 +1,111 @@
+package lavforward
+
+import (
+	"sync"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promauto"
+
+	"lavenderswitch/core/models/lavid"
+	"lavenderswitch/core/models/lavroute"
+)
+
+// The labels of the metrics of forwarding.
+const (
+	labelKind    = "kind"
+	labelOutcome = "outcome"
+	labelService = "service"
+	labelServer  = "backend_server"
+	labelResult  = "result"
+	labelStatus  = "status"
+)
+
+// The results of one send.
+const (
+	sendAnswered = "answered"
+	sendDropped  = "dropped"
+	sendRefused  = "refused"
+	sendFailed   = "failed"
+	sendDamaged  = "damaged"
+	sendLost     = "lost"
+	sendBrokeOff = "broke_off"
+)
+
+// latencyBuckets in seconds reach from a plain request to the longest deadlines of streams.
+var latencyBuckets = []float64{0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2, 4, 8, 16, 32}
+
+// Metrics count what becomes of requests and sends.
+type Metrics struct {
+	requests    *prometheus.CounterVec
+	refusals    *prometheus.CounterVec
+	sends       *prometheus.CounterVec
+	repeats     *prometheus.CounterVec
+	escalations *prometheus.CounterVec
+	inProgress  prometheus.Gauge
+	duration    *prometheus.HistogramVec
+	firstEvent  *prometheus.HistogramVec
+	serverFirst *prometheus.HistogramVec
+
+	mu sync.Mutex
+	// counted holds the backend servers that sends are counted of.
+	counted map[lavid.BackendServerID]bool
+}
+
+// NewMetrics registers the metrics of forwarding.
+func NewMetrics(registerer prometheus.Registerer) *Metrics {
+	factory := promauto.With(registerer)
+	counter := func(name, help string, labels ...string) *prometheus.CounterVec {
+		return factory.NewCounterVec(prometheus.CounterOpts{Name: "lavenderswitch_" + name, Help: help}, labels)
+	}
+	histogram := func(name, help string, labels ...string) *prometheus.HistogramVec {
+		return factory.NewHistogramVec(prometheus.HistogramOpts{Name: "lavenderswitch_" + name, Help: help, Buckets: latencyBuckets}, labels)
+	}
+	return &Metrics{
+		counted:     make(map[lavid.BackendServerID]bool),
+		requests:    counter("requests_total", "Requests that ended, by how they did.", labelKind, labelOutcome),
+		refusals:    counter("refusals_total", "Refusals of requests that were to be forwarded, by status.", labelKind, labelStatus),
+		sends:       counter("sends_total", "Sends to each backend server, by what became of them.", labelService, labelServer, labelResult),
+		repeats:     counter("repeats_total", "Sends beyond the first of a request that were wanted; the result refused says that the budget was used up.", labelService, labelResult),
+		escalations: counter("escalations_total", "Answers of smaller models that were dropped for a larger model's.", labelService),
+		inProgress:  factory.NewGauge(prometheus.GaugeOpts{Name: "lavenderswitch_requests_in_progress", Help: "Requests that are being forwarded."}),
+		duration:    histogram("request_duration_seconds", "Time from a request's arrival to its end.", labelKind, labelOutcome),
+		firstEvent:  histogram("first_event_seconds", "Time from a streamed request's arrival to its first event.", labelKind),
+		serverFirst: histogram("server_first_answer_seconds", "Time from a send to the head of the server's answer.", labelService),
+	}
+}
+
+// Keep forgets the sends to backend servers other than those stated, so that their number stays bounded.
+func (m *Metrics) Keep(servers map[lavid.BackendServerID]bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for id := range m.counted {
+		if !servers[id] {
+			m.sends.DeletePartialMatch(prometheus.Labels{labelServer: string(id)})
+			delete(m.counted, id)
+		}
+	}
+}
+
+func (m *Metrics) send(chosen choice, result string) {
+	m.mu.Lock()
+	m.counted[chosen.ID] = true
+	m.mu.Unlock()
+	m.sends.WithLabelValues(string(chosen.Service), string(chosen.ID), result).Inc()
+}
+
+func (m *Metrics) repeat(service lavid.ServiceID, allowed bool) {
+	result := "refused"
+	if allowed {
+		result = "taken"
+	}
+	m.repeats.WithLabelValues(string(service), result).Inc()
+}
+
+func (m *Metrics) ended(kind lavroute.Kind, outcome string, took, first time.Duration) {
+	m.requests.WithLabelValues(kind.String(), outcome).Inc()
+	m.duration.WithLabelValues(kind.String(), outcome).Observe(took.Seconds())
+	if first > 0 {
+		m.firstEvent.WithLabelValues(kind.String()).Observe(first.Seconds())
+	}
+}
--- a/entry/services/lavforward/work.go
+++ b/entry/services/lavforward/work.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"net/http"
 	"time"
 
@@ -10,7 +9,6 @@
 
 	"lavenderswitch/core/models/lavid"
 	"lavenderswitch/core/modules/lavexchange"
-	"lavenderswitch/core/modules/lavlog"
 	"lavenderswitch/core/services/lavcutover"
 	"lavenderswitch/core/services/lavload"
 )
@@ -51,6 +49,8 @@
 	first time.Duration
 	// failure is the latest answer in which a server failed the request.
 	failure *Reply
+	// story holds the sends until it is known whether anybody will ask about them.
+	story story
 	// timing is the wait for the answer of the present send.
 	timing *lavcutover.Timing
 }
@@ -110,6 +110,7 @@
 func (w *work) send(ctx context.Context, chosen choice, model lavid.ModelID, job *lavload.Job, now time.Time) (step, Result) {
 	w.tries++
 	w.server = chosen.ID
+	w.story.add(now, "sent", w.sentFields(chosen, now))
 	left := w.request.Deadline.Sub(now)
 	ctx, cancel := context.WithTimeout(ctx, left)
 	defer cancel()
@@ -132,6 +133,7 @@
 		return w.failed(ctx, chosen, stall, err)
 	}
 	defer reply.Body.Close()
+	w.Metrics.serverFirst.WithLabelValues(string(chosen.Service)).Observe(w.Clock().Sub(now).Seconds())
 	w.health.hear(chosen.ID, w.Clock())
 	if reply.NotRun {
 		return w.refused(chosen, reply)
@@ -181,7 +183,7 @@
 	gone := ctx.Err() != nil && !stall.fired()
 	if !gone {
 		w.health.fail(chosen.ID, now)
-		w.Metrics.Count("SendsFailed", 1)
+		w.Metrics.send(chosen, sendLost)
 		w.decided("send failed", chosen.ID, logrus.Fields{"sent": sent, "reason": err.Error()})
 	}
 	switch {
@@ -202,9 +204,7 @@
 	case w.runs >= route.Attempts:
 	case w.tries >= route.Attempts+extraTries:
 	case !w.takeRepeat():
-		w.Metrics.Count("RepeatsRefused", 1)
 	default:
-		w.Metrics.Count("Repeats", 1)
 		return stepAgain, Result{}
 	}
 	return stepDone, w.giveUp(reason)
@@ -213,14 +213,16 @@
 // takeRepeat takes a further send from this host's part of the budget that all hosts share.
 func (w *work) takeRepeat() bool {
 	now := w.Clock()
-	return w.repeats.take(w.request.Service.ID, len(w.Hosts.Hosts(now)), now)
+	allowed := w.repeats.take(w.request.Service.ID, len(w.Hosts.Hosts(now)), now)
+	w.Metrics.repeat(w.request.Service.ID, allowed)
+	return allowed
 }
 
 // refused decides after a server refused the request without running it.
 func (w *work) refused(chosen choice, reply *Reply) (step, Result) {
 	w.excluded[chosen.ID] = true
 	w.last = "server refused with " + http.StatusText(reply.Status)
-	w.Metrics.Count("ServerRefusals", 1)
+	w.Metrics.send(chosen, sendRefused)
 	if reply.OtherServer {
 		w.Directory.Displace(chosen.Server)
 	} else {
@@ -263,54 +265,3 @@
 func (w *work) retryAfter() time.Duration {
 	return retryAfterLeast + time.Duration(w.random()*float64(retryAfterSpread))
 }
-
-// decided logs a decision about the request.
-func (w *work) decided(decision string, server lavid.BackendServerID, fields logrus.Fields) {
-	w.Log.WithFields(fields).WithFields(logrus.Fields{
-		lavlog.FieldRequest: w.request.ID,
-		lavlog.FieldServer:  server,
-		"tries":             w.tries,
-		"runs":              w.runs,
-	}).Info(decision)
-}
-
-// report logs and counts how the request ended.
-func (w *work) report(ctx context.Context, result Result) {
-	now := w.Clock()
-	outcome := "answered"
-	fields := logrus.Fields{
-		lavlog.FieldRequest: w.request.ID,
-		lavlog.FieldAccount: w.request.AccountID(),
-		lavlog.FieldServer:  w.server,
-		"route":             w.request.Route.Name,
-		"tries":             w.tries,
-		"runs":              w.runs,
-		"took_ms":           now.Sub(w.request.Arrived).Milliseconds(),
-		lavlog.FieldConfig:  w.request.Config,
-		"listing_age_ms":    now.Sub(w.Directory.LastRead()).Milliseconds(),
-	}
-	switch {
-	case errors.Is(ctx.Err(), context.Canceled):
-		outcome = "caller left"
-	case result.Broken:
-		outcome = "broken off"
-	case result.Refusal != nil:
-		outcome = "refused"
-		fields["status"] = result.Refusal.Status
-		fields["reason"] = result.Refusal.Reason
-	}
-	if w.first > 0 {
-		fields["first_ms"] = w.first.Milliseconds()
-		w.Metrics.Observe("FirstEvent", w.first)
-	}
-	if w.last != "" {
-		fields["last_failure"] = w.last
-	}
-	if w.settled != "" {
-		fields["model"] = w.settled
-		fields["confidence"] = w.confidence
-	}
-	w.Metrics.Count("Requests "+outcome, 1)
-	w.Metrics.Observe("Request", now.Sub(w.request.Arrived))
-	w.Log.WithFields(fields).Info(outcome)
-}
--- a/entry/services/lavforward/world_test.go
+++ b/entry/services/lavforward/world_test.go
@@ -9,13 +9,13 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"github.com/prometheus/client_golang/prometheus"
 	"github.com/sirupsen/logrus"
 
 	"lavenderswitch/core/models/lavid"
 	"lavenderswitch/core/models/lavroute"
 	"lavenderswitch/core/models/lavserver"
 	"lavenderswitch/core/modules/lavexchange"
-	"lavenderswitch/core/modules/lavmetric"
 	"lavenderswitch/core/modules/lavring"
 	"lavenderswitch/core/services/lavcold"
 	"lavenderswitch/core/services/lavcutover"
@@ -55,7 +55,7 @@
 		Hosts:      hosts{self},
 		Sender:     w,
 		DataCentre: self.DataCentre,
-		Metrics:    lavmetric.NewSet(),
+		Metrics:    NewMetrics(prometheus.NewRegistry()),
 		Log:        log,
 		Clock:      time.Now,
 	})
