--- a/entry/services/lavforward/report.go
+++ b/entry/services/lavforward/report.go
@@ -87,7 +87,7 @@
 	now := w.Clock()
 	took := now.Sub(w.request.Arrived)
 	outcome := w.outcome(ctx, result)
-	if outcome != outcomeAnswered || w.tries > 1 || w.late(took) {
+	if outcome != outcomeAnswered || w.last != "" || w.late(took) {
 		w.tell(now)
 	}
 	fields := logrus.Fields{
