--- a/core/services/lavplan/confidence.go
+++ b/core/services/lavplan/confidence.go
@@ -8,9 +8,9 @@
 const (
 	// acceptInTime is the least confidence at which a smaller model's answer is delivered while a larger one's would
 	// be in time: below it, the answer is wrong often enough to pay for a second run.
-	acceptInTime Confidence = 60
+	acceptInTime Confidence = 55
 	// acceptLate is the same while a larger model's answer would be late and delay others.
-	acceptLate Confidence = 50
+	acceptLate Confidence = 42
 	// wholeMargin of the time left is kept for answers that grow longer than expected.
 	wholeMargin = 0.8
 )
