--- a/core/services/lavplan/confidence_test.go
+++ b/core/services/lavplan/confidence_test.go
@@ -13,16 +13,17 @@
 
 func TestAcceptAsksForMoreConfidenceWhileALargerModelIsInTime(t *testing.T) {
 	is := is.New(t)
-	is.True(!Accept(59, outlook()))
-	is.True(Accept(60, outlook()))
+	is.True(!Accept(acceptInTime-1, outlook()))
+	is.True(Accept(acceptInTime, outlook()))
 }
 
 func TestAcceptAsksForLessUnderLoad(t *testing.T) {
 	is := is.New(t)
 	late := outlook()
 	late.First = 4 * time.Second
-	is.True(Accept(50, late))
-	is.True(!Accept(30, late))
+	is.True(acceptLate < acceptInTime)
+	is.True(!Accept(acceptLate-1, late))
+	is.True(Accept(acceptLate, late))
 }
 
 func TestAcceptTakesAnyAnswerWhenALargerModelCannotFinish(t *testing.T) {
