--- a/entry/services/lavforward/deliver.go
+++ b/entry/services/lavforward/deliver.go
@@ -198,6 +198,11 @@
 // paced counts an event and tells the roll-outs the stream's pace once it is known.
 func (w *work) paced(chosen choice) {
 	now := w.Clock()
+	w.delivered++
+	if !w.lastEvent.IsZero() {
+		w.longestPause = max(w.longestPause, now.Sub(w.lastEvent))
+	}
+	w.lastEvent = now
 	if w.stream.started.IsZero() {
 		w.stream.started = now
 		return
--- a/entry/services/lavforward/report.go
+++ b/entry/services/lavforward/report.go
@@ -110,6 +110,8 @@
 	}
 	if w.first > 0 {
 		fields["first_ms"] = w.first.Milliseconds()
+		fields["events"] = w.delivered
+		fields["longest_pause_ms"] = max(w.longestPause, now.Sub(w.lastEvent)).Milliseconds()
 	}
 	if w.last != "" {
 		fields["last_failure"] = w.last
--- a/entry/services/lavforward/report_test.go
+++ b/entry/services/lavforward/report_test.go
@@ -53,3 +53,12 @@
 	messages, _ = said(newWorld(2, loses(true), answers(http.StatusOK, "fine")), request(lavroute.Idempotent))
 	is.Equal(messages, []string{"send failed", "sent", "sent", "answered"})
 }
+
+func TestLineOfAStreamTellsItsEventsAndItsLongestPause(t *testing.T) {
+	is := is.New(t)
+	_, hook := said(newWorld(2, answers(http.StatusOK, "id: 1\ndata: a\n\nid: 2\ndata: b\n\n")), request(lavroute.Streaming))
+	fields := hook.LastEntry().Data
+	is.Equal(fields["events"], 2)
+	_, told := fields["longest_pause_ms"].(int64)
+	is.True(told)
+}
--- a/entry/services/lavforward/work.go
+++ b/entry/services/lavforward/work.go
@@ -47,6 +47,10 @@
 	last   string
 	// first is the time until the first event was delivered.
 	first time.Duration
+	// delivered counts the events that the caller has, over all servers; the last came at lastEvent.
+	delivered    int
+	lastEvent    time.Time
+	longestPause time.Duration
 	// failure is the latest answer in which a server failed the request.
 	failure *Reply
 	// story holds the sends until it is known whether anybody will ask about them.
