--- /dev/null
+++ b/fake/modules/lavchild/doc.go
@@ -0,0 +1,2 @@
+// Package lavchild runs programs of the project as processes of a test, which end with it.
+package lavchild
--- a/tests/modules/lavcluster/process.go
+++ b/fake/modules/lavchild/process.go
@@ -1,4 +1,4 @@
-package lavcluster
+package lavchild
 
 import (
 	"os"
@@ -25,6 +25,11 @@
 	frozen  bool
 }
 
+// New returns a process of a program that writes to a log; Start starts it.
+func New(name, path string, args []string, logPath string) *Process {
+	return &Process{Name: name, path: path, args: args, logPath: logPath}
+}
+
 // Start starts the process.
 func (p *Process) Start() error {
 	p.mu.Lock()
@@ -128,6 +133,11 @@
 	}
 }
 
+// Reload tells the process that its settings have changed.
+func (p *Process) Reload() {
+	p.signal(syscall.SIGHUP)
+}
+
 // Log returns what the process has written.
 func (p *Process) Log() string {
 	data, err := os.ReadFile(p.logPath)
--- a/fake/services/lavrelay/relay.go
+++ b/fake/services/lavrelay/relay.go
@@ -86,18 +86,23 @@
 		lavhttp.WriteError(w, laverror.New(laverror.KindBadRequest, "control body is not valid", "send Listen and a Mode of docs/FAULTS.md"))
 		return
 	}
+	if !r.Set(command.Listen, command.Mode) {
+		lavhttp.WriteError(w, laverror.New(laverror.KindNotFound, "no such route", "give the address that the route listens on"))
+		return
+	}
+	lavhttp.WriteJSON(w, http.StatusOK, command)
+}
+
+// Set changes the mode of the route that listens on an address, or of all when it is empty, and tells whether there is one.
+func (r *Relay) Set(listen string, mode Mode) bool {
 	found := false
 	for _, route := range r.routes {
-		if command.Listen == "" || command.Listen == route.listen {
-			route.Set(command.Mode)
+		if listen == "" || listen == route.listen {
+			route.Set(mode)
 			found = true
 		}
 	}
-	if !found {
-		lavhttp.WriteError(w, laverror.New(laverror.KindNotFound, "no such route", "give the address that the route listens on"))
-		return
-	}
-	lavhttp.WriteJSON(w, http.StatusOK, command)
+	return found
 }
 
 func (m Mode) valid() bool {
--- a/tests/modules/lavcluster/cluster.go
+++ b/tests/modules/lavcluster/cluster.go
@@ -10,6 +10,7 @@
 
 	"lavenderswitch/core/models/lavid"
 	"lavenderswitch/core/modules/lavplatform"
+	"lavenderswitch/fake/modules/lavchild"
 	"lavenderswitch/tests/modules/lavport"
 )
 
@@ -33,7 +34,7 @@
 	programs  *Programs
 	dir       string
 	http      *http.Client
-	processes map[string]*Process
+	processes map[string]*lavchild.Process
 	addresses map[string]string
 	routes    map[string]routeAddresses
 }
@@ -55,7 +56,7 @@
 		programs:  programs,
 		dir:       t.TempDir(),
 		http:      &http.Client{Timeout: 2 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}},
-		processes: make(map[string]*Process),
+		processes: make(map[string]*lavchild.Process),
 		addresses: make(map[string]string),
 		routes:    make(map[string]routeAddresses),
 	}
@@ -128,12 +129,7 @@
 }
 
 func (c *Cluster) start(name, program string, args ...string) {
-	process := &Process{
-		Name:    name,
-		path:    filepath.Join(c.programs.dir, program),
-		args:    args,
-		logPath: filepath.Join(c.dir, name+".log"),
-	}
+	process := lavchild.New(name, filepath.Join(c.programs.dir, program), args, filepath.Join(c.dir, name+".log"))
 	c.processes[name] = process
 	c.must(process.Start())
 }
@@ -285,7 +281,7 @@
 }
 
 // Process returns a process by name: an entry host, a backend server or SideOf one.
-func (c *Cluster) Process(name string) *Process {
+func (c *Cluster) Process(name string) *lavchild.Process {
 	process, ok := c.processes[name]
 	if !ok {
 		panic(fmt.Sprintf("no process %s", name))
