--- a/entry/services/lavforward/forward_test.go
+++ b/entry/services/lavforward/forward_test.go
@@ -233,6 +233,38 @@
 	}
 }
 
+func TestSendIsTakenToBeLostOnceLaterOnesHaveOvertakenIt(t *testing.T) {
+	is := is.New(t)
+	world := newWorld(1)
+	now := time.Now()
+	world.Clock = func() time.Time { return now }
+	w := &work{Forwarder: world.Forwarder, request: request(lavroute.Idempotent)}
+	w.request.Route.LatencyTarget = 2 * time.Second
+	chosen, sent := choice{Row: w.Directory.All()[0]}, now
+	for range overtakenBy - 1 {
+		w.health.answer(chosen.ID, sent.Add(time.Millisecond), w.rank())
+	}
+	now = sent.Add(1500 * time.Millisecond)
+	w.health.hear(chosen.ID, now)
+	is.True(!w.isLost(chosen, sent)) // a few answers may come out of order
+	w.health.answer(chosen.ID, sent.Add(time.Millisecond), w.rank())
+	is.True(w.isLost(chosen, sent))
+	now = sent.Add(900 * time.Millisecond)
+	is.True(!w.isLost(chosen, sent)) // the answer may still come
+}
+
+func TestSendThatIsMoreUrgentThanTheOnesItWaitsForIsNotTakenToBeLost(t *testing.T) {
+	is := is.New(t)
+	h, sent := newHealths(), time.Unix(1000, 0)
+	for i := range overtakenBy {
+		h.answer("a", sent.Add(time.Duration(i+1)*time.Second), 3)
+	}
+	is.True(h.overtaken("a", sent, 3))
+	is.True(!h.overtaken("a", sent, 5)) // those that overtook it are more urgent
+	is.True(!h.overtaken("a", sent.Add(2*time.Second), 3))
+	is.True(!h.overtaken("b", sent, 3))
+}
+
 func TestServerWhoseAddressAnotherOneHasIsLeftOutForAll(t *testing.T) {
 	is := is.New(t)
 	other := func(dispatch Dispatch) (*Reply, error) {
--- a/entry/services/lavforward/health.go
+++ b/entry/services/lavforward/health.go
@@ -1,6 +1,7 @@
 package lavforward
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -23,8 +24,23 @@
 	failing float64
 	// heard is when the server last sent anything.
 	heard time.Time
+	// answered are the latest sends that got an answer.
+	answered []answeredSend
 }
 
+// answeredSend is a send that got an answer.
+type answeredSend struct {
+	sent time.Time
+	rank int
+}
+
+const (
+	// rememberedAnswers bounds the answered sends that are remembered of a server.
+	rememberedAnswers = 16
+	// overtakenBy later sends a send is taken to be lost; a server that works on many at once answers few out of order.
+	overtakenBy = 4
+)
+
 // healths holds the health of the backend servers that this host sends to.
 type healths struct {
 	mu   sync.Mutex
@@ -86,6 +102,28 @@
 	h.rows.Add(server, row)
 }
 
+// answer records that the server answered a send.
+func (h *healths) answer(server lavid.BackendServerID, sent time.Time, rank int) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	row := h.row(server)
+	row.answered = append(slices.Clone(row.answered[max(0, len(row.answered)+1-rememberedAnswers):]), answeredSend{sent, rank})
+	h.rows.Add(server, row)
+}
+
+// overtaken tells whether the server has answered enough later sends that were no more urgent than one that waits.
+func (h *healths) overtaken(server lavid.BackendServerID, sent time.Time, rank int) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	count := 0
+	for _, later := range h.row(server).answered {
+		if later.sent.After(sent) && later.rank >= rank {
+			count++
+		}
+	}
+	return count >= overtakenBy
+}
+
 // silent tells whether the server has sent nothing since a time.
 func (h *healths) silent(server lavid.BackendServerID, since time.Time) bool {
 	h.mu.Lock()
--- a/entry/services/lavforward/work.go
+++ b/entry/services/lavforward/work.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -20,6 +21,12 @@
 	minLeft = 20 * time.Millisecond
 	// stallTargets is how many latency targets a repeatable request waits for a server that sends nothing to anybody.
 	stallTargets = 1
+	// firstChecks is how often a send that waits is looked at within that time.
+	firstChecks = 8
+	// lostShare of it, and lostFactor times what was expected, a send waits that later ones have overtaken, so that an
+	// answer from elsewhere can still be in time.
+	lostShare  = 0.5
+	lostFactor = 3
 	// stallPauses is how many pause targets a stream waits for such a server before it is resumed elsewhere.
 	stallPauses = 2
 )
@@ -118,12 +125,19 @@
 	left := w.request.Deadline.Sub(now)
 	ctx, cancel := context.WithTimeout(ctx, left)
 	defer cancel()
-	stall := newStall(cancel, func(since time.Time) bool { return w.health.silent(chosen.ID, since) }, w.Clock)
+	var waiting atomic.Bool
+	waiting.Store(true)
+	stall := newStall(cancel, func(since time.Time) bool {
+		if waiting.Load() {
+			return w.isLost(chosen, now)
+		}
+		return w.health.silent(chosen.ID, since)
+	}, w.Clock)
 	defer stall.stop()
 	w.timing = w.Releases.Time(chosen.Server, w.kind(chosen)+"/first", w.request.Service.Engine != nil, now)
 	defer w.timing.Dropped()
 	if w.mayRepeat() {
-		stall.reset(w.firstStall())
+		stall.reset(w.firstStall() / firstChecks)
 	}
 	reply, err := w.Sender.Send(ctx, Dispatch{
 		Request: w.request,
@@ -142,10 +156,25 @@
 	if reply.NotRun {
 		return w.refused(chosen, reply)
 	}
+	waiting.Store(false)
+	w.health.answer(chosen.ID, now, w.rank())
 	w.runs++
 	return w.deliver(ctx, chosen, model, job, stall, reply, now)
 }
 
+// isLost tells whether a send that waits for its answer will not get one: its server sends nothing to anybody, or has
+// answered later sends while this one waits for many times what was expected.
+func (w *work) isLost(chosen choice, sent time.Time) bool {
+	now := w.Clock()
+	waited := now.Sub(sent)
+	if waited >= w.firstStall() && w.health.silent(chosen.ID, now.Add(-w.firstStall())) {
+		return true
+	}
+	expected, _ := w.speeds.expect(w.request.Service.ID, chosen.model, chosen.unread+chosen.ahead, 0)
+	patience := max(time.Duration(lostShare*float64(w.firstStall())), lostFactor*expected)
+	return waited >= patience && w.health.overtaken(chosen.ID, sent, w.rank())
+}
+
 // resumeAfter is the last event that the caller has.
 func (w *work) resumeAfter() string {
 	if w.after != "" {
--- a/entry/services/lavforward/world_test.go
+++ b/entry/services/lavforward/world_test.go
@@ -34,6 +34,9 @@
 	*Forwarder
 	directory *lavdirectory.Directory
 
+	// before is called at each send, which waits for it.
+	before func(ctx context.Context, dispatch Dispatch)
+
 	mu     sync.Mutex
 	sends  []Dispatch
 	script []func(Dispatch) (*Reply, error)
@@ -78,7 +81,13 @@
 func (h hosts) Hosts(time.Time) []lavring.Member { return h }
 
 // Send plays the next line of the script.
-func (w *world) Send(_ context.Context, dispatch Dispatch) (*Reply, error) {
+func (w *world) Send(ctx context.Context, dispatch Dispatch) (*Reply, error) {
+	if w.before != nil {
+		w.before(ctx, dispatch)
+		if ctx.Err() != nil {
+			return nil, lavexchange.ErrExchange{Sent: true, Reason: "given up"}
+		}
+	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.sends = append(w.sends, dispatch)
