--- a/entry/services/lavbroadcast/broadcaster_test.go
+++ b/entry/services/lavbroadcast/broadcaster_test.go
@@ -111,3 +111,32 @@
 	a.Leave()
 	eventually(t, "the one that stays", func() bool { return len(b.Peers.Live(time.Now())) == 1 })
 }
+
+func TestHostIsReplacedByThoseToWhichABalancerSendsItsCallers(t *testing.T) {
+	now := time.Unix(1000, 0)
+	tests := []struct {
+		name     string
+		near     []bool // whether each other host of the data centre is leaving
+		far      []bool
+		replaced bool
+	}{
+		{"alone", nil, nil, false},
+		{"the other one of its data centre is ready", []bool{false}, nil, true},
+		{"all are leaving", []bool{true}, []bool{true, true}, false},
+		{"only another data centre is ready", []bool{true}, []bool{false}, true},
+		{"under half of its data centre is ready", []bool{false, true, true}, []bool{false}, false},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			peers := NewPeers(lavring.Member{ID: "self", DataCentre: "near"})
+			for centre, hosts := range map[lavid.DataCentreID][]bool{"near": test.near, "far": test.far} {
+				for i, leaving := range hosts {
+					peers.heardFrom(lavring.Member{ID: lavid.HostID(fmt.Sprint(centre, i)), DataCentre: centre}, leaving, now)
+				}
+			}
+			is.Equal(peers.Replaced(now), test.replaced)
+			is.Equal(peers.Replaced(now.Add(liveAge)), false) // nobody is heard any more
+		})
+	}
+}
--- a/entry/services/lavbroadcast/peers.go
+++ b/entry/services/lavbroadcast/peers.go
@@ -75,6 +75,32 @@
 	return p.list(func(row peer) bool { return !row.leaving && now.Sub(row.heard) < liveAge })
 }
 
+// Replaced tells whether a balancer that knows which hosts are ready can send this host's callers to others: to at least
+// half of the hosts of its data centre, or to another data centre when none of these is ready.
+func (p *Peers) Replaced(now time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	near, nearReady, farReady := 1, 0, 0
+	for _, row := range p.rows {
+		ready := !row.leaving && now.Sub(row.heard) < liveAge
+		switch {
+		case row.member.DataCentre != p.self.DataCentre:
+			if ready {
+				farReady++
+			}
+		case now.Sub(later(row.heard, row.listed)) < silentAge:
+			near++
+			if ready {
+				nearReady++
+			}
+		}
+	}
+	if nearReady == 0 {
+		return farReady > 0
+	}
+	return 2*nearReady >= near
+}
+
 // Place is this host's turn among the live hosts for a key, zero for the first.
 func (p *Peers) Place(key string, now time.Time) int {
 	for place, member := range lavring.Ranked(p.Live(now), key) {
