Routes that state no target wait for their servers

Found while reading the change: a repeatable request on a route without a target latency was given up at once, as its wait for a silent server was zero; a stream without a target for its pauses broke off after its first event.

Change: without a target, the wait is what the operator lets a request wait. The test failed on both kinds before. How long a send is waited for stands in a file of its own; the rank of a send is taken once, as the timer that looks at it runs beside the send.

--- a/entry/services/lavforward/deliver.go
+++ b/entry/services/lavforward/deliver.go
@@ -260,10 +260,6 @@
 	return w.request.Route.Repeatable() && w.runs < w.request.Route.Attempts
 }
 
-func (w *work) pauseStall() time.Duration {
-	return stallPauses * w.request.Route.PauseTarget
-}
-
 // wantsLarger tells whether a smaller model's answer is dropped for a larger model's.
 func (w *work) wantsLarger(reply *Reply) bool {
 	models := w.request.Route.Models
--- a/entry/services/lavforward/forward_test.go
+++ b/entry/services/lavforward/forward_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net/http"
 	"testing"
 	"time"
@@ -246,11 +247,52 @@
 	}
 	now = sent.Add(1500 * time.Millisecond)
 	w.health.hear(chosen.ID, now)
-	is.True(!w.isLost(chosen, sent)) // a few answers may come out of order
+	is.True(!w.isLost(chosen, w.rank(), sent)) // a few answers may come out of order
 	w.health.answer(chosen.ID, sent.Add(time.Millisecond), w.rank())
-	is.True(w.isLost(chosen, sent))
+	is.True(w.isLost(chosen, w.rank(), sent))
 	now = sent.Add(900 * time.Millisecond)
-	is.True(!w.isLost(chosen, sent)) // the answer may still come
+	is.True(!w.isLost(chosen, w.rank(), sent)) // the answer may still come
+}
+
+// slowly is a body that needs time for each of its parts, unless the send is given up.
+type slowly struct {
+	ctx   context.Context
+	parts []string
+}
+
+func (s *slowly) Read(buffer []byte) (int, error) {
+	if len(s.parts) == 0 {
+		return 0, io.EOF
+	}
+	select {
+	case <-s.ctx.Done():
+		return 0, s.ctx.Err()
+	case <-time.After(20 * time.Millisecond):
+	}
+	part := s.parts[0]
+	s.parts = s.parts[1:]
+	return copy(buffer, part), nil
+}
+
+func TestRouteWithoutTargetsWaitsForItsServer(t *testing.T) {
+	for _, kind := range []lavroute.Kind{lavroute.Idempotent, lavroute.Streaming} {
+		t.Run(kind.String(), func(t *testing.T) {
+			is := is.New(t)
+			body := &slowly{parts: []string{"id: 1\ndata: a\n\n", "id: 2\ndata: b\n\n"}}
+			w := newWorld(2, func(Dispatch) (*Reply, error) {
+				return &Reply{Status: http.StatusOK, Header: http.Header{}, Genuine: true, Body: io.NopCloser(body)}, nil
+			})
+			w.before = func(ctx context.Context, _ Dispatch) {
+				body.ctx = ctx
+				time.Sleep(20 * time.Millisecond)
+			}
+			asked := request(kind)
+			asked.Route.LatencyTarget, asked.Route.PauseTarget, asked.Route.Timeout = 0, 0, 5*time.Second
+			_, result := w.serve(asked)
+			is.Equal(result, Result{})
+			is.Equal(len(w.sends), 1)
+		})
+	}
 }
 
 func TestSendThatIsMoreUrgentThanTheOnesItWaitsForIsNotTakenToBeLost(t *testing.T) {
--- a/entry/services/lavforward/work.go
+++ b/entry/services/lavforward/work.go
@@ -19,16 +19,6 @@
 	extraTries = 3
 	// minLeft is the least time in which a server can answer anything.
 	minLeft = 20 * time.Millisecond
-	// stallTargets is how many latency targets a repeatable request waits for a server that sends nothing to anybody.
-	stallTargets = 1
-	// firstChecks is how often a send that waits is looked at within that time.
-	firstChecks = 8
-	// lostShare of it, and lostFactor times what was expected, a send waits that later ones have overtaken, so that an
-	// answer from elsewhere can still be in time.
-	lostShare  = 0.5
-	lostFactor = 3
-	// stallPauses is how many pause targets a stream waits for such a server before it is resumed elsewhere.
-	stallPauses = 2
 )
 
 // work is the state of one request.
@@ -125,11 +115,12 @@
 	left := w.request.Deadline.Sub(now)
 	ctx, cancel := context.WithTimeout(ctx, left)
 	defer cancel()
+	rank := w.rank()
 	var waiting atomic.Bool
 	waiting.Store(true)
 	stall := newStall(cancel, func(since time.Time) bool {
 		if waiting.Load() {
-			return w.isLost(chosen, now)
+			return w.isLost(chosen, rank, now)
 		}
 		return w.health.silent(chosen.ID, since)
 	}, w.Clock)
@@ -145,7 +136,7 @@
 		Model:   model,
 		After:   w.resumeAfter(),
 		Left:    left,
-		Rank:    w.rank(),
+		Rank:    rank,
 	})
 	if err != nil {
 		return w.failed(ctx, chosen, stall, err)
@@ -157,24 +148,11 @@
 		return w.refused(chosen, reply)
 	}
 	waiting.Store(false)
-	w.health.answer(chosen.ID, now, w.rank())
+	w.health.answer(chosen.ID, now, rank)
 	w.runs++
 	return w.deliver(ctx, chosen, model, job, stall, reply, now)
 }
 
-// isLost tells whether a send that waits for its answer will not get one: its server sends nothing to anybody, or has
-// answered later sends while this one waits for many times what was expected.
-func (w *work) isLost(chosen choice, sent time.Time) bool {
-	now := w.Clock()
-	waited := now.Sub(sent)
-	if waited >= w.firstStall() && w.health.silent(chosen.ID, now.Add(-w.firstStall())) {
-		return true
-	}
-	expected, _ := w.speeds.expect(w.request.Service.ID, chosen.model, chosen.unread+chosen.ahead, 0)
-	patience := max(time.Duration(lostShare*float64(w.firstStall())), lostFactor*expected)
-	return waited >= patience && w.health.overtaken(chosen.ID, sent, w.rank())
-}
-
 // resumeAfter is the last event that the caller has.
 func (w *work) resumeAfter() string {
 	if w.after != "" {
@@ -200,10 +178,6 @@
 	return w.request.Route.Repeatable() && w.runs+1 < w.request.Route.Attempts
 }
 
-func (w *work) firstStall() time.Duration {
-	return time.Duration(stallTargets * float64(w.request.Route.LatencyTarget))
-}
-
 // failed decides after a send without an answer.
 func (w *work) failed(ctx context.Context, chosen choice, stall *stall, err error) (step, Result) {
 	now := w.Clock()
