Cold servers of a service that states no rate take work

The test failed before. Figures that are absent in other places (capacity, slots, time-outs, attempts, bounds) were read through and have a meaning or a default. The services of the users' deployments state their rates.

--- a/entry/services/lavforward/choose.go
+++ b/entry/services/lavforward/choose.go
@@ -57,7 +57,7 @@
 		if !w.request.Route.MayReach(w.request.Account, w.Regions[row.DataCentre]) {
 			continue
 		}
-		if row.Cold(now) && !w.Cold.Room(row.ID, w.coldRate(), hosts, now) {
+		if w.isLimited(row, now) && !w.Cold.Room(row.ID, w.coldRate(), hosts, now) {
 			continue
 		}
 		rank := 0
@@ -77,6 +77,11 @@
 	return nil
 }
 
+// isLimited tells whether a server may get a stated rate only; a service without one bears a cold start.
+func (w *work) isLimited(row lavdirectory.Row, now time.Time) bool {
+	return row.Cold(now) && w.request.Service.ColdRate > 0
+}
+
 // coldRate is what all hosts together may send to a cold server in a second.
 func (w *work) coldRate() float64 {
 	return w.request.Service.ColdRate * w.settings.ColdOverage
@@ -218,7 +223,7 @@
 
 // start counts the send in the loads of the server, and takes its place at a cold one.
 func (w *work) start(chosen choice, model lavid.ModelID, now time.Time) (*lavload.Job, bool) {
-	if chosen.Cold(now) && !w.Cold.Take(chosen.ID, w.coldRate(), w.Hosts.Hosts(now), now) {
+	if w.isLimited(chosen.Row, now) && !w.Cold.Take(chosen.ID, w.coldRate(), w.Hosts.Hosts(now), now) {
 		return nil, false
 	}
 	w.Releases.Seat(chosen.Server, w.sessionKey(), now)
--- a/entry/services/lavforward/forward_test.go
+++ b/entry/services/lavforward/forward_test.go
@@ -190,6 +190,19 @@
 	is.Equal(served, 2) // the stated rate is two a second
 }
 
+func TestColdServersOfAServiceWithoutARateServe(t *testing.T) {
+	is := is.New(t)
+	done := answers(http.StatusOK, "done")
+	w := newWorld(1, done, done, done, done)
+	w.list(1, 3*time.Second)
+	for range 4 {
+		asked := request(lavroute.Idempotent)
+		asked.Service.ColdRate = 0
+		_, result := w.serve(asked)
+		is.Equal(result, Result{})
+	}
+}
+
 func TestRepeatsStayWithinTheBudget(t *testing.T) {
 	is := is.New(t)
 	budget := newRepeats(Settings{RepeatShare: 0.5, RepeatSlack: 2, RepeatWindow: 10 * time.Second})
