One command line for the programs with settings, one bounded log, less in the story of a request

Read as a newcomer: - root.go, check_settings.go and the start of run.go stood three times, in entry, side and platform, with three texts for the same subcommand. They are lavcommand.Program now, with a test of its exit codes; each program keeps its description and its run. - The log of the platform's program repeated lavlog.New and lay beside the host; it is lavlog.Bounded and uses it. - Each send built a map of fifteen fields that most requests never write. A send is kept as a value, and its fields are made when its story is told. - Whether a member is live was written twice in lavmembership, once over a list made for one answer. - Bytes after an answer were looked for when a connection is given back and when it is taken; only the latter can see those that come late.

Mechanisms taken out without a test noticing it get one: a connection of its own for each once-only request, and the bound on sends that servers refuse.

No decision changes.

--- a/entry/cmd/check_settings.go
+++ b/core/modules/lavcommand/check_settings.go
@@ -1,26 +1,26 @@
-package lavcmd
+package lavcommand
 
 import (
 	"context"
 	"fmt"
 
+	"github.com/pkg/errors"
 	"github.com/urfave/cli/v3"
 
 	"lavenderswitch/core/modules/lavflag"
-	"lavenderswitch/entry/models/lavsetting"
 )
 
-func checkSettingsCommand() *cli.Command {
+func (p Program[Settings]) checkSettings() *cli.Command {
 	return &cli.Command{
 		Name:  "check-settings",
 		Usage: "list every fault of a settings file and start nothing",
-		Flags: lavflag.Flags(&lavsetting.Settings{}),
+		Flags: lavflag.Flags(new(Settings)),
 		Action: func(_ context.Context, command *cli.Command) error {
-			if _, err := readSettings(command); err != nil {
+			if _, err := p.source(command).Read(); err != nil {
 				return err
 			}
-			fmt.Fprintln(command.Root().Writer, "settings are valid")
-			return nil
+			_, err := fmt.Fprintln(command.Root().Writer, "settings are valid")
+			return errors.Wrap(err, "print")
 		},
 	}
 }
--- a/core/modules/lavexchange/answer.go
+++ b/core/modules/lavexchange/answer.go
@@ -103,7 +103,7 @@
 
 func (a *Answer) release() {
 	running := a.stop()
-	if !running || !a.whole || a.closes || a.conn.reader.Buffered() > 0 || !a.sent() {
+	if !running || !a.whole || a.closes || !a.sent() {
 		a.conn.Close()
 		return
 	}
--- a/core/services/lavmembership/member.go
+++ b/core/services/lavmembership/member.go
@@ -47,6 +47,11 @@
 	return r.Failures >= suspectFailures && now.Sub(r.LastFailure) < r.pause()
 }
 
+// live tells whether the member is neither leaving nor suspect.
+func (r Row) live(now time.Time) bool {
+	return !r.Leaving && !r.Suspect(now) && !r.expired(now)
+}
+
 func (r Row) pause() time.Duration {
 	pause := firstPause
 	for range r.Failures - suspectFailures {
--- a/core/services/lavmembership/table.go
+++ b/core/services/lavmembership/table.go
@@ -104,7 +104,7 @@
 	var live []Member
 	for _, id := range t.rows.IDs() {
 		row, ok := t.rows.Get(id)
-		if ok && !row.Leaving && !row.Suspect(now) && !row.expired(now) {
+		if ok && row.live(now) {
 			live = append(live, row.Member)
 		}
 	}
@@ -118,7 +118,10 @@
 
 // KnowsEntry tells whether a live entry host besides this one is known.
 func (t *Table) KnowsEntry(now time.Time) bool {
-	return slices.ContainsFunc(t.Live(now), func(member Member) bool { return member.Role == lavplatform.RoleEntry })
+	return slices.ContainsFunc(t.rows.IDs(), func(id lavid.HostID) bool {
+		row, ok := t.rows.Get(id)
+		return ok && row.Role == lavplatform.RoleEntry && row.live(now)
+	})
 }
 
 // Owners returns the live entry hosts that can own keys, with this one when it is an entry host that is not leaving.
--- a/entry/cmd/root.go
+++ b/entry/cmd/root.go
@@ -2,45 +2,11 @@
 
 import (
 	"context"
-	"fmt"
-	"os"
 
-	"github.com/pkg/errors"
-	"github.com/urfave/cli/v3"
-
-	"lavenderswitch/core/modules/lavflag"
-	"lavenderswitch/core/modules/lavsettings"
+	"lavenderswitch/core/modules/lavcommand"
 	"lavenderswitch/entry/models/lavsetting"
 )
 
-// The exit codes of the program.
-const (
-	ExitOK            = 0
-	ExitFailed        = 1
-	ExitWrongSettings = 2
-)
-
-// Main runs the command line and returns its exit code.
-func Main(ctx context.Context, args []string, version string) int {
-	root := &cli.Command{
-		Name:        "lavenderswitch-entry",
-		Usage:       "routes requests to model and service backend servers",
-		Version:     version,
-		Description: description,
-		Commands:    []*cli.Command{runCommand(), checkSettingsCommand()},
-	}
-	err := root.Run(ctx, args)
-	if err == nil {
-		return ExitOK
-	}
-	fmt.Fprintln(os.Stderr, err)
-	var faults lavsettings.Faults
-	if errors.As(err, &faults) {
-		return ExitWrongSettings
-	}
-	return ExitFailed
-}
-
 const description = `Callers reach it at CallerAddress, operators at OperatorAddress, other hosts at
 PeerAddress. Each setting of the file can be replaced by a flag or an environment
 variable; flag before variable before file. SIGTERM turns the readiness negative,
@@ -53,7 +19,16 @@
 
 Exit codes: 0 ended cleanly, 1 failed while running, 2 settings are wrong.`
 
-func readSettings(command *cli.Command) (lavsetting.Settings, error) {
-	overrides := lavflag.Overrides(command, &lavsetting.Settings{})
-	return lavsetting.Read(command.String(lavflag.NameSettings), overrides)
+// Main runs the command line and returns its exit code.
+func Main(ctx context.Context, args []string, version string) int {
+	program := lavcommand.Program[lavsetting.Settings]{
+		Name:        "lavenderswitch-entry",
+		Usage:       "routes requests to model and service backend servers",
+		Description: description,
+		Version:     version,
+		RunUsage:    "run the entry host until it is told to end",
+		Read:        lavsetting.Read,
+		Run:         run,
+	}
+	return program.Main(ctx, args)
 }
--- a/entry/services/lavforward/forward_test.go
+++ b/entry/services/lavforward/forward_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net/http"
+	"slices"
 	"testing"
 	"time"
 
@@ -176,6 +177,17 @@
 	is.Equal(len(w.sends), 0)
 }
 
+func TestSendsThatServersRefuseAreBounded(t *testing.T) {
+	is := is.New(t)
+	asked := request(lavroute.Idempotent)
+	asked.Route.Attempts = 2
+	full := slices.Repeat([]func(Dispatch) (*Reply, error){refuses(http.StatusServiceUnavailable)}, 20)
+	w := newWorld(20, full...)
+	_, result := w.serve(asked)
+	is.Equal(len(w.sends), asked.Route.Attempts+extraTries)
+	is.Equal(result.Refusal.Status, http.StatusServiceUnavailable) // none of them ran
+}
+
 func TestColdServersGetNoMoreThanTheyBear(t *testing.T) {
 	is := is.New(t)
 	done := answers(http.StatusOK, "done")
--- a/entry/services/lavforward/report.go
+++ b/entry/services/lavforward/report.go
@@ -21,55 +21,72 @@
 	outcomeCallerLeft = "caller left"
 )
 
-// storySteps bounds the steps of one request that are kept; a request has fewer attempts.
-const storySteps = 16
+// storySends bounds the sends of one request that are kept; a request has fewer attempts.
+const storySends = 16
 
-// told is one step of a request.
-type told struct {
-	at     time.Time
-	what   string
-	fields logrus.Fields
+// sent is one send with what decided it: the server's load as this host knew it and what the request adds to it.
+type sent struct {
+	choice
+	at       time.Time
+	try      int
+	requests int
+	// listing is the age of the list of servers, and left what remained until the deadline.
+	listing  time.Duration
+	left     time.Duration
+	excluded int
+	after    string
+	// expected is the time to the first event, for engines.
+	expected time.Duration
 }
 
-// story keeps the first steps of a request that are worth a line only if the request fails, is late or was repeated.
-type story struct {
-	steps []told
-}
-
-func (s *story) add(at time.Time, what string, fields logrus.Fields) {
-	if len(s.steps) < storySteps {
-		s.steps = append(s.steps, told{at: at, what: what, fields: fields})
+// remember keeps a send until it is known whether anybody will ask about it.
+func (w *work) remember(chosen choice, now time.Time) {
+	if len(w.story) == storySends {
+		return
 	}
+	w.story = append(w.story, sent{
+		choice:   chosen,
+		at:       now,
+		try:      w.tries,
+		requests: w.Loads.At(chosen.ID, now).Requests,
+		listing:  now.Sub(w.Directory.LastRead()),
+		left:     w.request.Deadline.Sub(now),
+		excluded: len(w.excluded),
+		after:    w.after,
+		expected: w.expectedFirst(chosen),
+	})
 }
 
-// sentFields are what decided a send: the server's load as this host knew it and what the request adds to it.
-func (w *work) sentFields(chosen choice, now time.Time) logrus.Fields {
-	fields := logrus.Fields{
-		lavlog.FieldRequest:  w.request.ID,
-		lavlog.FieldServer:   chosen.ID,
-		"service":            chosen.Service,
-		"release":            chosen.Release,
-		"data_centre":        chosen.DataCentre,
-		"try":                w.tries,
-		"requests_at_server": w.Loads.At(chosen.ID, now).Requests,
-		"listing_age_ms":     now.Sub(w.Directory.LastRead()).Milliseconds(),
-		"deadline_ms":        w.request.Deadline.Sub(now).Milliseconds(),
-		lavlog.FieldConfig:   w.request.Config,
-		"usable_servers":     chosen.among,
-		"server_is_cold":     chosen.Cold(now),
-		"excluded_servers":   len(w.excluded),
-	}
-	if w.after != "" {
-		fields["resumed_after"] = w.after
-	}
-	if chosen.model != "" {
-		first, _ := w.speeds.expect(w.request.Service.ID, chosen.model, chosen.unread+chosen.ahead, 0)
-		fields["model"] = chosen.model
-		fields["unread_tokens"] = int64(chosen.unread)
-		fields["unread_tokens_before"] = int64(chosen.ahead)
-		fields["expected_first_ms"] = first.Milliseconds()
+// tell writes the story with the time since each send, as lines carry the time at which they were written.
+func (w *work) tell(now time.Time) {
+	for _, send := range w.story {
+		fields := logrus.Fields{
+			lavlog.FieldRequest:  w.request.ID,
+			lavlog.FieldServer:   send.ID,
+			lavlog.FieldConfig:   w.request.Config,
+			lavlog.FieldAgo:      now.Sub(send.at).Milliseconds(),
+			"service":            send.Service,
+			"release":            send.Release,
+			"data_centre":        send.DataCentre,
+			"try":                send.try,
+			"requests_at_server": send.requests,
+			"listing_age_ms":     send.listing.Milliseconds(),
+			"deadline_ms":        send.left.Milliseconds(),
+			"usable_servers":     send.among,
+			"server_is_cold":     send.Cold(send.at),
+			"excluded_servers":   send.excluded,
+		}
+		if send.after != "" {
+			fields["resumed_after"] = send.after
+		}
+		if send.model != "" {
+			fields["model"] = send.model
+			fields["unread_tokens"] = int64(send.unread)
+			fields["unread_tokens_before"] = int64(send.ahead)
+			fields["expected_first_ms"] = send.expected.Milliseconds()
+		}
+		w.Log.WithFields(fields).Info("sent")
 	}
-	return fields
 }
 
 // decided logs a decision about the request.
@@ -144,10 +161,3 @@
 	}
 	return w.request.Route.LatencyTarget > 0 && took > w.request.Route.LatencyTarget
 }
-
-// tell writes the story with the time since each step, as lines carry the time at which they were written.
-func (w *work) tell(now time.Time) {
-	for _, step := range w.story.steps {
-		w.Log.WithFields(step.fields).WithField(lavlog.FieldAgo, now.Sub(step.at).Milliseconds()).Info(step.what)
-	}
-}
--- a/entry/services/lavforward/wait.go
+++ b/entry/services/lavforward/wait.go
@@ -45,7 +45,12 @@
 	if waited >= w.firstStall() && w.health.silent(chosen.ID, now.Add(-w.firstStall())) {
 		return true
 	}
-	expected, _ := w.speeds.expect(w.request.Service.ID, chosen.model, chosen.unread+chosen.ahead, 0)
-	patience := max(time.Duration(lostShare*float64(w.firstStall())), lostFactor*expected)
+	patience := max(time.Duration(lostShare*float64(w.firstStall())), lostFactor*w.expectedFirst(chosen))
 	return waited >= patience && w.health.overtaken(chosen.ID, sent, rank)
 }
+
+// expectedFirst is the expected time to the first event of an engine's answer; unknown speeds count as zero.
+func (w *work) expectedFirst(chosen choice) time.Duration {
+	first, _ := w.speeds.expect(w.request.Service.ID, chosen.model, chosen.unread+chosen.ahead, 0)
+	return first
+}
--- a/entry/services/lavforward/work.go
+++ b/entry/services/lavforward/work.go
@@ -51,7 +51,7 @@
 	// failure is the latest answer in which a server failed the request.
 	failure *Reply
 	// story holds the sends until it is known whether anybody will ask about them.
-	story story
+	story []sent
 	// timing is the wait for the answer of the present send.
 	timing *lavcutover.Timing
 }
@@ -111,7 +111,7 @@
 func (w *work) send(ctx context.Context, chosen choice, model lavid.ModelID, job *lavload.Job, now time.Time) (step, Result) {
 	w.tries++
 	w.server = chosen.ID
-	w.story.add(now, "sent", w.sentFields(chosen, now))
+	w.remember(chosen, now)
 	left := w.request.Deadline.Sub(now)
 	ctx, cancel := context.WithTimeout(ctx, left)
 	defer cancel()
--- a/side/cmd/root.go
+++ b/side/cmd/root.go
@@ -2,24 +2,15 @@
 
 import (
 	"context"
-	"fmt"
-	"os"
 
 	"github.com/pkg/errors"
-	"github.com/urfave/cli/v3"
 
-	"lavenderswitch/core/modules/lavflag"
-	"lavenderswitch/core/modules/lavsettings"
+	"lavenderswitch/core/modules/lavcommand"
 	"lavenderswitch/side/models/lavsetting"
 )
 
-// The exit codes of the program.
-const (
-	ExitOK            = 0
-	ExitFailed        = 1
-	ExitWrongSettings = 2
-	ExitCut           = 3
-)
+// ExitCut is the exit code after an end that cut work.
+const ExitCut = 3
 
 const description = `Runs beside one backend server, which takes work through it alone. It admits
 each attempt under the newest configuration, runs calls that may not be
@@ -34,39 +25,22 @@
 
 // Main runs the command line and returns its exit code.
 func Main(ctx context.Context, args []string, version string) int {
-	root := &cli.Command{
+	program := lavcommand.Program[lavsetting.Settings]{
 		Name:        "lavenderswitch-side",
 		Usage:       "admits and dispatches the work of one backend server",
-		Version:     version,
 		Description: description,
-		Commands:    []*cli.Command{runCommand(), checkSettingsCommand()},
-	}
-	err := root.Run(ctx, args)
-	if err != nil {
-		fmt.Fprintln(os.Stderr, err)
+		Version:     version,
+		RunUsage:    "run the side process until it is told to end",
+		Read:        lavsetting.Read,
+		Run:         run,
+		ExitCode:    exitCode,
 	}
-	return exitCode(err)
+	return program.Main(ctx, args)
 }
 
 func exitCode(err error) int {
-	var faults lavsettings.Faults
-	switch {
-	case err == nil:
-		return ExitOK
-	case errors.As(err, &faults):
-		return ExitWrongSettings
-	case errors.Is(err, errCut):
+	if errors.Is(err, errCut) {
 		return ExitCut
-	default:
-		return ExitFailed
 	}
-}
-
-func settingFlags() []cli.Flag {
-	return lavflag.Flags(&lavsetting.Settings{})
-}
-
-func readSettings(command *cli.Command) (lavsetting.Settings, error) {
-	overrides := lavflag.Overrides(command, &lavsetting.Settings{})
-	return lavsetting.Read(command.String(lavflag.NameSettings), overrides)
+	return lavcommand.ExitFailed
 }
--- a/side/cmd/run.go
+++ b/side/cmd/run.go
@@ -8,9 +8,8 @@
 	"time"
 
 	"github.com/pkg/errors"
-	"github.com/sirupsen/logrus"
-	"github.com/urfave/cli/v3"
 
+	"lavenderswitch/core/modules/lavcommand"
 	"lavenderswitch/core/modules/lavhttp"
 	"lavenderswitch/core/modules/lavlog"
 	"lavenderswitch/side/models/lavsetting"
@@ -19,26 +18,12 @@
 // errCut says that work was still running when the process ended.
 var errCut = errors.New("ended before all work was done; its callers attach elsewhere or are told that it is in doubt")
 
-func runCommand() *cli.Command {
-	return &cli.Command{
-		Name:  "run",
-		Usage: "run the side process until it is told to end",
-		Flags: settingFlags(),
-		Action: func(ctx context.Context, command *cli.Command) error {
-			settings, err := readSettings(command)
-			if err != nil {
-				return err
-			}
-			log, err := lavlog.New(os.Stderr, settings.LogLevel)
-			if err != nil {
-				return err
-			}
-			return run(ctx, settings, log)
-		},
+// run runs the side process until it is told to end.
+func run(ctx context.Context, settings lavsetting.Settings, _ lavcommand.Source[lavsetting.Settings]) error {
+	log, err := lavlog.New(os.Stderr, settings.LogLevel)
+	if err != nil {
+		return err
 	}
-}
-
-func run(ctx context.Context, settings lavsetting.Settings, log *logrus.Logger) error {
 	ending, cancelFirst := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
 	defer cancelFirst()
 	h, err := newHost(ctx, settings, log)
