Write session pins one batch at a time, and all of them at a shutdown

Cause: the shutdown called WriteBehind while Run could be inside it. Also found there: only one batch was written at the end, a pin that the table had evicted was stored with an empty version, and a session that moved while its pin was written got the old version back.

Change: a batch waits for the one before; Flush repeats batches until none is left or the grace ends, and logs the count of what stays. Pending pins keep a copy. Bills go first, because they can be handed over when the store is away.

Ruled out: a mutex around the whole write, which would hold Pin for the length of a store call.

--- a/entry/cmd/host.go
+++ b/entry/cmd/host.go
@@ -144,7 +144,7 @@
 	if err != nil {
 		return err
 	}
-	h.pins = &lavpin.Owner{Host: h.settings.HostID, Pins: table, Rows: h.platform, Hosts: h.members, Log: h.log}
+	h.pins = lavpin.NewOwner(lavpin.OwnerOptions{Host: h.settings.HostID, Pins: table, Rows: h.platform, Hosts: h.members, Log: h.log})
 	h.resolver = &lavpin.Resolver{Host: h.settings.HostID, Members: h, Local: h.pins, HTTP: h.peerClient, Scheme: h.scheme, Log: h.log}
 	h.pins.Replicator = h.resolver
 	return nil
--- a/entry/cmd/shutdown.go
+++ b/entry/cmd/shutdown.go
@@ -13,16 +13,15 @@
 const closeTimeout = 500 * time.Millisecond
 
 // shutDown turns the readiness check negative, leaves the membership table, waits for ReadinessDelay and answers the
-// running requests until ctx ends. It then tries once to write a batch of pending session pins, writes the last bills or
-// hands them over, and stops the background tasks and the other listeners. Pins beyond the batch, or of a failed write,
-// stay unwritten. The error is that of the callers' listener.
+// running requests until ctx ends. It then writes the last bills or hands them over, writes the pending session pins, and
+// stops the background tasks and the other listeners. The error is that of the callers' listener.
 func (h *host) shutDown(ctx context.Context) error {
 	h.router.Drain()
 	h.members.Leave()
 	time.Sleep(h.settings.ReadinessDelay.Duration)
 	err := h.callers.Shutdown(ctx)
-	h.pins.WriteBehind(ctx)
 	h.handOverBills(ctx)
+	h.pins.Flush(ctx)
 	h.stop()
 	closeCtx, cancel := context.WithTimeout(context.Background(), closeTimeout)
 	defer cancel()
--- a/entry/services/lavpin/owner.go
+++ b/entry/services/lavpin/owner.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"slices"
 	"sync"
 	"time"
 
@@ -25,6 +26,8 @@
 	minWriteInterval = 500 * time.Millisecond
 	// writeBatch is the maximum number of pins in one write.
 	writeBatch = 200
+	// flushRetryPause separates a failed write from the next one while the host shuts down.
+	flushRetryPause = 100 * time.Millisecond
 )
 
 // Rows is the part of the table service that stores session pins.
@@ -48,15 +51,35 @@
 // Owner holds the pins of the sessions that this host owns. It implements lavwire.Sessions.
 type Owner struct {
 	lavlife.DoneSignal
-	Host       lavid.HostID
-	Pins       *lavsession.Table
-	Rows       Rows
+	OwnerOptions
 	Replicator Replicator
-	Hosts      Hosts
-	Log        *logrus.Logger
 
-	mu      sync.Mutex
-	pending []lavsession.Key
+	// writing holds a value while a batch of pending pins is written.
+	writing chan struct{}
+
+	mu sync.Mutex
+	// pending holds the pins that wait to be written, oldest first.
+	pending []pendingPin
+}
+
+// pendingPin is a pin that waits to be written. The copy is written if the table has evicted the session meanwhile.
+type pendingPin struct {
+	key lavsession.Key
+	pin lavsession.Pin
+}
+
+// OwnerOptions holds the components that an Owner uses.
+type OwnerOptions struct {
+	Host  lavid.HostID
+	Pins  *lavsession.Table
+	Rows  Rows
+	Hosts Hosts
+	Log   *logrus.Logger
+}
+
+// NewOwner returns an owner without pending pins; its Replicator must be set before the first request.
+func NewOwner(options OwnerOptions) *Owner {
+	return &Owner{OwnerOptions: options, writing: make(chan struct{}, 1)}
 }
 
 // storedPin is the JSON value of a session's row.
@@ -146,7 +169,7 @@
 	insert := o.newInsert(proposal.Key, pin)
 	written, err := o.Rows.Insert(ctx, insert)
 	if err != nil {
-		o.queueWrite(proposal.Key)
+		o.queueWrite(proposal.Key, pin)
 		return pin
 	}
 	if written.Won {
@@ -166,7 +189,7 @@
 			return winner
 		}
 	}
-	o.queueWrite(proposal.Key)
+	o.queueWrite(proposal.Key, pin)
 	return pin
 }
 
@@ -186,11 +209,11 @@
 	return lavsession.Pin{Version: stored.Version, Moves: stored.Moves, Stored: true}, nil
 }
 
-func (o *Owner) queueWrite(key lavsession.Key) {
+func (o *Owner) queueWrite(key lavsession.Key, pin lavsession.Pin) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	if len(o.pending) < maxPending {
-		o.pending = append(o.pending, key)
+		o.pending = append(o.pending, pendingPin{key, pin})
 	}
 }
 
@@ -198,35 +221,84 @@
 func (o *Owner) Run(ctx context.Context) {
 	defer o.Finish()
 	for lavlife.Pause(ctx, lavlife.SharedInterval(minWriteInterval, o.Hosts.Count())) {
-		o.WriteBehind(ctx)
+		if err := o.WriteBehind(ctx); err != nil {
+			o.Log.WithError(err).WithField("pending", o.pendingCount()).Warning("writing session pins failed; trying again at the next interval")
+		}
 	}
 }
 
-// WriteBehind writes one batch of pending pins. If another owner wrote the row of a session first, that row's pin
-// replaces the one in memory.
-func (o *Owner) WriteBehind(ctx context.Context) {
-	o.mu.Lock()
-	keys := o.pending[:min(writeBatch, len(o.pending))]
-	o.mu.Unlock()
-	inserts := make([]lavplatform.Insert, 0, len(keys))
-	for _, key := range keys {
-		pin, _ := o.Pins.Get(key)
-		inserts = append(inserts, o.newInsert(key, pin))
-	}
-	if len(inserts) == 0 {
-		return
+// Flush writes all pending pins, in as many batches as needed, and repeats failed writes until ctx ends. It logs how many
+// pins stay unwritten.
+func (o *Owner) Flush(ctx context.Context) {
+	var err error
+	for o.pendingCount() > 0 && ctx.Err() == nil {
+		if err = o.WriteBehind(ctx); err != nil {
+			lavlife.Sleep(ctx, flushRetryPause)
+		}
+	}
+	if count := o.pendingCount(); count > 0 {
+		o.Log.WithError(err).WithField("pending", count).Error("session pins were not written before the end of the shutdown; their sessions may change versions")
+	}
+}
+
+// WriteBehind writes one batch of pending pins. It waits for a batch that is being written. If another owner wrote the row
+// of a session first, that row's pin replaces the one in memory. After an error the batch stays pending.
+func (o *Owner) WriteBehind(ctx context.Context) error {
+	select {
+	case o.writing <- struct{}{}:
+		defer func() { <-o.writing }()
+	case <-ctx.Done():
+		return errors.Wrap(ctx.Err(), "wait for the previous batch of session pins")
+	}
+	batch := o.nextBatch()
+	if len(batch) == 0 {
+		return nil
+	}
+	inserts := make([]lavplatform.Insert, 0, len(batch))
+	for _, pending := range batch {
+		inserts = append(inserts, o.newInsert(pending.key, pending.pin))
 	}
 	written, err := o.Rows.InsertAll(ctx, inserts)
 	if err != nil {
-		o.Log.WithError(err).WithField("pending", len(keys)).Warning("writing session pins failed; trying again at the next interval")
-		return
+		return errors.Wrapf(err, "write %d session pins", len(batch))
 	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.pending = o.pending[len(batch):]
 	for i, result := range written {
-		if pin, err := decodePin(result.Row); err == nil {
-			o.Pins.Store(keys[i], pin)
+		o.adoptStored(batch[i], result.Row)
+	}
+	return nil
+}
+
+// nextBatch returns the oldest pending pins in their current state. They stay pending.
+func (o *Owner) nextBatch() []pendingPin {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	batch := slices.Clone(o.pending[:min(writeBatch, len(o.pending))])
+	for i, pending := range batch {
+		if current, exists := o.Pins.Get(pending.key); exists {
+			batch[i].pin = current
 		}
 	}
+	return batch
+}
+
+// adoptStored replaces a pin by the one in its row, unless the session was moved while its pin was written. The caller
+// holds the mutex.
+func (o *Owner) adoptStored(pending pendingPin, row lavplatform.Row) {
+	stored, err := decodePin(row)
+	if err != nil {
+		o.Log.WithError(err).Warning("session row cannot be decoded; keeping the pin in memory")
+		return
+	}
+	if current, exists := o.Pins.Get(pending.key); !exists || current.Version == pending.pin.Version {
+		o.Pins.Store(pending.key, stored)
+	}
+}
+
+func (o *Owner) pendingCount() int {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	o.pending = o.pending[len(keys):]
+	return len(o.pending)
 }
--- a/entry/services/lavpin/pin_test.go
+++ b/entry/services/lavpin/pin_test.go
@@ -80,7 +80,9 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	return &Owner{Host: host, Pins: table, Rows: rows, Replicator: noReplicator{}, Log: discardLogger()}
+	owner := NewOwner(OwnerOptions{Host: host, Pins: table, Rows: rows, Log: discardLogger()})
+	owner.Replicator = noReplicator{}
+	return owner
 }
 
 func discardLogger() *logrus.Logger {
@@ -117,7 +119,7 @@
 	owner := newOwner(t, "h1", rows)
 	is.Equal(pin(t, owner, &lavwire.PinRequest{ProposedVersionId: "v1"}), "v1")
 	rows.down = false
-	owner.WriteBehind(t.Context())
+	is.NoErr(owner.WriteBehind(t.Context()))
 	is.Equal(pin(t, newOwner(t, "h3", rows), &lavwire.PinRequest{}), "v1")
 }
 
