Give up a first send while another server can still answer; the soak sees lost sends

The server was then not silent, and the fourth later answer that makes a send overtaken came too rarely: 2.76 of 3 s passed, and the second server was cut by the deadline. The record of the soak knew no send that never arrived.

Decision: half of the time that is left when a request is sent belongs to its server. After that one later answer, or silence, gives the send up, unless the expected time is longer. Nothing is given up while no other server may take the request: TestStoppingHostRefusesRequestsThatItsExitWouldCut failed without that.

The soak's relay reports the requests whose data it discards.

Ruled out: a share of the latency target (the soak's target is a third of the caller's time, the users' routes have an eighth), and giving up without a later answer, which loses the place in a long queue under load.

Before: TestSendOnASilencedConnectionIsGivenUpWhileAnotherServerCanAnswer and TestSilentServerIsGivenUpAtHalfOfTheTimeLeft fail.

--- a/entry/services/lavforward/choose.go
+++ b/entry/services/lavforward/choose.go
@@ -36,7 +36,7 @@
 
 // choose returns the backend server for the next send, or false when no server may take the request now.
 func (e *execution) choose(model lavid.ModelID, now time.Time) (choice, bool) {
-	rows := e.candidates(now)
+	rows := e.candidates(e.excluded, now)
 	if len(rows) == 0 {
 		return choice{}, false
 	}
@@ -46,16 +46,17 @@
 	return e.chooseEngine(rows, model, now)
 }
 
-// candidates returns the servers that may take the request. It prefers servers of a preferred release to those of a
-// fallback release, and among servers of equal preference those that this host's own health records show as usable.
-func (e *execution) candidates(now time.Time) []lavdirectory.Row {
+// candidates returns the servers that may take the request, without the excluded ones. It prefers servers of a preferred
+// release to those of a fallback release, and among servers of equal preference those that this host's own health records
+// show as usable.
+func (e *execution) candidates(excluded map[lavid.BackendServerID]bool, now time.Time) []lavdirectory.Row {
 	allowed := e.Releases.Preferences(e.request.Service.ID, e.sessionKey(), now)
 	hosts := e.Hosts.Hosts(now)
 	// The rank is 0 for a preferred and 2 for a fallback release, plus 1 for a server that is not usable.
 	var ranked [4][]lavdirectory.Row
 	for _, row := range e.Directory.Usable(e.request.Service.ID, now) {
 		preference := allowed(row.Release)
-		if e.excluded[row.ID] || preference == lavcutover.Never {
+		if excluded[row.ID] || preference == lavcutover.Never {
 			continue
 		}
 		if !e.request.Route.MayReach(e.request.Account, e.Regions[row.DataCentre]) {
--- a/entry/services/lavforward/execution.go
+++ b/entry/services/lavforward/execution.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -124,17 +125,21 @@
 	rank := e.rank()
 	var awaitingHead atomic.Bool
 	awaitingHead.Store(true)
+	others := maps.Clone(e.excluded)
+	others[chosen.ID] = true
 	watchdog := newWatchdog(cancel, func(since time.Time) bool {
+		lost := e.health.silentSince(chosen.ID, since)
 		if awaitingHead.Load() {
-			return e.isLost(chosen, rank, now)
+			lost = e.isLost(chosen, rank, now, e.Clock())
 		}
-		return e.health.silentSince(chosen.ID, since)
+		// Without another server, waiting for this one is the best that can be done.
+		return lost && len(e.candidates(others, e.Clock())) > 0
 	}, e.Clock)
 	defer watchdog.stop()
 	e.timing = e.Releases.StartTiming(chosen.Server, e.outcomeKind(chosen)+"/first", e.request.Service.Engine != nil, now)
 	defer e.timing.Dropped()
 	if e.mayRepeat() {
-		watchdog.reset(e.firstEventTimeout() / checksPerTimeout)
+		watchdog.reset(e.silenceTimeout(chosen, now) / checksPerTimeout)
 	}
 	reply, err := e.Sender.Send(ctx, Dispatch{
 		Request:     e.request,
--- a/entry/services/lavforward/forwarder_test.go
+++ b/entry/services/lavforward/forwarder_test.go
@@ -287,11 +287,72 @@
 	}
 	now = sentAt.Add(1500 * time.Millisecond)
 	e.health.recordActivity(chosen.ID, now)
-	is.True(!e.isLost(chosen, e.rank(), sentAt)) // a few answers may arrive out of order
+	is.True(!e.isLost(chosen, e.rank(), sentAt, now)) // a few answers may arrive out of order
 	e.health.recordAnswer(chosen.ID, sentAt.Add(time.Millisecond), e.rank())
-	is.True(e.isLost(chosen, e.rank(), sentAt))
+	is.True(e.isLost(chosen, e.rank(), sentAt, now))
 	now = sentAt.Add(900 * time.Millisecond)
-	is.True(!e.isLost(chosen, e.rank(), sentAt)) // the answer may still arrive
+	is.True(!e.isLost(chosen, e.rank(), sentAt, now)) // the answer may still arrive
+}
+
+// TestSendOnASilencedConnectionIsGivenUpWhileAnotherServerCanAnswer guards against a send that waits until the deadline: its
+// connection was lost without a reset, and its server answers on others.
+func TestSendOnASilencedConnectionIsGivenUpWhileAnotherServerCanAnswer(t *testing.T) {
+	is := is.New(t)
+	fixture := newFixture(1)
+	sentAt := time.Unix(1000, 0)
+	e := &execution{Forwarder: fixture.Forwarder, request: newRequest(lavroute.Streaming)}
+	e.request.Deadline = sentAt.Add(3 * time.Second)
+	chosen := choice{Row: e.Directory.All()[0]}
+	after := func(waited time.Duration) bool {
+		e.health.recordActivity(chosen.ID, sentAt.Add(waited)) // another request's events
+		return e.isLost(chosen, e.rank(), sentAt, sentAt.Add(waited))
+	}
+	is.True(!after(2900 * time.Millisecond)) // the server may be busy with earlier requests
+	e.health.recordAnswer(chosen.ID, sentAt.Add(time.Millisecond), e.rank())
+	is.True(!after(1400 * time.Millisecond))
+	is.True(after(1500 * time.Millisecond))
+}
+
+// TestOnlyServerIsNotGivenUp guards against a request that fails while its server is slow, although no other one could take
+// it.
+func TestOnlyServerIsNotGivenUp(t *testing.T) {
+	is := is.New(t)
+	for _, servers := range []int{1, 2} {
+		f := newFixture(servers, replyWith(http.StatusOK, "whole"))
+		sends := 0
+		f.beforeSend = func(ctx context.Context, _ Dispatch) {
+			if sends++; sends == 1 {
+				select {
+				case <-ctx.Done():
+				case <-time.After(300 * time.Millisecond):
+				}
+			}
+		}
+		request := newRequest(lavroute.Idempotent)
+		request.Deadline = request.Arrived.Add(400 * time.Millisecond)
+		answer, result := f.serve(request)
+		is.Equal(result, Result{})
+		is.Equal(answer.body.String(), "whole")
+		is.Equal(sends, servers)
+	}
+}
+
+// TestSilentServerIsGivenUpAtHalfOfTheTimeLeft guards against a repeat that waits a whole latency target at a server that
+// sends nothing, although its caller waits hardly longer than that.
+func TestSilentServerIsGivenUpAtHalfOfTheTimeLeft(t *testing.T) {
+	is := is.New(t)
+	fixture := newFixture(1)
+	sentAt := time.Unix(1000, 0)
+	e := &execution{Forwarder: fixture.Forwarder, request: newRequest(lavroute.Streaming)}
+	chosen := choice{Row: e.Directory.All()[0]}
+	isLost := func(left, waited time.Duration) bool {
+		e.request.Deadline = sentAt.Add(left)
+		return e.isLost(chosen, e.rank(), sentAt, sentAt.Add(waited))
+	}
+	is.True(!isLost(5*time.Second, 900*time.Millisecond))
+	is.True(isLost(5*time.Second, time.Second)) // the latency target
+	is.True(!isLost(1200*time.Millisecond, 500*time.Millisecond))
+	is.True(isLost(1200*time.Millisecond, 600*time.Millisecond))
 }
 
 // slowBody returns one part per read after a delay, unless its context ends first.
@@ -341,10 +402,10 @@
 	for i := range overtakenThreshold {
 		h.recordAnswer("a", sentAt.Add(time.Duration(i+1)*time.Second), 3)
 	}
-	is.True(h.overtaken("a", sentAt, 3))
-	is.True(!h.overtaken("a", sentAt, 5)) // the answered sends were more urgent
-	is.True(!h.overtaken("a", sentAt.Add(2*time.Second), 3))
-	is.True(!h.overtaken("b", sentAt, 3))
+	is.Equal(h.overtaking("a", sentAt, 3), overtakenThreshold)
+	is.Equal(h.overtaking("a", sentAt, 5), 0) // the answered sends were more urgent
+	is.Equal(h.overtaking("a", sentAt.Add(2*time.Second), 3), overtakenThreshold-2)
+	is.Equal(h.overtaking("b", sentAt, 3), 0)
 }
 
 func TestServerWithReusedAddressIsExcludedForAllRequests(t *testing.T) {
--- a/entry/services/lavforward/health.go
+++ b/entry/services/lavforward/health.go
@@ -113,18 +113,17 @@
 	h.rows.Add(server, row)
 }
 
-// overtaken reports whether the server has answered at least overtakenThreshold later sends that were no more urgent than
-// the waiting one.
-func (h *healthTable) overtaken(server lavid.BackendServerID, sentAt time.Time, rank int) bool {
+// overtaking returns how many later sends the server has answered that were no more urgent than the waiting one.
+func (h *healthTable) overtaking(server lavid.BackendServerID, sentAt time.Time, rank int) int {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	overtaking := 0
+	count := 0
 	for _, later := range h.row(server).recentAnswers {
 		if later.sentAt.After(sentAt) && later.rank >= rank {
-			overtaking++
+			count++
 		}
 	}
-	return overtaking >= overtakenThreshold
+	return count
 }
 
 // silentSince reports whether the server has sent nothing to this host since the given time.
--- a/entry/services/lavforward/timeouts.go
+++ b/entry/services/lavforward/timeouts.go
@@ -13,6 +13,9 @@
 	// is then usually left for another server.
 	overtakenTimeoutShare = 0.5
 	overtakenFactor       = 3
+	// waitShare of the time that was left when a request was sent is how long its send waits for the first event once the
+	// server has answered a single later send, or has sent nothing. The rest is left for another server.
+	waitShare = 0.5
 	// pauseTargets is how many pause targets a stream waits for a silent server before it is resumed on another server.
 	pauseTargets = 2
 )
@@ -39,16 +42,32 @@
 	return e.timeoutOrDefault(pauseTargets * e.request.Route.PauseTarget)
 }
 
-// isLost reports whether a send that waits for its answer counts as lost: either its server is silent towards this host,
-// or the server has answered later sends while this one waits for a multiple of the expected time.
-func (e *execution) isLost(chosen choice, rank int, sentAt time.Time) bool {
-	now := e.Clock()
+// isLost reports whether a send that waits for its answer counts as lost at the given time: its server is silent towards
+// this host, or has answered later sends while this one waits for a multiple of the expected time. A server whose other
+// connections work may have lost this one, and then says nothing about it.
+func (e *execution) isLost(chosen choice, rank int, sentAt, now time.Time) bool {
 	waited := now.Sub(sentAt)
-	if waited >= e.firstEventTimeout() && e.health.silentSince(chosen.ID, now.Add(-e.firstEventTimeout())) {
+	silence := e.silenceTimeout(chosen, sentAt)
+	if waited >= silence && e.health.silentSince(chosen.ID, now.Add(-silence)) {
 		return true
 	}
-	overtakenTimeout := max(time.Duration(overtakenTimeoutShare*float64(e.firstEventTimeout())), overtakenFactor*e.expectedFirst(chosen))
-	return waited >= overtakenTimeout && e.health.overtaken(chosen.ID, sentAt, rank)
+	expected := overtakenFactor * e.expectedFirst(chosen)
+	overtaking := e.health.overtaking(chosen.ID, sentAt, rank)
+	overtakenTimeout := max(time.Duration(overtakenTimeoutShare*float64(e.firstEventTimeout())), expected)
+	if waited >= overtakenTimeout && overtaking >= overtakenThreshold {
+		return true
+	}
+	return waited >= max(e.waitLimit(sentAt), expected) && overtaking > 0
+}
+
+// silenceTimeout returns how long a send waits for its answer while its server is silent towards this host.
+func (e *execution) silenceTimeout(chosen choice, sentAt time.Time) time.Duration {
+	return min(e.firstEventTimeout(), max(e.waitLimit(sentAt), overtakenFactor*e.expectedFirst(chosen)))
+}
+
+// waitLimit returns waitShare of the time that was left when a request was sent.
+func (e *execution) waitLimit(sentAt time.Time) time.Duration {
+	return time.Duration(waitShare * float64(e.request.Deadline.Sub(sentAt)))
 }
 
 // expectedFirst returns the expected time to the first event of an engine's answer; unknown speeds count as zero.
--- a/fake/services/lavrelay/relay.go
+++ b/fake/services/lavrelay/relay.go
@@ -53,6 +53,14 @@
 	return err == nil && parsed.Addr().IsLoopback()
 }
 
+// ObserveDiscarded makes the relay call observe with the listening address of a route and each piece of data from a client
+// that the route discards. It must be called before Start, and observe must not keep the data.
+func (r *Relay) ObserveDiscarded(observe func(listen string, data []byte)) {
+	for _, route := range r.routes {
+		route.onDiscard = observe
+	}
+}
+
 // Start opens the listeners and relays connections until ctx ends.
 func (r *Relay) Start(ctx context.Context) error {
 	for _, route := range r.routes {
--- a/fake/services/lavrelay/route.go
+++ b/fake/services/lavrelay/route.go
@@ -60,6 +60,8 @@
 	handlers  conc.WaitGroup
 	// listener accepts connections. It is closed while the mode is Refuse.
 	listener net.Listener
+	// onDiscard is called with data from a client that is discarded; it may be nil.
+	onDiscard func(listen string, data []byte)
 }
 
 // connectionPair is a connection from a client and the connection to the target that it is relayed to.
@@ -257,6 +259,9 @@
 			delete(r.heldLines, &line)
 			r.countBytes(len(data), forward, held, silent)
 			r.mu.Unlock()
+			if silent && forward && r.onDiscard != nil {
+				r.onDiscard(r.listen, data)
+			}
 			return !silent
 		}
 		r.mu.Unlock()
