--- a/core/services/lavcutover/cutover_test.go
+++ b/core/services/lavcutover/cutover_test.go
@@ -164,7 +164,7 @@
 	observeAnswers(c, 3, 1)
 	is.Equal(len(c.Tick(firstRank, idle, start)), 0) // one failure is little evidence
 	counts := Counts{Failures: lavrollout.Sample{Trials: 5, Bad: 2}}
-	c.SetPeerCounts("peer", map[Key]Counts{{Service: pool, Release: "v2", Kind: "chat"}: counts})
+	c.SetOtherCounts(pool, map[Key]Counts{{Service: pool, Release: "v2", Kind: "chat"}: counts})
 	is.Equal(c.Tick(firstRank, idle, start)[0].Progress.State, Stopped)
 }
 
--- a/core/services/lavcutover/decisions.go
+++ b/core/services/lavcutover/decisions.go
@@ -159,7 +159,7 @@
 	return false
 }
 
-// SetPeerCounts replaces the counts that a peer reported.
-func (c *Cutovers) SetPeerCounts(peer lavid.HostID, counts map[Key]Counts) {
-	c.statistics.setPeerCounts(peer, counts)
+// SetOtherCounts replaces the counts of all other hosts about a service.
+func (c *Cutovers) SetOtherCounts(service lavid.ServiceID, counts map[Key]Counts) {
+	c.statistics.setOtherCounts(service, counts)
 }
--- a/core/services/lavcutover/statistics.go
+++ b/core/services/lavcutover/statistics.go
@@ -1,6 +1,7 @@
 package lavcutover
 
 import (
+	"maps"
 	"sync"
 	"time"
 
@@ -36,6 +37,45 @@
 	Sends float64
 }
 
+// Plus returns the sums of both counts.
+func (c Counts) Plus(other Counts) Counts {
+	return Counts{
+		Failures: addSamples(c.Failures, other.Failures),
+		Slow:     addSamples(c.Slow, other.Slow),
+		Longer:   addSamples(c.Longer, other.Longer),
+		Sends:    c.Sends + other.Sends,
+	}
+}
+
+// Minus returns the counts without others that they contain; none is below zero.
+func (c Counts) Minus(other Counts) Counts {
+	subtract := func(a, b lavrollout.Sample) lavrollout.Sample {
+		return lavrollout.Sample{Trials: max(a.Trials-b.Trials, 0), Bad: max(a.Bad-b.Bad, 0)}
+	}
+	return Counts{
+		Failures: subtract(c.Failures, other.Failures),
+		Slow:     subtract(c.Slow, other.Slow),
+		Longer:   subtract(c.Longer, other.Longer),
+		Sends:    max(c.Sends-other.Sends, 0),
+	}
+}
+
+// Largest returns, for each sample, the one with more trials.
+func (c Counts) Largest(other Counts) Counts {
+	larger := func(a, b lavrollout.Sample) lavrollout.Sample {
+		if b.Trials > a.Trials {
+			return b
+		}
+		return a
+	}
+	return Counts{
+		Failures: larger(c.Failures, other.Failures),
+		Slow:     larger(c.Slow, other.Slow),
+		Longer:   larger(c.Longer, other.Longer),
+		Sends:    max(c.Sends, other.Sends),
+	}
+}
+
 // kindSends is the kind under which sends are counted.
 const kindSends = ""
 
@@ -63,11 +103,11 @@
 	count   int
 }
 
-// statistics holds this host's counts and those of its peers.
+// statistics holds this host's counts and those of all other hosts.
 type statistics struct {
-	mu    sync.Mutex
-	own   map[Key]Counts
-	peers map[lavid.HostID]map[Key]Counts
+	mu     sync.Mutex
+	own    map[Key]Counts
+	others map[Key]Counts
 	// baselines holds one baseline per service and kind, over all releases but those that a cutover moves to.
 	baselines map[string]baseline
 	// pendingTimings holds the timings of answers that have not arrived.
@@ -75,7 +115,7 @@
 }
 
 func newStatistics() *statistics {
-	return &statistics{own: make(map[Key]Counts), peers: make(map[lavid.HostID]map[Key]Counts), baselines: make(map[string]baseline), pendingTimings: make(map[*Timing]struct{})}
+	return &statistics{own: make(map[Key]Counts), others: make(map[Key]Counts), baselines: make(map[string]baseline), pendingTimings: make(map[*Timing]struct{})}
 }
 
 // addOutcome counts one answer.
@@ -128,17 +168,20 @@
 		}
 	}
 	visit(s.own)
-	for _, rows := range s.peers {
-		visit(rows)
-	}
+	visit(s.others)
 	return sent, exposed
 }
 
-// setPeerCounts replaces the counts of a peer.
-func (s *statistics) setPeerCounts(peer lavid.HostID, counts map[Key]Counts) {
+// setOtherCounts replaces the counts of all other hosts about a service.
+func (s *statistics) setOtherCounts(service lavid.ServiceID, counts map[Key]Counts) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.peers[peer] = counts
+	maps.DeleteFunc(s.others, func(key Key, _ Counts) bool { return key.Service == service })
+	for key, count := range counts {
+		if key.Service == service {
+			s.others[key] = count
+		}
+	}
 }
 
 // ownCounts returns a copy of this host's counts of a service.
@@ -158,17 +201,9 @@
 func (s *statistics) clear(service lavid.ServiceID) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	drop := func(rows map[Key]Counts) {
-		for key := range rows {
-			if key.Service == service {
-				delete(rows, key)
-			}
-		}
-	}
-	drop(s.own)
-	for _, rows := range s.peers {
-		drop(rows)
-	}
+	ofService := func(key Key, _ Counts) bool { return key.Service == service }
+	maps.DeleteFunc(s.own, ofService)
+	maps.DeleteFunc(s.others, ofService)
 }
 
 // longerSettings are the parameters of the test on times above the baseline. Half of the smallest effect size is the
@@ -201,9 +236,7 @@
 		}
 	}
 	visit(s.own)
-	for _, rows := range s.peers {
-		visit(rows)
-	}
+	visit(s.others)
 	failures := lavrollout.ExcessLikelihoodRatio(tested[0], control[0], settings.Failures)
 	slow := lavrollout.ExcessLikelihoodRatio(tested[1], control[1], settings.Failures)
 	longer := lavrollout.ExcessLikelihoodRatio(tested[2], control[2], longerSettings)
--- a/core/services/lavload/table.go
+++ b/core/services/lavload/table.go
@@ -4,12 +4,11 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"lavenderswitch/core/models/lavid"
 )
 
-// reportLifetime is how long a peer's report counts; peers send several reports in that time.
-const reportLifetime = 1500 * time.Millisecond
-
 // Load is the work in progress at one backend server.
 type Load struct {
 	// Requests is the number of requests in progress.
@@ -26,27 +25,32 @@
 	return Load{Requests: l.Requests + other.Requests, Unread: l.Unread + other.Unread, Memory: l.Memory + other.Memory}
 }
 
-// Reporter identifies one part of a host's load report; a host may split its report into several parts.
-type Reporter struct {
-	Host lavid.HostID
-	Part uint32
+// Minus returns the difference of both loads; no part of it is below zero.
+func (l Load) Minus(other Load) Load {
+	return Load{Requests: max(l.Requests-other.Requests, 0), Unread: max(l.Unread-other.Unread, 0), Memory: max(l.Memory-other.Memory, 0)}
 }
 
-type report struct {
-	loads      map[lavid.BackendServerID]Load
-	receivedAt time.Time
+// ServerKey identifies a backend server in reports between hosts. It is a hash of the server's ID; two servers with one key
+// each count as loaded with the work of both.
+type ServerKey uint32
+
+// KeyOf returns the key of a backend server.
+func KeyOf(id lavid.BackendServerID) ServerKey {
+	return ServerKey(uint32(xxhash.Sum64String(string(id))))
 }
 
-// Table holds the loads of this host and the last reports of its peers. It is safe for concurrent use.
+// Table holds the loads of this host and the sums of its peers. It is safe for concurrent use.
 type Table struct {
-	mu    sync.Mutex
-	own   map[lavid.BackendServerID]Load
-	peers map[Reporter]report
+	mu  sync.Mutex
+	own map[lavid.BackendServerID]Load
+	// peers holds the loads of all other hosts, which count until peersUntil.
+	peers      map[ServerKey]Load
+	peersUntil time.Time
 }
 
 // New returns an empty table.
 func New() *Table {
-	return &Table{own: make(map[lavid.BackendServerID]Load), peers: make(map[Reporter]report)}
+	return &Table{own: make(map[lavid.BackendServerID]Load)}
 }
 
 // Job is one request in progress at a backend server.
@@ -98,24 +102,19 @@
 	return loads
 }
 
-// SetPeerReport replaces one part of a peer's load report.
-func (t *Table) SetPeerReport(peer Reporter, loads map[lavid.BackendServerID]Load, now time.Time) {
+// SetPeers replaces the loads of all other hosts. They count until the given time. The table keeps the map.
+func (t *Table) SetPeers(loads map[ServerKey]Load, until time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.peers[peer] = report{loads: loads, receivedAt: now}
+	t.peers, t.peersUntil = loads, until
 }
 
 // Total returns the load of all hosts together at a backend server.
 func (t *Table) Total(server lavid.BackendServerID, now time.Time) Load {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	sum := t.own[server]
-	for peer, report := range t.peers {
-		if now.Sub(report.receivedAt) > reportLifetime {
-			delete(t.peers, peer)
-			continue
-		}
-		sum = sum.Plus(report.loads[server])
+	if !now.Before(t.peersUntil) {
+		return t.own[server]
 	}
-	return sum
+	return t.own[server].Plus(t.peers[KeyOf(server)])
 }
--- a/core/services/lavload/table_test.go
+++ b/core/services/lavload/table_test.go
@@ -5,8 +5,6 @@
 	"time"
 
 	"github.com/matryer/is"
-
-	"lavenderswitch/core/models/lavid"
 )
 
 func TestJobIsCountedUntilItEnds(t *testing.T) {
@@ -22,16 +20,25 @@
 	is.Equal(len(table.Own()), 0)
 }
 
-// A peer that stops reporting must not count as load forever; each part of its report expires separately.
+// A peer that stops reporting must not count as load forever.
 func TestPeerReportExpires(t *testing.T) {
 	is := is.New(t)
 	table, now := New(), time.Unix(1000, 0)
 	load := Load{Requests: 2, Unread: 100}
-	table.SetPeerReport(Reporter{Host: "peer", Part: 0}, map[lavid.BackendServerID]Load{"server": load}, now)
-	table.SetPeerReport(Reporter{Host: "peer", Part: 1}, map[lavid.BackendServerID]Load{"other": load}, now)
+	until := now.Add(time.Second)
+	table.SetPeers(map[ServerKey]Load{KeyOf("server"): load, KeyOf("other"): load}, until)
 	is.Equal(table.Total("server", now), load)
-	is.Equal(table.Total("other", now), load)
-	table.SetPeerReport(Reporter{Host: "peer", Part: 0}, nil, now)
+	is.Equal(table.Total("other", until.Add(-1)), load)
+	is.Equal(table.Total("other", until), Load{})
+	table.SetPeers(map[ServerKey]Load{KeyOf("other"): load}, until)
 	is.Equal(table.Total("server", now), Load{})
-	is.Equal(table.Total("other", now.Add(2*time.Second)), Load{})
+}
+
+func TestOwnAndPeerLoadsAreAdded(t *testing.T) {
+	is := is.New(t)
+	table, now := New(), time.Unix(1000, 0)
+	table.Start("server", 500, 700)
+	table.SetPeers(map[ServerKey]Load{KeyOf("server"): {Requests: 2, Unread: 100, Memory: 50}}, now.Add(time.Second))
+	is.Equal(table.Total("server", now), Load{Requests: 3, Unread: 600, Memory: 750})
+	is.Equal(table.Total("server", now.Add(time.Second)), Load{Requests: 1, Unread: 500, Memory: 700})
 }
--- /dev/null
+++ b/core/services/lavreport/node.go
@@ -0,0 +1,252 @@
+package lavreport
+
+import (
+	"sync"
+	"time"
+
+	"lavenderswitch/core/models/lavid"
+	"lavenderswitch/core/modules/lavring"
+	"lavenderswitch/core/services/lavcutover"
+	"lavenderswitch/core/services/lavload"
+)
+
+const (
+	// TickInterval is how often Tick is to be called.
+	TickInterval = 50 * time.Millisecond
+	// reportInterval separates two reports of a host. A change of its requests by largeChange, and by a quarter of them, is
+	// reported at the next tick.
+	reportInterval = 200 * time.Millisecond
+	largeChange    = 8
+	// exchangeInterval separates two exchanges of a relay with the other data centres, of which at most exchangeTargets get
+	// one each time. totalInterval separates two totals of a relay.
+	exchangeInterval = 300 * time.Millisecond
+	exchangeTargets  = 4
+	totalInterval    = 300 * time.Millisecond
+	// reporterTimeout is how long after its last report a host gets totals.
+	reporterTimeout = time.Second
+	// countsLifetime is how long a relay keeps the counts of a host that fell silent, about as long as a cutover takes.
+	countsLifetime = 30 * time.Second
+	// sentReports is the number of own reports that are kept, to leave them out of totals. They cover several lifetimes.
+	sentReports = 64
+	// greetingsPerTick bounds the messages to hosts that were just listed.
+	greetingsPerTick = 20
+	// suspensionGap is the time without a tick after which the process was suspended. Messages that arrived meanwhile have
+	// no known age; they are dropped until suspensionPause after the next tick.
+	suspensionGap   = 500 * time.Millisecond
+	suspensionPause = 100 * time.Millisecond
+)
+
+// directReport is a report that its host sent to this relay.
+type directReport struct {
+	member   lavring.Member
+	sequence Sequence
+	leaving  bool
+	// isRelay states that the host made the report as a relay of its data centre.
+	isRelay    bool
+	loads      map[lavid.BackendServerID]lavload.Load
+	cutovers   []lavcutover.Status
+	receivedAt time.Time
+}
+
+// sentReport is a report of this host.
+type sentReport struct {
+	sequence Sequence
+	loads    map[lavid.BackendServerID]lavload.Load
+	cutovers []lavcutover.Status
+}
+
+// AgeObserver is called with the age of each report that a total brings to this host.
+type AgeObserver func(age time.Duration)
+
+// Node decides which messages this host sends and applies those that it receives. It is safe for concurrent use.
+type Node struct {
+	peers    *Peers
+	loads    *lavload.Table
+	cutovers *lavcutover.Cutovers
+	observe  AgeObserver
+
+	mu       sync.Mutex
+	sequence Sequence
+	leaving  bool
+	sent     [sentReports]sentReport
+	// lastReport is when this host reported last, and reportedRequests the requests in progress that it stated.
+	lastReport       time.Time
+	reportedRequests int
+	lastExchange     time.Time
+	lastProbe        time.Time
+	// lastExchangeProbe is when this host, as a relay, last sent an exchange to silent hosts.
+	lastExchangeProbe time.Time
+	lastTotal         time.Time
+	// round counts the messages of a relay and exchanges the exchanges alone; they select targets by turns.
+	round      int
+	exchanges  int
+	startedAt  time.Time
+	lastTick   time.Time
+	dropBefore time.Time
+
+	choice relayChoice
+	relays []lavring.Member
+	// direct holds the reports that this host received as a relay, its own included, and exchanged the sums of other data
+	// centres. total is the latest total of a relay.
+	direct    map[lavid.HostID]directReport
+	exchanged map[lavid.DataCentreID]heldSum
+	total     heldSum
+	// centreCounts holds the largest counts of other data centres, and otherCounts those of all other hosts; each by service.
+	centreCounts map[lavid.DataCentreID]map[lavid.ServiceID]countsOfRelease
+	otherCounts  map[lavid.ServiceID]countsOfRelease
+}
+
+// countsOfRelease holds the counts about a cutover to a release.
+type countsOfRelease struct {
+	to     lavid.ReleaseID
+	counts cutoverCounts
+}
+
+// NewNode returns a node that reports the loads and cutovers of this host, and applies those of the others to them. The
+// observer may be nil.
+func NewNode(peers *Peers, loads *lavload.Table, cutovers *lavcutover.Cutovers, observe AgeObserver, now time.Time) *Node {
+	return &Node{
+		peers: peers, loads: loads, cutovers: cutovers, observe: observe,
+		// A restarted host goes on above its earlier numbers.
+		sequence:     Sequence(now.UnixMilli() / reportInterval.Milliseconds()),
+		startedAt:    now,
+		lastTick:     now,
+		choice:       newRelayChoice(),
+		direct:       make(map[lavid.HostID]directReport),
+		exchanged:    make(map[lavid.DataCentreID]heldSum),
+		centreCounts: make(map[lavid.DataCentreID]map[lavid.ServiceID]countsOfRelease),
+		otherCounts:  make(map[lavid.ServiceID]countsOfRelease),
+	}
+}
+
+// Relays returns the relays that this host reports to.
+func (n *Node) Relays() []lavring.Member {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.relays
+}
+
+// Tick returns the messages that are due, and drops what has become too old.
+func (n *Node) Tick(now time.Time) []Envelope {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if now.Sub(n.lastTick) > suspensionGap {
+		n.dropBefore = now.Add(suspensionPause)
+	}
+	n.lastTick = now
+	self := n.peers.Self()
+	n.relays = n.choice.choose(self.ID, n.peers.relayCandidates(self.DataCentre, now), now)
+	var envelopes []Envelope
+	probing := now.Sub(n.lastProbe) >= probeInterval
+	if probing {
+		n.lastProbe = now
+	}
+	if own := n.loads.Own(); probing || n.reportDue(own, now) {
+		envelopes = append(envelopes, n.report(own, probing, now)...)
+	}
+	if greeted := n.peers.takeUngreeted(greetingsPerTick); len(greeted) > 0 {
+		envelopes = append(envelopes, Envelope{To: addressesOf(greeted), Message: n.message(KindHello)})
+	}
+	reporters := n.reporters(now)
+	if len(reporters) > 0 || n.isRelay() {
+		if now.Sub(n.lastExchange) >= n.exchangeInterval(now) {
+			envelopes = append(envelopes, n.exchange(now)...)
+			n.round++
+		}
+		if now.Sub(n.lastTotal) >= totalInterval {
+			envelopes = append(envelopes, n.sendTotal(reporters, now)...)
+			n.round++
+		}
+	}
+	return envelopes
+}
+
+// Leave returns the last report of this host, to all others: it shuts down and accepts no new work.
+func (n *Node) Leave(now time.Time) []Envelope {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.leaving = true
+	n.report(n.loads.Own(), false, now)
+	others := n.others(n.peers.Hosts(now))
+	if len(others) == 0 {
+		return nil
+	}
+	message := n.message(KindReport)
+	last := n.sent[n.sequence%sentReports]
+	message.Loads, message.Cutovers = last.loads, last.cutovers
+	return []Envelope{{To: addressesOf(others), Message: message}}
+}
+
+// message returns a message of this host without content.
+func (n *Node) message(kind Kind) *Message {
+	return &Message{Kind: kind, From: n.peers.Self(), Sequence: n.sequence, Leaving: n.leaving}
+}
+
+func (n *Node) others(members []lavring.Member) []lavring.Member {
+	var others []lavring.Member
+	for _, member := range members {
+		if member.ID != n.peers.Self().ID {
+			others = append(others, member)
+		}
+	}
+	return others
+}
+
+func addressesOf(members []lavring.Member) []string {
+	addresses := make([]string, 0, len(members))
+	for _, member := range members {
+		addresses = append(addresses, member.Address)
+	}
+	return addresses
+}
+
+// isRelay reports whether this host is one of its own relays.
+func (n *Node) isRelay() bool {
+	for _, relay := range n.relays {
+		if relay.ID == n.peers.Self().ID {
+			return true
+		}
+	}
+	return false
+}
+
+// reportDue reports whether this host has to report its loads.
+func (n *Node) reportDue(own map[lavid.BackendServerID]lavload.Load, now time.Time) bool {
+	if now.Sub(n.lastReport) >= reportInterval {
+		return true
+	}
+	change := max(requestsOf(own)-n.reportedRequests, n.reportedRequests-requestsOf(own))
+	return change >= largeChange && 4*change >= n.reportedRequests
+}
+
+func requestsOf(loads map[lavid.BackendServerID]lavload.Load) int {
+	sum := 0
+	for _, load := range loads {
+		sum += load.Requests
+	}
+	return sum
+}
+
+// report records a new report of this host and returns it for its relays, and if probing is set, for silent hosts that would
+// be relays.
+func (n *Node) report(own map[lavid.BackendServerID]lavload.Load, probing bool, now time.Time) []Envelope {
+	n.sequence++
+	report := sentReport{sequence: n.sequence, loads: own, cutovers: n.cutovers.Statuses()}
+	n.sent[n.sequence%sentReports] = report
+	n.lastReport, n.reportedRequests = now, requestsOf(own)
+	self := n.peers.Self()
+	n.direct[self.ID] = directReport{member: self, sequence: report.sequence, leaving: n.leaving, loads: report.loads, cutovers: report.cutovers, receivedAt: now}
+	receivers := n.others(n.relays)
+	if probing {
+		receivers = append(receivers, probes(n.peers.silentBefore(self.DataCentre, n.relays, now), n.round)...)
+	}
+	if len(receivers) == 0 {
+		return nil
+	}
+	message := n.message(KindReport)
+	message.Loads, message.Cutovers = report.loads, report.cutovers
+	if message.IsRelay = n.isRelay(); message.IsRelay {
+		message.Exchanged = n.exchangedSums(now)
+	}
+	return []Envelope{{To: addressesOf(receivers), Message: message}}
+}
--- /dev/null
+++ b/core/services/lavreport/node_test.go
@@ -0,0 +1,241 @@
+package lavreport
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"lavenderswitch/core/modules/lavring"
+)
+
+// The stated bounds of the reports, at any size.
+const (
+	maxMedianAge    = 600 * time.Millisecond
+	maxP99Age       = 1200 * time.Millisecond
+	maxSendsPerHost = 40
+	// agreementTime is how long after the last disturbance all hosts see each other.
+	agreementTime = 5 * time.Second
+)
+
+// TestAgesAndMessagesStayWithinBoundsAtAnySize guards against loads that arrive too late to decide by, and against messages
+// that grow with the number of hosts. Delays are those between data centres, and three messages in a hundred are lost.
+func TestAgesAndMessagesStayWithinBoundsAtAnySize(t *testing.T) {
+	t.Parallel()
+	for _, size := range []int{6, 29, 68, 415} {
+		t.Run(fmt.Sprint(size), func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			network := newSimNetwork(1, size, min(size, 5))
+			network.loss = 0.03
+			network.run(agreementTime, nil)
+			for _, host := range network.hosts {
+				host.sends = 0
+			}
+			var ages []time.Duration
+			missing, samples := 0, 0
+			const length = 5 * time.Second
+			random := rand.New(rand.NewPCG(2, 3))
+			network.run(length, func() {
+				for range 40 {
+					by, of := network.hosts[random.IntN(size)], network.hosts[random.IntN(size)]
+					if by == of {
+						continue
+					}
+					samples++
+					load := network.seen(by, of)
+					if load.Requests == 0 {
+						missing++
+						continue
+					}
+					ages = append(ages, time.Duration(network.now.UnixMilli()-int64(load.Memory))*time.Millisecond)
+				}
+			})
+			slices.Sort(ages)
+			most, sum := 0, 0
+			for _, host := range network.hosts {
+				most, sum = max(most, host.sends), sum+host.sends
+			}
+			median, p99 := ages[len(ages)/2], ages[len(ages)*99/100]
+			t.Logf("%d hosts: age p50 %s, p99 %s, missing %d of %d, messages a second %d at most, %.1f in the mean",
+				size, median, p99, missing, samples, most/int(length.Seconds()), float64(sum)/length.Seconds()/float64(size))
+			is.True(median <= maxMedianAge)
+			is.True(p99 <= maxP99Age)
+			is.True(missing*100 <= samples)
+			is.True(most <= maxSendsPerHost*int(length.Seconds()))
+		})
+	}
+}
+
+// disturbance changes a simulated network at random.
+func disturb(t *rapid.T, network *simNetwork) {
+	host := network.hosts[rapid.IntRange(0, len(network.hosts)-1).Draw(t, "host")]
+	other := network.hosts[rapid.IntRange(0, len(network.hosts)-1).Draw(t, "other")]
+	switch rapid.SampledFrom([]string{"kill", "restart", "freeze", "one way", "isolate", "halves", "relay", "calm"}).Draw(t, "disturbance") {
+	case "kill":
+		if !host.down {
+			host.down, host.diedAt = true, network.now
+		}
+	case "restart":
+		if host.down {
+			network.restart(host)
+		}
+	case "freeze":
+		host.frozenUntil = network.now.Add(time.Duration(rapid.IntRange(100, 4000).Draw(t, "ms")) * time.Millisecond)
+	case "one way":
+		from, to := host.peers.Self().Address, other.peers.Self().Address
+		network.cut = func(a, b string) bool { return a == from && b == to }
+	case "isolate":
+		alone := host.peers.Self().Address
+		network.cut = func(a, b string) bool { return a == alone || b == alone }
+	case "halves":
+		bit := rapid.IntRange(0, 3).Draw(t, "bit")
+		side := func(address string) uint32 {
+			return uint32(KeyOf(network.byAddress[address].peers.Self().ID)) >> bit & 1
+		}
+		network.cut = func(a, b string) bool { return side(a) != side(b) }
+	case "relay":
+		if relays := host.node.Relays(); len(relays) > 0 {
+			if relay := network.byAddress[relays[0].Address]; !relay.down {
+				relay.down, relay.diedAt = true, network.now
+			}
+		}
+	case "calm":
+		network.cut = func(string, string) bool { return false }
+	}
+}
+
+// TestEachReportCountsOnceAndDropsOut draws lost, late, doubled and cut messages, and hosts that are killed, suspended and
+// restarted under their IDs. No host's load may count twice at any host or be kept after its lifetime, and all hosts must
+// see each other again once the links are calm.
+func TestEachReportCountsOnceAndDropsOut(t *testing.T) {
+	t.Parallel()
+	rapid.Check(t, func(t *rapid.T) {
+		hosts := rapid.IntRange(2, 14).Draw(t, "hosts")
+		network := newSimNetwork(rapid.Uint64().Draw(t, "seed"), hosts, rapid.IntRange(1, 3).Draw(t, "data centres"))
+		network.loss, network.doubling = 0.1, 0.1
+		network.maxDelay = 40 * time.Millisecond
+		// A report is as old as its way took, beside the ages that hosts know.
+		lifetime := totalLifetime + 4*network.maxDelay + 2*simStep
+		check := func() {
+			for _, by := range network.hosts {
+				if by.down || network.now.Before(by.frozenUntil) {
+					continue
+				}
+				for _, of := range network.hosts {
+					seen := network.seen(by, of)
+					if seen.Requests > 1 {
+						t.Fatalf("%s counts the load of %s %d times", by.peers.Self().ID, of.peers.Self().ID, seen.Requests)
+					}
+					if of.down && by != of && seen.Requests > 0 && network.now.Sub(of.diedAt) > lifetime {
+						t.Fatalf("%s still counts %s, %s after its end", by.peers.Self().ID, of.peers.Self().ID, network.now.Sub(of.diedAt))
+					}
+				}
+			}
+		}
+		for range rapid.IntRange(1, 8).Draw(t, "disturbances") {
+			disturb(t, network)
+			network.run(time.Duration(rapid.IntRange(50, 1500).Draw(t, "pause"))*time.Millisecond, check)
+		}
+		network.cut = func(string, string) bool { return false }
+		network.loss = 0
+		for _, host := range network.hosts {
+			if host.down {
+				network.restart(host)
+			}
+		}
+		network.run(4*time.Second, check) // suspensions end
+		network.run(agreementTime, check)
+		for _, by := range network.hosts {
+			for _, of := range network.hosts {
+				if network.seen(by, of).Requests != 1 {
+					t.Fatalf("%s does not see %s once the links are calm; its relays are %v", by.peers.Self().ID, of.peers.Self().ID, by.node.Relays())
+				}
+			}
+		}
+	})
+}
+
+// TestSilentRelaysAreReplaced guards against hosts that stay without loads after both of their relays have gone.
+func TestSilentRelaysAreReplaced(t *testing.T) {
+	is := is.New(t)
+	network := newSimNetwork(4, 30, 3)
+	network.run(3*time.Second, nil)
+	gone := make(map[string]bool)
+	for _, relay := range network.hosts[0].node.Relays() {
+		network.byAddress[relay.Address].down = true
+		gone[relay.Address] = true
+	}
+	is.Equal(len(gone), relayCount)
+	network.run(3*time.Second, nil)
+	for _, by := range network.hosts {
+		for _, of := range network.hosts {
+			if !by.down && !of.down {
+				is.Equal(network.seen(by, of).Requests, 1)
+			}
+		}
+	}
+}
+
+// TestLeavingHostIsNotLive guards against work that is assigned to a host that shuts down.
+func TestLeavingHostIsNotLive(t *testing.T) {
+	is := is.New(t)
+	network := newSimNetwork(5, 8, 2)
+	network.run(2*time.Second, nil)
+	leaving := network.hosts[3]
+	network.send(leaving, leaving.node.Leave(network.now))
+	network.run(time.Second, nil) // it still reports
+	for _, host := range network.hosts {
+		if host != leaving {
+			is.Equal(len(host.peers.Live(network.now)), 7)
+			is.Equal(len(host.peers.Hosts(network.now)), 8) // it may still have requests in progress
+		}
+	}
+}
+
+// TestUnlistedHostBecomesKnownToAll guards against a host that stays unknown to other data centres because the store lists it
+// only later.
+func TestUnlistedHostBecomesKnownToAll(t *testing.T) {
+	is := is.New(t)
+	network := newSimNetwork(6, 20, 4)
+	network.run(2*time.Second, nil)
+	added := &simHost{server: "server-added"}
+	member := lavring.Member{ID: "added", DataCentre: "centre-0", Address: "10.1.0.1:7341"}
+	network.start(added, member)
+	network.hosts = append(network.hosts, added)
+	network.byAddress[member.Address] = added
+	added.peers.AddListed([]lavring.Member{network.hosts[4].peers.Self()}, network.now) // one host of its data centre
+	network.run(4*time.Second, nil)
+	for _, host := range network.hosts {
+		is.Equal(len(host.peers.Live(network.now)), 21)
+		is.Equal(network.seen(host, added).Requests, 1) // also at the added host itself
+	}
+}
+
+// TestBranchesHoldEachReceiverOnce guards against hosts that a total does not reach, and against long lists of one of them.
+func TestBranchesHoldEachReceiverOnce(t *testing.T) {
+	is := is.New(t)
+	for _, count := range []int{0, 1, 5, 6, 7, 36, 83, 300} {
+		seen := make(map[string]bool)
+		var receivers []string
+		for i := range count {
+			receivers = append(receivers, fmt.Sprint(i))
+		}
+		pending := forward(&Message{}, receivers)
+		is.True(len(pending) <= maxBranches)
+		for len(pending) > 0 {
+			envelope := pending[0]
+			is.Equal(len(envelope.To), 1)
+			is.True(!seen[envelope.To[0]])
+			seen[envelope.To[0]] = true
+			further := forward(envelope.Message, envelope.Message.ForwardTo)
+			is.True(len(further) <= maxBranches)
+			pending = append(pending[1:], further...)
+		}
+		is.Equal(len(seen), count)
+	}
+}
--- a/entry/services/lavbroadcast/broadcaster.go
+++ b/entry/services/lavbroadcast/broadcaster.go
@@ -4,51 +4,41 @@
 	"context"
 	"net"
 	"net/netip"
-	"sync/atomic"
+	"slices"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
 	"github.com/sourcegraph/conc"
 	"google.golang.org/protobuf/proto"
 
-	"lavenderswitch/core/models/lavid"
 	"lavenderswitch/core/modules/lavlife"
 	"lavenderswitch/core/modules/lavlog"
 	"lavenderswitch/core/modules/lavring"
-	"lavenderswitch/core/services/lavcutover"
-	"lavenderswitch/core/services/lavload"
+	"lavenderswitch/core/services/lavreport"
 	"lavenderswitch/wire/lavwire"
 )
 
-const (
-	// minInterval separates two broadcasts. With many peers, intervalPerPeer times their number separates them, which
-	// bounds the datagrams per second.
-	minInterval     = 200 * time.Millisecond
-	intervalPerPeer = 25 * time.Millisecond
-	// serversPerDatagram bounds the average number of servers in a datagram, to keep it within the usual packet size.
-	serversPerDatagram = 36
-	// maxDatagramBytes is the size of the receive buffer. No UDP datagram is larger.
-	maxDatagramBytes = 64 << 10
-)
+// maxDatagramBytes is the size of the receive buffer. No UDP datagram is larger.
+const maxDatagramBytes = 64 << 10
 
-// Broadcaster exchanges state with the other entry hosts in datagrams until its context ends.
+// Broadcaster exchanges reports with the other entry hosts in datagrams until its context ends.
 type Broadcaster struct {
 	lavlife.DoneSignal
-	Peers    *Peers
-	Loads    *lavload.Table
-	Cutovers *lavcutover.Cutovers
-	Log      logrus.FieldLogger
-	Clock    func() time.Time
-
-	socket  *net.UDPConn
-	leaving atomic.Bool
+	// Self is this host; its address receives the datagrams.
+	Self  lavring.Member
+	Node  *lavreport.Node
+	Log   logrus.FieldLogger
+	Clock func() time.Time
+
+	socket *net.UDPConn
+	// relays are the addresses of the relays that were logged last.
+	relays []string
 }
 
 // Listen opens the UDP socket at this host's address.
 func (b *Broadcaster) Listen() error {
-	address, err := netip.ParseAddrPort(b.Peers.self.Address)
+	address, err := netip.ParseAddrPort(b.Self.Address)
 	if err != nil {
 		return errors.Wrap(err, "parse the address for datagrams; check IP and the internal ports of the settings")
 	}
@@ -56,15 +46,15 @@
 	return errors.Wrapf(err, "listen on %s; choose free internal ports in the settings", address)
 }
 
-// Run sends this host's state and applies the states of its peers until ctx ends.
+// Run sends what is due and applies the datagrams of the other hosts until ctx ends.
 func (b *Broadcaster) Run(ctx context.Context) {
 	defer b.Finish()
 	var receiving conc.WaitGroup
 	receiving.Go(b.receive)
 	for ctx.Err() == nil {
-		peers := b.otherHosts()
-		b.send(peers)
-		lavlife.Sleep(ctx, max(minInterval, time.Duration(len(peers))*intervalPerPeer))
+		b.send(b.Node.Tick(b.Clock()))
+		b.logRelays()
+		lavlife.Sleep(ctx, lavreport.TickInterval)
 	}
 	if err := b.socket.Close(); err != nil {
 		b.Log.WithError(err).Debug("closing the datagram socket failed")
@@ -72,36 +62,38 @@
 	receiving.Wait()
 }
 
-// AnnounceLeaving marks this host as leaving and sends its state to all peers at once.
+// AnnounceLeaving tells all other hosts at once that this host accepts no new work.
 func (b *Broadcaster) AnnounceLeaving() {
-	b.leaving.Store(true)
-	b.send(b.otherHosts())
+	b.send(b.Node.Leave(b.Clock()))
 }
 
-func (b *Broadcaster) otherHosts() []lavring.Member {
-	hosts := b.Peers.Hosts(b.Clock())
-	others := hosts[:0]
-	for _, member := range hosts {
-		if member.ID != b.Peers.self.ID {
-			others = append(others, member)
-		}
+// logRelays logs which hosts serve as relays, whenever that changes.
+func (b *Broadcaster) logRelays() {
+	var ids []string
+	for _, relay := range b.Node.Relays() {
+		ids = append(ids, string(relay.ID))
+	}
+	if !slices.Equal(ids, b.relays) {
+		b.Log.WithField("relays", ids).Info("relays changed")
+		b.relays = ids
 	}
-	return others
 }
 
-func (b *Broadcaster) send(peers []lavring.Member) {
-	if len(peers) == 0 {
-		return
-	}
-	for _, state := range b.hostStates() {
-		data, err := proto.Marshal(state)
+func (b *Broadcaster) send(envelopes []lavreport.Envelope) {
+	for _, envelope := range envelopes {
+		data, err := proto.Marshal(encode(envelope.Message))
 		if err != nil {
-			b.Log.WithError(err).Error("encoding the state for peers failed")
-			return
+			b.Log.WithError(err).Error("encoding a message for peers failed")
+			continue
+		}
+		if len(data) > maxDatagramBytes {
+			b.Log.WithField("bytes", len(data)).Error("message for peers is larger than a datagram; it is not sent")
+			continue
 		}
-		for _, member := range peers {
-			address, err := netip.ParseAddrPort(member.Address)
+		for _, text := range envelope.To {
+			address, err := netip.ParseAddrPort(text)
 			if err != nil {
+				b.Log.WithError(err).WithField("address", text).Debug("address of a peer cannot be parsed")
 				continue
 			}
 			// Datagrams may be lost anyway, so a failed send is ignored.
@@ -110,61 +102,6 @@
 	}
 }
 
-// hostStates returns this host's state, split into one message for each datagram. The first one holds all cutovers.
-func (b *Broadcaster) hostStates() []*lavwire.HostState {
-	loads := b.Loads.Own()
-	parts := uint32(len(loads)/serversPerDatagram + 1)
-	states := make([]*lavwire.HostState, parts)
-	for part := range parts {
-		states[part] = &lavwire.HostState{
-			HostId:       string(b.Peers.self.ID),
-			DataCentreId: string(b.Peers.self.DataCentre),
-			Address:      b.Peers.self.Address,
-			Leaving:      b.leaving.Load(),
-			Part:         part,
-			Parts:        parts,
-		}
-	}
-	for server, load := range loads {
-		part := xxhash.Sum64String(string(server)) % uint64(parts)
-		states[part].Loads = append(states[part].Loads, &lavwire.ServerLoad{
-			BackendServerId: string(server),
-			Requests:        uint32(load.Requests),
-			UnreadTokens:    uint64(max(load.Unread, 0)),
-			MemoryTokens:    uint64(max(load.Memory, 0)),
-		})
-	}
-	for _, row := range b.Cutovers.Statuses() {
-		states[0].Cutovers = append(states[0].Cutovers, encodeCutover(row))
-	}
-	return states
-}
-
-func encodeCutover(row lavcutover.Status) *lavwire.CutoverState {
-	state := &lavwire.CutoverState{
-		ServiceId:      string(row.Progress.Service),
-		ReleaseId:      string(row.Progress.To),
-		State:          string(row.Progress.State),
-		BeganMillis:    row.Progress.Began.Milliseconds(),
-		DurationMillis: row.Progress.Duration.Milliseconds(),
-		RowVersion:     row.Version,
-	}
-	for key, counts := range row.Counts {
-		state.Counts = append(state.Counts, &lavwire.ReleaseCounts{
-			ReleaseId: string(key.Release),
-			Kind:      key.Kind,
-			Answers:   counts.Failures.Trials,
-			Failed:    counts.Failures.Bad,
-			Paced:     counts.Slow.Trials,
-			Slow:      counts.Slow.Bad,
-			Timed:     counts.Longer.Trials,
-			Longer:    counts.Longer.Bad,
-			Sends:     counts.Sends,
-		})
-	}
-	return state
-}
-
 func (b *Broadcaster) receive() {
 	buffer := make([]byte, maxDatagramBytes)
 	for {
@@ -180,57 +117,23 @@
 			b.Log.WithError(err).Debug("datagram cannot be decoded")
 			continue
 		}
-		b.apply(&state, b.Clock())
-	}
-}
-
-// apply stores the state that a peer has sent.
-func (b *Broadcaster) apply(state *lavwire.HostState, now time.Time) {
-	id := lavid.HostID(state.GetHostId())
-	if id == "" || id == b.Peers.self.ID {
-		return
-	}
-	member := lavring.Member{ID: id, DataCentre: lavid.DataCentreID(state.GetDataCentreId()), Address: state.GetAddress()}
-	if b.Peers.recordDatagram(member, state.GetLeaving(), now) {
-		b.Log.WithField(lavlog.FieldPeer, id).Info("peer heard for the first time")
-	}
-	loads := make(map[lavid.BackendServerID]lavload.Load, len(state.GetLoads()))
-	for _, load := range state.GetLoads() {
-		loads[lavid.BackendServerID(load.GetBackendServerId())] = lavload.Load{
-			Requests: int(load.GetRequests()),
-			Unread:   float64(load.GetUnreadTokens()),
-			Memory:   lavid.Tokens(load.GetMemoryTokens()),
+		message, err := decode(&state)
+		if err != nil {
+			b.Log.WithError(err).Debug("datagram is not valid")
+			continue
 		}
+		b.apply(message)
 	}
-	b.Loads.SetPeerReport(lavload.Reporter{Host: id, Part: state.GetPart()}, loads, now)
-	if state.GetPart() != 0 {
-		return
-	}
-	counts := make(map[lavcutover.Key]lavcutover.Counts)
-	for _, row := range state.GetCutovers() {
-		b.applyCutover(row, counts, now)
-	}
-	b.Cutovers.SetPeerCounts(id, counts)
 }
 
-func (b *Broadcaster) applyCutover(row *lavwire.CutoverState, counts map[lavcutover.Key]lavcutover.Counts, now time.Time) {
-	progress := lavcutover.Progress{
-		Service:  lavid.ServiceID(row.GetServiceId()),
-		To:       lavid.ReleaseID(row.GetReleaseId()),
-		State:    lavcutover.State(row.GetState()),
-		Began:    time.Duration(row.GetBeganMillis()) * time.Millisecond,
-		Duration: time.Duration(row.GetDurationMillis()) * time.Millisecond,
+// apply applies a message of another host.
+func (b *Broadcaster) apply(message *lavreport.Message) {
+	receipt := b.Node.Receive(message, b.Clock())
+	if receipt.NewPeer {
+		b.Log.WithField(lavlog.FieldPeer, message.From.ID).Info("peer heard for the first time")
 	}
-	if progress.State != "" && b.Cutovers.ApplyRow(progress, row.GetRowVersion(), now) {
+	for _, progress := range receipt.Changed {
 		b.Log.WithFields(logrus.Fields{"service": progress.Service, "release": progress.To, "state": progress.State}).Info("cutover changed by a peer")
 	}
-	for _, count := range row.GetCounts() {
-		key := lavcutover.Key{Service: progress.Service, Release: lavid.ReleaseID(count.GetReleaseId()), Kind: count.GetKind()}
-		counts[key] = lavcutover.Counts{
-			Failures: sample(count.GetAnswers(), count.GetFailed()),
-			Slow:     sample(count.GetPaced(), count.GetSlow()),
-			Longer:   sample(count.GetTimed(), count.GetLonger()),
-			Sends:    count.GetSends(),
-		}
-	}
+	b.send(receipt.Replies)
 }
--- a/entry/services/lavbroadcast/broadcaster_test.go
+++ b/entry/services/lavbroadcast/broadcaster_test.go
@@ -16,11 +16,20 @@
 	"lavenderswitch/core/modules/lavring"
 	"lavenderswitch/core/services/lavcutover"
 	"lavenderswitch/core/services/lavload"
+	"lavenderswitch/core/services/lavreport"
 	"lavenderswitch/core/services/lavrollout"
 )
 
+// testHost is a broadcaster with what it reports.
+type testHost struct {
+	*Broadcaster
+	Peers    *lavreport.Peers
+	Loads    *lavload.Table
+	Cutovers *lavcutover.Cutovers
+}
+
 // newBroadcaster returns a broadcaster that listens on a free port.
-func newBroadcaster(t *testing.T, id string) *Broadcaster {
+func newBroadcaster(t *testing.T, id string) *testHost {
 	t.Helper()
 	free, err := net.ListenPacket("udp4", "127.0.0.1:0")
 	is.New(t).NoErr(err)
@@ -28,18 +37,18 @@
 	is.New(t).NoErr(free.Close())
 	log := logrus.New()
 	log.SetOutput(io.Discard)
-	b := &Broadcaster{
-		Peers:    NewPeers(lavring.Member{ID: lavid.HostID(id), DataCentre: "centre-a", Address: address}),
+	h := &testHost{
+		Peers:    lavreport.NewPeers(lavring.Member{ID: lavid.HostID(id), DataCentre: "centre-a", Address: address}),
 		Loads:    lavload.New(),
 		Cutovers: lavcutover.New(lavcutover.Settings{Test: lavrollout.DefaultSettings(), StopEvidence: 100}),
-		Log:      log,
-		Clock:    time.Now,
 	}
-	is.New(t).NoErr(b.Listen())
-	return b
+	node := lavreport.NewNode(h.Peers, h.Loads, h.Cutovers, nil, time.Now())
+	h.Broadcaster = &Broadcaster{Self: h.Peers.Self(), Node: node, Log: log, Clock: time.Now}
+	is.New(t).NoErr(h.Listen())
+	return h
 }
 
-func start(t *testing.T, hosts ...*Broadcaster) {
+func start(t *testing.T, hosts ...*testHost) {
 	t.Helper()
 	ctx, cancel := context.WithCancel(context.Background())
 	for _, b := range hosts {
@@ -64,18 +73,20 @@
 	t.Fatal("condition not met in time: " + what)
 }
 
-// TestPeersExchangeLoadsAndUnlistedHosts guards against loads that are lost when they need several datagrams, and
-// against a host that stays unknown because it is missing in the list of the store.
+// serverCount is a number of servers whose loads need more than one packet.
+const serverCount = 100
+
+// TestPeersExchangeLoadsAndUnlistedHosts guards against loads that are lost when they need several packets, and against a host that stays unknown because it is missing in the list of the store.
 func TestPeersExchangeLoadsAndUnlistedHosts(t *testing.T) {
 	is := is.New(t)
 	a, b := newBroadcaster(t, "a"), newBroadcaster(t, "b")
 	a.Peers.AddListed([]lavring.Member{b.Peers.Self()}, time.Now())
-	for i := range 2 * serversPerDatagram {
+	for i := range serverCount {
 		a.Loads.Start(lavid.BackendServerID(fmt.Sprintf("server-%d", i)), 100, 200)
 	}
 	start(t, a, b)
 	eventually(t, "all loads", func() bool {
-		for i := range 2 * serversPerDatagram {
+		for i := range serverCount {
 			if b.Loads.Total(lavid.BackendServerID(fmt.Sprintf("server-%d", i)), time.Now()).Requests != 1 {
 				return false
 			}
@@ -116,34 +127,3 @@
 	a.AnnounceLeaving()
 	eventually(t, "one live host", func() bool { return len(b.Peers.Live(time.Now())) == 1 })
 }
-
-// TestReplacementNeedsEnoughReadyHosts guards against a host that shuts down its listener early when load balancers
-// have no, or too few, other hosts for its callers.
-func TestReplacementNeedsEnoughReadyHosts(t *testing.T) {
-	now := time.Unix(1000, 0)
-	tests := []struct {
-		name     string
-		local    []bool // whether each other host of the data centre is leaving
-		remote   []bool
-		replaced bool
-	}{
-		{"alone", nil, nil, false},
-		{"the other one of its data centre is ready", []bool{false}, nil, true},
-		{"all are leaving", []bool{true}, []bool{true, true}, false},
-		{"only another data centre is ready", []bool{true}, []bool{false}, true},
-		{"under half of its data centre is ready", []bool{false, true, true}, []bool{false}, false},
-	}
-	for _, test := range tests {
-		t.Run(test.name, func(t *testing.T) {
-			is := is.New(t)
-			peers := NewPeers(lavring.Member{ID: "self", DataCentre: "local"})
-			for centre, hosts := range map[lavid.DataCentreID][]bool{"local": test.local, "remote": test.remote} {
-				for i, leaving := range hosts {
-					peers.recordDatagram(lavring.Member{ID: lavid.HostID(fmt.Sprint(centre, i)), DataCentre: centre}, leaving, now)
-				}
-			}
-			is.Equal(peers.HasReplacement(now), test.replaced)
-			is.Equal(peers.HasReplacement(now.Add(liveTimeout)), false) // no recent datagrams
-		})
-	}
-}
--- /dev/null
+++ b/entry/services/lavbroadcast/decode.go
@@ -0,0 +1,129 @@
+package lavbroadcast
+
+import (
+	"slices"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"lavenderswitch/core/models/lavid"
+	"lavenderswitch/core/modules/lavring"
+	"lavenderswitch/core/services/lavcutover"
+	"lavenderswitch/core/services/lavload"
+	"lavenderswitch/core/services/lavreport"
+	"lavenderswitch/core/services/lavrollout"
+	"lavenderswitch/wire/lavwire"
+)
+
+// decode returns the message of a datagram.
+func decode(state *lavwire.HostState) (*lavreport.Message, error) {
+	message := &lavreport.Message{
+		From:      lavring.Member{ID: lavid.HostID(state.GetHostId()), DataCentre: lavid.DataCentreID(state.GetDataCentreId()), Address: state.GetAddress()},
+		Sequence:  lavreport.Sequence(state.GetSequence()),
+		Leaving:   state.GetLeaving(),
+		IsRelay:   state.GetRelay(),
+		Loads:     make(map[lavid.BackendServerID]lavload.Load, len(state.GetLoads())),
+		Cutovers:  decodeCutovers(state.GetCutovers()),
+		ForwardTo: state.GetForwardTo(),
+	}
+	if message.From.ID == "" || message.From.Address == "" {
+		return nil, errors.New("datagram names no sender")
+	}
+	known := false
+	for kind, encoded := range kinds {
+		if encoded == state.GetKind() {
+			message.Kind, known = kind, true
+		}
+	}
+	if !known {
+		return nil, errors.Errorf("datagram has the unknown kind %d", state.GetKind())
+	}
+	for _, load := range state.GetLoads() {
+		message.Loads[lavid.BackendServerID(load.GetBackendServerId())] = lavload.Load{
+			Requests: int(load.GetRequests()),
+			Unread:   float64(load.GetUnreadTokens()),
+			Memory:   lavid.Tokens(load.GetMemoryTokens()),
+		}
+	}
+	var err error
+	if message.Sum, err = decodeSum(state.GetSum()); err != nil {
+		return nil, err
+	}
+	for _, exchanged := range state.GetExchanged() {
+		sum, err := decodeSum(exchanged.GetSum())
+		if err != nil {
+			return nil, err
+		}
+		message.Exchanged = append(message.Exchanged, lavreport.CentreSum{DataCentre: lavid.DataCentreID(exchanged.GetDataCentreId()), Sum: sum})
+	}
+	for _, member := range state.GetMembers() {
+		message.Members = append(message.Members, lavring.Member{
+			ID: lavid.HostID(member.GetHostId()), DataCentre: lavid.DataCentreID(member.GetDataCentreId()), Address: member.GetAddress(),
+		})
+	}
+	return message, nil
+}
+
+// decodeSum returns a sum. It fails if its lists have unequal lengths.
+func decodeSum(encoded *lavwire.HostSum) (lavreport.Sum, error) {
+	sum := lavreport.Sum{Loads: make(map[lavload.ServerKey]lavload.Load, len(encoded.GetServers())), Cutovers: decodeCutovers(encoded.GetCutovers())}
+	hosts, servers := encoded.GetHosts(), encoded.GetServers()
+	if len(encoded.GetSequences()) != len(hosts) || len(encoded.GetAgesMillis()) != len(hosts) {
+		return lavreport.Sum{}, errors.Errorf("sum of %d hosts has %d sequences and %d ages", len(hosts), len(encoded.GetSequences()), len(encoded.GetAgesMillis()))
+	}
+	if len(encoded.GetRequests()) != len(servers) || len(encoded.GetUnreadTokens()) != len(servers) || len(encoded.GetMemoryTokens()) != len(servers) {
+		return lavreport.Sum{}, errors.Errorf("sum of %d backend servers has %d, %d and %d loads", len(servers), len(encoded.GetRequests()), len(encoded.GetUnreadTokens()), len(encoded.GetMemoryTokens()))
+	}
+	for i, host := range hosts {
+		sum.Entries = append(sum.Entries, lavreport.Entry{
+			Host:     lavreport.HostKey(host),
+			Sequence: lavreport.Sequence(encoded.GetSequences()[i]),
+			Age:      time.Duration(encoded.GetAgesMillis()[i]) * time.Millisecond,
+			Leaving:  slices.Contains(encoded.GetLeaving(), host),
+		})
+	}
+	for i, server := range servers {
+		sum.Loads[lavload.ServerKey(server)] = lavload.Load{
+			Requests: int(encoded.GetRequests()[i]),
+			Unread:   float64(encoded.GetUnreadTokens()[i]),
+			Memory:   lavid.Tokens(encoded.GetMemoryTokens()[i]),
+		}
+	}
+	return sum, nil
+}
+
+func decodeCutovers(states []*lavwire.CutoverState) []lavcutover.Status {
+	statuses := make([]lavcutover.Status, 0, len(states))
+	for _, state := range states {
+		statuses = append(statuses, decodeCutover(state))
+	}
+	return statuses
+}
+
+func decodeCutover(state *lavwire.CutoverState) lavcutover.Status {
+	status := lavcutover.Status{
+		Progress: lavcutover.Progress{
+			Service:  lavid.ServiceID(state.GetServiceId()),
+			To:       lavid.ReleaseID(state.GetReleaseId()),
+			State:    lavcutover.State(state.GetState()),
+			Began:    time.Duration(state.GetBeganMillis()) * time.Millisecond,
+			Duration: time.Duration(state.GetDurationMillis()) * time.Millisecond,
+		},
+		Version: state.GetRowVersion(),
+		Counts:  make(map[lavcutover.Key]lavcutover.Counts, len(state.GetCounts())),
+	}
+	for _, count := range state.GetCounts() {
+		key := lavcutover.Key{Service: status.Progress.Service, Release: lavid.ReleaseID(count.GetReleaseId()), Kind: count.GetKind()}
+		status.Counts[key] = lavcutover.Counts{
+			Failures: sample(count.GetAnswers(), count.GetFailed()),
+			Slow:     sample(count.GetPaced(), count.GetSlow()),
+			Longer:   sample(count.GetTimed(), count.GetLonger()),
+			Sends:    count.GetSends(),
+		}
+	}
+	return status
+}
+
+func sample(trials, bad float64) lavrollout.Sample {
+	return lavrollout.Sample{Trials: trials, Bad: bad}
+}
--- /dev/null
+++ b/entry/services/lavbroadcast/encode.go
@@ -0,0 +1,106 @@
+package lavbroadcast
+
+import (
+	"lavenderswitch/core/modules/lavring"
+	"lavenderswitch/core/services/lavcutover"
+	"lavenderswitch/core/services/lavreport"
+	"lavenderswitch/wire/lavwire"
+)
+
+// kinds maps the kinds of messages to those on the wire.
+var kinds = map[lavreport.Kind]lavwire.MessageKind{
+	lavreport.KindReport:   lavwire.MessageKind_MESSAGE_KIND_REPORT,
+	lavreport.KindHello:    lavwire.MessageKind_MESSAGE_KIND_HELLO,
+	lavreport.KindExchange: lavwire.MessageKind_MESSAGE_KIND_EXCHANGE,
+	lavreport.KindTotal:    lavwire.MessageKind_MESSAGE_KIND_TOTAL,
+}
+
+// encode returns the datagram of a message.
+func encode(message *lavreport.Message) *lavwire.HostState {
+	state := &lavwire.HostState{
+		HostId:       string(message.From.ID),
+		DataCentreId: string(message.From.DataCentre),
+		Address:      message.From.Address,
+		Leaving:      message.Leaving,
+		Parts:        1,
+		Kind:         kinds[message.Kind],
+		Sequence:     uint32(message.Sequence),
+		ForwardTo:    message.ForwardTo,
+		Relay:        message.IsRelay,
+		Cutovers:     encodeCutovers(message.Cutovers),
+	}
+	for server, load := range message.Loads {
+		state.Loads = append(state.Loads, &lavwire.ServerLoad{
+			BackendServerId: string(server),
+			Requests:        uint32(load.Requests),
+			UnreadTokens:    uint64(max(load.Unread, 0)),
+			MemoryTokens:    uint64(max(load.Memory, 0)),
+		})
+	}
+	if message.Kind == lavreport.KindExchange || message.Kind == lavreport.KindTotal {
+		state.Sum = encodeSum(message.Sum)
+	}
+	for _, sum := range message.Exchanged {
+		state.Exchanged = append(state.Exchanged, &lavwire.CentreSum{DataCentreId: string(sum.DataCentre), Sum: encodeSum(sum.Sum)})
+	}
+	for _, member := range message.Members {
+		state.Members = append(state.Members, encodeMember(member))
+	}
+	return state
+}
+
+func encodeMember(member lavring.Member) *lavwire.HostMember {
+	return &lavwire.HostMember{HostId: string(member.ID), DataCentreId: string(member.DataCentre), Address: member.Address}
+}
+
+func encodeSum(sum lavreport.Sum) *lavwire.HostSum {
+	encoded := &lavwire.HostSum{Cutovers: encodeCutovers(sum.Cutovers)}
+	for _, entry := range sum.Entries {
+		encoded.Hosts = append(encoded.Hosts, uint32(entry.Host))
+		encoded.Sequences = append(encoded.Sequences, uint32(entry.Sequence))
+		encoded.AgesMillis = append(encoded.AgesMillis, uint32(entry.Age.Milliseconds()))
+		if entry.Leaving {
+			encoded.Leaving = append(encoded.Leaving, uint32(entry.Host))
+		}
+	}
+	for server, load := range sum.Loads {
+		encoded.Servers = append(encoded.Servers, uint32(server))
+		encoded.Requests = append(encoded.Requests, uint32(load.Requests))
+		encoded.UnreadTokens = append(encoded.UnreadTokens, uint64(max(load.Unread, 0)))
+		encoded.MemoryTokens = append(encoded.MemoryTokens, uint64(max(load.Memory, 0)))
+	}
+	return encoded
+}
+
+func encodeCutovers(statuses []lavcutover.Status) []*lavwire.CutoverState {
+	states := make([]*lavwire.CutoverState, 0, len(statuses))
+	for _, status := range statuses {
+		states = append(states, encodeCutover(status))
+	}
+	return states
+}
+
+func encodeCutover(row lavcutover.Status) *lavwire.CutoverState {
+	state := &lavwire.CutoverState{
+		ServiceId:      string(row.Progress.Service),
+		ReleaseId:      string(row.Progress.To),
+		State:          string(row.Progress.State),
+		BeganMillis:    row.Progress.Began.Milliseconds(),
+		DurationMillis: row.Progress.Duration.Milliseconds(),
+		RowVersion:     row.Version,
+	}
+	for key, counts := range row.Counts {
+		state.Counts = append(state.Counts, &lavwire.ReleaseCounts{
+			ReleaseId: string(key.Release),
+			Kind:      key.Kind,
+			Answers:   counts.Failures.Trials,
+			Failed:    counts.Failures.Bad,
+			Paced:     counts.Slow.Trials,
+			Slow:      counts.Slow.Bad,
+			Timed:     counts.Longer.Trials,
+			Longer:    counts.Longer.Bad,
+			Sends:     counts.Sends,
+		})
+	}
+	return state
+}
--- a/entry/services/lavwatch/registrar.go
+++ b/entry/services/lavwatch/registrar.go
@@ -9,7 +9,7 @@
 	"lavenderswitch/core/models/lavid"
 	"lavenderswitch/core/modules/lavlife"
 	"lavenderswitch/core/modules/lavring"
-	"lavenderswitch/entry/services/lavbroadcast"
+	"lavenderswitch/core/services/lavreport"
 )
 
 const (
@@ -32,7 +32,7 @@
 // Registrar registers this host in the store and reads the list of the other entry hosts until its context ends.
 type Registrar struct {
 	lavlife.DoneSignal
-	Peers *lavbroadcast.Peers
+	Peers *lavreport.Peers
 	Store HostStore
 	// CallTimeout bounds one call to the store.
 	CallTimeout time.Duration
