Shorten the report intervals of hosts that send few messages

Cause: at 6 hosts a report was 0.44 s old at the median although a host sent 17 messages a second. Under load, hosts chose engines by what had been true before several requests of the others.

Change: a host shortens its intervals, down to 0.4 of the usual ones, while it sends fewer than 36 messages a second.

--- a/core/services/lavreport/network_test.go
+++ b/core/services/lavreport/network_test.go
@@ -94,7 +94,7 @@
 func (s *simNetwork) start(host *simHost, member lavring.Member) {
 	host.peers, host.loads = NewPeers(member), lavload.New()
 	host.node = NewNode(host.peers, host.loads, lavcutover.New(lavcutover.Settings{}), nil, s.now)
-	host.job = host.loads.Start(host.server, 0, lavid.Tokens(s.now.UnixMilli()))
+	host.job = host.loads.Start(host.server, lavload.Load{Memory: lavid.Tokens(s.now.UnixMilli())})
 	host.nextTick = s.now.Add(time.Duration(s.random.Int64N(int64(TickInterval))))
 	host.down = false
 }
@@ -153,7 +153,7 @@
 			}
 			host.nextTick = s.now.Add(TickInterval)
 			host.job.End()
-			host.job = host.loads.Start(host.server, 0, lavid.Tokens(s.now.UnixMilli()))
+			host.job = host.loads.Start(host.server, lavload.Load{Memory: lavid.Tokens(s.now.UnixMilli())})
 			s.send(host, host.node.Tick(s.now))
 		}
 		if observe != nil {
--- a/core/services/lavreport/node.go
+++ b/core/services/lavreport/node.go
@@ -13,8 +13,8 @@
 const (
 	// TickInterval is how often Tick is to be called.
 	TickInterval = 50 * time.Millisecond
-	// reportInterval separates two reports of a host. A change of its requests by largeChange, and by a quarter of them, is
-	// reported at the next tick.
+	// reportInterval separates two reports of a host, unless it sends few messages. A change of its requests by largeChange,
+	// and by a quarter of them, is reported at the next tick.
 	reportInterval = 200 * time.Millisecond
 	largeChange    = 8
 	// exchangeInterval separates two exchanges of a relay with the other data centres, of which at most exchangeTargets get
@@ -22,6 +22,10 @@
 	exchangeInterval = 300 * time.Millisecond
 	exchangeTargets  = 4
 	totalInterval    = 300 * time.Millisecond
+	// maxMessageRate is the number of messages a second that a host sends at most. A host that would send fewer shortens its
+	// intervals, down to shortestShare of the usual ones.
+	maxMessageRate = 36
+	shortestShare  = 0.4
 	// reporterTimeout is how long after its last report a host gets totals.
 	reporterTimeout = time.Second
 	// countsLifetime is how long a relay keeps the counts of a host that fell silent, about as long as a cutover takes.
@@ -137,23 +141,25 @@
 	self := n.peers.Self()
 	n.relays = n.choice.choose(self.ID, n.peers.relayCandidates(self.DataCentre, now), now)
 	var envelopes []Envelope
+	reporters := n.reporters(now)
+	serves := len(reporters) > 0 || n.isRelay()
+	share := n.intervalShare(len(reporters), serves, now)
 	probing := now.Sub(n.lastProbe) >= probeInterval
 	if probing {
 		n.lastProbe = now
 	}
-	if own := n.loads.Own(); probing || n.reportDue(own, now) {
+	if own := n.loads.Own(); probing || n.reportDue(own, share, now) {
 		envelopes = append(envelopes, n.report(own, probing, now)...)
 	}
 	if greeted := n.peers.takeUngreeted(greetingsPerTick); len(greeted) > 0 {
 		envelopes = append(envelopes, Envelope{To: addressesOf(greeted), Message: n.message(KindHello)})
 	}
-	reporters := n.reporters(now)
-	if len(reporters) > 0 || n.isRelay() {
-		if now.Sub(n.lastExchange) >= n.exchangeInterval(now) {
+	if serves {
+		if now.Sub(n.lastExchange) >= shorten(n.exchangeInterval(now), share) {
 			envelopes = append(envelopes, n.exchange(now)...)
 			n.round++
 		}
-		if now.Sub(n.lastTotal) >= totalInterval {
+		if now.Sub(n.lastTotal) >= shorten(totalInterval, share) {
 			envelopes = append(envelopes, n.sendTotal(reporters, now)...)
 			n.round++
 		}
@@ -210,9 +216,27 @@
 	return false
 }
 
+// shorten returns a part of an interval. Half a tick less makes up for ticks that come late.
+func shorten(interval time.Duration, share float64) time.Duration {
+	return max(time.Duration(share*float64(interval))-TickInterval/2, TickInterval/2)
+}
+
+// intervalShare returns the part of the usual intervals at which this host sends no more than maxMessageRate.
+func (n *Node) intervalShare(reporters int, serves bool, now time.Time) float64 {
+	rate := float64(len(n.others(n.relays))) / reportInterval.Seconds()
+	if serves {
+		rate += float64(min(len(n.peers.dataCentres(now)), exchangeTargets)) / exchangeInterval.Seconds()
+		rate += float64(min(reporters, maxBranches)) / totalInterval.Seconds()
+	}
+	if !serves && len(n.peers.relayCandidates(n.peers.Self().DataCentre, now)) > maxBranches+relayCount {
+		rate += maxBranches / totalInterval.Seconds() // it may forward totals
+	}
+	return min(max(rate/maxMessageRate, shortestShare), 1)
+}
+
 // reportDue reports whether this host has to report its loads.
-func (n *Node) reportDue(own map[lavid.BackendServerID]lavload.Load, now time.Time) bool {
-	if now.Sub(n.lastReport) >= reportInterval {
+func (n *Node) reportDue(own map[lavid.BackendServerID]lavload.Load, share float64, now time.Time) bool {
+	if now.Sub(n.lastReport) >= shorten(reportInterval, share) {
 		return true
 	}
 	change := max(requestsOf(own)-n.reportedRequests, n.reportedRequests-requestsOf(own))
