Predict the first events of engines from what a host has seen

core/services/lavforecast: a regression of the time to the first event on the work until then, for each service, over the latest hundred answers or so, and the slowness of each server, which halves in 5 s without samples. It gives an expected time and one that one answer in ten exceeds; the ratio of seen to predicted times is a metric. It replaces the mean time per token, which knew no fixed part and had no spread. Loads tell the work of requests that would be late from the rest, in reports too.

A run of a larger model is decided by the high estimate.

--- a/core/services/lavbalance/least_loaded.go
+++ b/core/services/lavbalance/least_loaded.go
@@ -13,9 +13,10 @@
 	Requests int
 	Slots    int
 	// Unread is the work of the prompts that wait for prefill, and AddedWork that of this request's prompt, both in tokens
-	// of the smallest model of the route.
+	// of the smallest model of the route. Deferred is the part of Unread that waits behind requests that can be in time.
 	Unread    float64
 	AddedWork float64
+	Deferred  float64
 	// Memory is the number of tokens that the requests in progress hold, including this one; Capacity is how many the
 	// server can hold.
 	Memory   lavid.Tokens
--- a/core/services/lavload/table.go
+++ b/core/services/lavload/table.go
@@ -16,18 +16,25 @@
 	// Unread is the work of the prompts whose prefill has not been observed to end. Its unit is the prefill of one token by
 	// the smallest model of a route.
 	Unread float64
+	// Deferred is the part of Unread that belongs to requests which engines serve behind those that can be in time.
+	Deferred float64
 	// Memory is the number of tokens that the requests hold or will hold.
 	Memory lavid.Tokens
 }
 
 // Plus returns the sum of both loads.
 func (l Load) Plus(other Load) Load {
-	return Load{Requests: l.Requests + other.Requests, Unread: l.Unread + other.Unread, Memory: l.Memory + other.Memory}
+	return Load{Requests: l.Requests + other.Requests, Unread: l.Unread + other.Unread, Deferred: l.Deferred + other.Deferred, Memory: l.Memory + other.Memory}
 }
 
 // Minus returns the difference of both loads; no part of it is below zero.
 func (l Load) Minus(other Load) Load {
-	return Load{Requests: max(l.Requests-other.Requests, 0), Unread: max(l.Unread-other.Unread, 0), Memory: max(l.Memory-other.Memory, 0)}
+	return Load{
+		Requests: max(l.Requests-other.Requests, 0),
+		Unread:   max(l.Unread-other.Unread, 0),
+		Deferred: max(l.Deferred-other.Deferred, 0),
+		Memory:   max(l.Memory-other.Memory, 0),
+	}
 }
 
 // ServerKey identifies a backend server in reports between hosts. It is a hash of the server's ID; two servers with one key
@@ -60,23 +67,23 @@
 	load   Load
 }
 
-// Start adds a request to this host's load. The parameter unread is the work of its prompt in the unit of Load.Unread, and
-// memory the number of tokens that the request will hold.
-func (t *Table) Start(server lavid.BackendServerID, unread float64, memory lavid.Tokens) *Job {
-	job := &Job{table: t, server: server, load: Load{Requests: 1, Unread: unread, Memory: memory}}
+// Start adds a request to this host's load, with the work of its prompt and the memory that it will hold.
+func (t *Table) Start(server lavid.BackendServerID, load Load) *Job {
+	load.Requests = 1
+	job := &Job{table: t, server: server, load: load}
 	t.add(server, job.load)
 	return job
 }
 
 // MarkPromptRead removes the prompt from the unread work; the first event of the answer shows that its prefill is done.
 func (j *Job) MarkPromptRead() {
-	j.table.add(j.server, Load{Unread: -j.load.Unread})
-	j.load.Unread = 0
+	j.table.add(j.server, Load{Unread: -j.load.Unread, Deferred: -j.load.Deferred})
+	j.load.Unread, j.load.Deferred = 0, 0
 }
 
 // End removes the request. Further calls have no effect.
 func (j *Job) End() {
-	j.table.add(j.server, Load{Requests: -j.load.Requests, Unread: -j.load.Unread, Memory: -j.load.Memory})
+	j.table.add(j.server, Load{Requests: -j.load.Requests, Unread: -j.load.Unread, Deferred: -j.load.Deferred, Memory: -j.load.Memory})
 	j.load = Load{}
 }
 
--- a/entry/services/lavforward/choose.go
+++ b/entry/services/lavforward/choose.go
@@ -9,6 +9,7 @@
 	"lavenderswitch/core/services/lavbalance"
 	"lavenderswitch/core/services/lavcutover"
 	"lavenderswitch/core/services/lavdirectory"
+	"lavenderswitch/core/services/lavforecast"
 	"lavenderswitch/core/services/lavload"
 )
 
@@ -27,9 +28,13 @@
 	lavdirectory.Row
 	model lavid.ModelID
 	// unreadTokens is the prompt work that the request adds, and unreadTokensBefore the prompt work that is already
-	// pending at the server; both are in tokens of the smallest model.
-	unreadTokens       float64
-	unreadTokensBefore float64
+	// pending at the server, of which deferredTokensBefore belongs to requests behind those that can be in time; all are in
+	// tokens of the smallest model.
+	unreadTokens         float64
+	unreadTokensBefore   float64
+	deferredTokensBefore float64
+	// band is the place of the request among those of its urgency.
+	band lavforecast.Band
 	// candidateCount is the number of servers from which this one was chosen.
 	candidateCount int
 }
@@ -114,6 +119,7 @@
 			Requests:          load.Requests,
 			Slots:             row.Slots,
 			Unread:            load.Unread,
+			Deferred:          load.Deferred,
 			AddedWork:         e.promptWork(row, model, row.ID == home, now),
 			Memory:            load.Memory + e.memoryTokens(),
 			Capacity:          engine.Capacity,
@@ -126,7 +132,12 @@
 	if best < 0 {
 		return choice{}, false
 	}
-	return choice{Row: rows[best], model: model, unreadTokens: engines[best].AddedWork, unreadTokensBefore: engines[best].Unread, candidateCount: len(rows)}, true
+	chosen := choice{
+		Row: rows[best], model: model, candidateCount: len(rows),
+		unreadTokens: engines[best].AddedWork, unreadTokensBefore: engines[best].Unread, deferredTokensBefore: engines[best].Deferred,
+	}
+	chosen.band = e.band(chosen, now)
+	return chosen, true
 }
 
 // homeServer returns the server that all hosts prefer for the shared prefix of the prompt, by rendezvous hashing; it is
@@ -241,5 +252,9 @@
 	}
 	e.Releases.RecordSend(chosen.Server, e.sessionKey(), now)
 	e.prompts.add(chosen.ID, model, e.request.Prompt, now)
-	return e.Loads.Start(chosen.ID, chosen.unreadTokens, e.memoryTokens()), true
+	load := lavload.Load{Unread: chosen.unreadTokens, Memory: e.memoryTokens()}
+	if chosen.band != lavforecast.InTime {
+		load.Deferred = load.Unread
+	}
+	return e.Loads.Start(chosen.ID, load), true
 }
--- a/entry/services/lavforward/delivery.go
+++ b/entry/services/lavforward/delivery.go
@@ -14,6 +14,7 @@
 	"lavenderswitch/core/models/lavroute"
 	"lavenderswitch/core/modules/lavevent"
 	"lavenderswitch/core/services/lavcutover"
+	"lavenderswitch/core/services/lavforecast"
 	"lavenderswitch/core/services/lavload"
 	"lavenderswitch/core/services/lavplan"
 )
@@ -140,7 +141,9 @@
 	}
 	job.MarkPromptRead()
 	e.timing.Answered(e.Clock())
-	e.speeds.recordFirstEvent(e.request.Service.ID, chosen.unreadTokens+chosen.unreadTokensBefore, e.Clock().Sub(sentAt))
+	if e.request.Service.Engine != nil {
+		e.observeFirst(chosen, e.Clock().Sub(sentAt), e.Clock())
+	}
 	if e.shouldEscalate(reply) {
 		e.escalate(chosen, reply)
 		return stepRepeat, Result{}
@@ -290,7 +293,9 @@
 	if !ok {
 		return lavplan.Forecast{}, false
 	}
-	first, last := e.speeds.expect(e.request.Service.ID, model, chosen.unreadTokens+chosen.unreadTokensBefore, e.expectedEvents())
+	// The high estimate counts, as a run that turns out late delays others besides.
+	first := e.estimate(chosen, lavforecast.Deferred, now).High
+	last := first + e.speeds.expectEvents(model, e.expectedEvents())
 	return lavplan.Forecast{
 		FirstEvent:   first,
 		LastEvent:    last,
--- a/entry/services/lavforward/execution.go
+++ b/entry/services/lavforward/execution.go
@@ -12,6 +12,7 @@
 	"lavenderswitch/core/models/lavid"
 	"lavenderswitch/core/modules/lavexchange"
 	"lavenderswitch/core/services/lavcutover"
+	"lavenderswitch/core/services/lavforecast"
 	"lavenderswitch/core/services/lavload"
 )
 
@@ -123,6 +124,9 @@
 	ctx, cancel := context.WithTimeout(ctx, remaining)
 	defer cancel()
 	rank := e.rank()
+	if chosen.band != lavforecast.InTime {
+		e.Metrics.deferrals.WithLabelValues(string(chosen.Service)).Inc()
+	}
 	var awaitingHead atomic.Bool
 	awaitingHead.Store(true)
 	others := maps.Clone(e.excluded)
--- a/entry/services/lavforward/forwarder.go
+++ b/entry/services/lavforward/forwarder.go
@@ -13,6 +13,7 @@
 	"lavenderswitch/core/services/lavcold"
 	"lavenderswitch/core/services/lavcutover"
 	"lavenderswitch/core/services/lavdirectory"
+	"lavenderswitch/core/services/lavforecast"
 	"lavenderswitch/core/services/lavload"
 )
 
@@ -68,7 +69,9 @@
 	repeats  *repeatBudget
 	prompts  *promptCache
 	speeds   *speedEstimates
-	random   func() float64
+	// forecasts predicts the first events of engines.
+	forecasts *lavforecast.Forecaster
+	random    func() float64
 }
 
 // New returns a forwarder with the given settings and dependencies.
@@ -80,6 +83,7 @@
 		repeats:      newRepeatBudget(settings),
 		prompts:      newPromptCache(),
 		speeds:       newSpeedEstimates(),
+		forecasts:    lavforecast.New(),
 		random:       rand.Float64,
 	}
 }
--- a/entry/services/lavforward/metrics.go
+++ b/entry/services/lavforward/metrics.go
@@ -47,6 +47,8 @@
 	duration          *prometheus.HistogramVec
 	firstEvent        *prometheus.HistogramVec
 	serverFirstAnswer *prometheus.HistogramVec
+	predictionRatio   *prometheus.HistogramVec
+	deferrals         *prometheus.CounterVec
 
 	mu sync.Mutex
 	// servers holds the backend servers for which sends has label values.
@@ -62,7 +64,14 @@
 	histogram := func(name, help string, labels ...string) *prometheus.HistogramVec {
 		return factory.NewHistogramVec(prometheus.HistogramOpts{Name: "lavenderswitch_" + name, Help: help, Buckets: latencyBuckets}, labels)
 	}
+	predictionRatio := factory.NewHistogramVec(prometheus.HistogramOpts{
+		Name:    "lavenderswitch_first_event_prediction_ratio",
+		Help:    "Time to an engine's first event, divided by the predicted time.",
+		Buckets: []float64{0.25, 0.5, 0.67, 0.8, 1, 1.25, 1.5, 2, 4, 8},
+	}, []string{labelService})
 	return &Metrics{
+		predictionRatio:   predictionRatio,
+		deferrals:         counter("deferred_sends_total", "Sends to engines behind the requests that can be in time.", labelService),
 		servers:           make(map[lavid.BackendServerID]bool),
 		requests:          counter("requests_total", "Requests that ended, by kind and outcome.", labelKind, labelOutcome),
 		refusals:          counter("refusals_total", "Requests that were refused, by kind and status.", labelKind, labelStatus),
--- a/entry/services/lavforward/send_log.go
+++ b/entry/services/lavforward/send_log.go
@@ -11,6 +11,7 @@
 	"lavenderswitch/core/models/lavid"
 	"lavenderswitch/core/models/lavroute"
 	"lavenderswitch/core/modules/lavlog"
+	"lavenderswitch/core/services/lavforecast"
 )
 
 // The outcomes of a request.
@@ -53,7 +54,7 @@
 		remaining:       e.request.Deadline.Sub(now),
 		excludedServers: len(e.excluded),
 		resumeAfter:     e.lastEventID,
-		expectedFirst:   e.expectedFirst(chosen),
+		expectedFirst:   e.expectedFirst(chosen, now),
 	})
 }
 
@@ -84,6 +85,7 @@
 			fields["unread_tokens"] = int64(send.unreadTokens)
 			fields["unread_tokens_before"] = int64(send.unreadTokensBefore)
 			fields["expected_first_ms"] = send.expectedFirst.Milliseconds()
+			fields["deferred"] = send.band != lavforecast.InTime
 		}
 		e.Log.WithFields(fields).Info("sent")
 	}
--- a/entry/services/lavforward/timeouts.go
+++ b/entry/services/lavforward/timeouts.go
@@ -51,7 +51,7 @@
 	if waited >= silence && e.health.silentSince(chosen.ID, now.Add(-silence)) {
 		return true
 	}
-	expected := overtakenFactor * e.expectedFirst(chosen)
+	expected := overtakenFactor * e.expectedFirst(chosen, sentAt)
 	overtaking := e.health.overtaking(chosen.ID, sentAt, rank)
 	overtakenTimeout := max(time.Duration(overtakenTimeoutShare*float64(e.firstEventTimeout())), expected)
 	if waited >= overtakenTimeout && overtaking >= overtakenThreshold {
@@ -62,16 +62,10 @@
 
 // silenceTimeout returns how long a send waits for its answer while its server is silent towards this host.
 func (e *execution) silenceTimeout(chosen choice, sentAt time.Time) time.Duration {
-	return min(e.firstEventTimeout(), max(e.waitLimit(sentAt), overtakenFactor*e.expectedFirst(chosen)))
+	return min(e.firstEventTimeout(), max(e.waitLimit(sentAt), overtakenFactor*e.expectedFirst(chosen, sentAt)))
 }
 
 // waitLimit returns waitShare of the time that was left when a request was sent.
 func (e *execution) waitLimit(sentAt time.Time) time.Duration {
 	return time.Duration(waitShare * float64(e.request.Deadline.Sub(sentAt)))
 }
-
-// expectedFirst returns the expected time to the first event of an engine's answer; unknown speeds count as zero.
-func (e *execution) expectedFirst(chosen choice) time.Duration {
-	first, _ := e.speeds.expect(e.request.Service.ID, chosen.model, chosen.unreadTokens+chosen.unreadTokensBefore, 0)
-	return first
-}
