Let requests wait at the host until an engine can serve them in time

Cause: every request went to an engine at once. Engines read prompts in order of arrival, so that under load long patient prompts made short urgent requests late, and one client account made all others late. Hosts that know each other's sends 0.4 s later all chose the engine that had been emptiest.

Those that can be in time go first, the more urgent ones before others, accounts by turns in work; late ones follow. Waiting is bounded in number and bytes, ends with the caller's patience, and is refused as not run, with the time of its turn, as soon as the turn cannot come any more. The time per token is taken from answers whose own prompt dominates: work of others that a host does not know of had made engines seem to read a backlog in no time. lavbalance.LeastWorkOfSample: engines that have read a part of the prompt, and three others by chance.

--- a/core/models/lavroute/route.go
+++ b/core/models/lavroute/route.go
@@ -52,6 +52,8 @@
 	LatencyTarget time.Duration
 	// PauseTarget is the longest pause between two events of a stream that still meets the target.
 	PauseTarget time.Duration
+	// Patience is how long callers of a stream wait for its next event, also for the first one. Zero means until the deadline.
+	Patience time.Duration
 	// Urgency is the priority of the route. Zero is the most urgent.
 	Urgency int
 	// Models lists the models to choose from, smallest first. It is empty if requests name their model.
--- a/core/services/lavbalance/least_loaded.go
+++ b/core/services/lavbalance/least_loaded.go
@@ -13,10 +13,11 @@
 	Requests int
 	Slots    int
 	// Unread is the work of the prompts that wait for prefill, and AddedWork that of this request's prompt, both in tokens
-	// of the smallest model of the route. Deferred is the part of Unread that waits behind requests that can be in time.
+	// of the smallest model of the route.
 	Unread    float64
 	AddedWork float64
-	Deferred  float64
+	// WholeWork is the work of the whole prompt; AddedWork is less if the engine has read a part of it before.
+	WholeWork float64
 	// Memory is the number of tokens that the requests in progress hold, including this one; Capacity is how many the
 	// server can hold.
 	Memory   lavid.Tokens
@@ -60,6 +61,38 @@
 	return best
 }
 
+// sampleSize is the number of engines without a part of the prompt among which one is chosen.
+const sampleSize = 3
+
+// LeastWorkOfSample returns the index of the engine of least cost among a random sample, or -1 when there is none. Engines
+// that have read a part of the prompt before always belong to the sample.
+//
+// Hosts know what others have sent only some time later. If each chose the least of all engines, all would choose the same
+// ones until the next reports arrive.
+func LeastWorkOfSample(engines []Engine, random func() float64) int {
+	sampled := make([]int, 0, len(engines))
+	unread := make([]int, 0, len(engines))
+	for i := range engines {
+		if engines[i].AddedWork < engines[i].WholeWork {
+			sampled = append(sampled, i)
+			continue
+		}
+		unread = append(unread, i)
+	}
+	for drawn := 0; drawn < sampleSize && drawn < len(unread); drawn++ {
+		other := drawn + int(random()*float64(len(unread)-drawn))
+		unread[drawn], unread[other] = unread[other], unread[drawn]
+		sampled = append(sampled, unread[drawn])
+	}
+	best, least := -1, 0.0
+	for _, i := range sampled {
+		if cost := engines[i].cost(); best < 0 || cost < least {
+			best, least = i, cost
+		}
+	}
+	return best
+}
+
 func (e *Engine) cost() float64 {
 	cost := e.Unread + addedWeight*e.AddedWork + requestTokens*float64(e.Requests)
 	if e.Slots > 0 && e.Requests >= e.Slots {
--- a/core/services/lavforecast/forecaster.go
+++ b/core/services/lavforecast/forecaster.go
@@ -21,16 +21,24 @@
 	maxServers = 4096
 	// minSeconds bounds the logarithms of times and predictions from below.
 	minSeconds = 0.001
+	// maxBeforeShare is the largest part of the work before a request, relative to its own, in the samples from which the time
+	// per token is taken. What other hosts have sent lately is not known, and would make the engines seem faster.
+	maxBeforeShare = 0.25
 )
 
 // Query describes a request at an engine.
 type Query struct {
 	Service lavid.ServiceID
 	Server  lavid.BackendServerID
-	// Work is what the engine reads until the first event, in tokens of the smallest model: the prompt and what precedes it.
-	Work float64
+	// Own is the part of the prompt that the engine has to read, and Before what it has to read first, as far as this host
+	// knows; both in tokens of the smallest model.
+	Own    float64
+	Before float64
 }
 
+// work returns what the engine reads until the first event.
+func (q Query) work() float64 { return q.Own + q.Before }
+
 // Estimate is the predicted time to a first event.
 type Estimate struct {
 	Expected time.Duration
@@ -83,14 +91,16 @@
 	}
 	ratio := 0.0
 	if known.times.weight > 0 {
-		usual := known.seconds(query.Work)
+		usual := known.seconds(query.work())
 		predicted := max(usual*math.Exp(f.slowness(query.Server, now)), minSeconds)
 		ratio = seen / predicted
 		known.meanError += errorWeight * (math.Abs(math.Log(ratio)) - known.meanError)
 		mean := f.slowness(query.Server, now)
 		f.servers.Add(query.Server, slowness{mean: mean + serverWeight*(math.Log(seen/usual)-mean), at: now})
 	}
-	known.times.add(query.Work, seen)
+	if query.Before <= maxBeforeShare*query.Own {
+		known.times.add(query.work(), seen)
+	}
 	return ratio
 }
 
@@ -114,15 +124,27 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	known, found := f.services[query.Service]
-	if !found {
+	if !found || known.times.weight == 0 {
 		return Estimate{}
 	}
-	expected := known.seconds(query.Work) * math.Exp(f.slowness(query.Server, now))
+	expected := known.seconds(query.work()) * math.Exp(f.slowness(query.Server, now))
 	// For errors with a normal distribution of the logarithm, one in ten exceeds 1.6 times the mean absolute error.
 	high := expected * math.Exp(1.6*known.meanError)
 	return Estimate{Expected: seconds(expected), High: seconds(high), Known: true}
 }
 
+// Delay predicts how much later the first event of a request comes because of work that the engine does before.
+func (f *Forecaster) Delay(query Query, now time.Time) time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	known, found := f.services[query.Service]
+	if !found {
+		return 0
+	}
+	_, slope := known.times.line()
+	return seconds(slope * query.Before * math.Exp(f.slowness(query.Server, now)))
+}
+
 func seconds(value float64) time.Duration { return time.Duration(value * float64(time.Second)) }
 
 // Slowness returns how many times longer than usual a server has taken recently; 1 without samples.
--- a/core/services/lavload/table.go
+++ b/core/services/lavload/table.go
@@ -16,15 +16,13 @@
 	// Unread is the work of the prompts whose prefill has not been observed to end. Its unit is the prefill of one token by
 	// the smallest model of a route.
 	Unread float64
-	// Deferred is the part of Unread that belongs to requests which engines serve behind those that can be in time.
-	Deferred float64
 	// Memory is the number of tokens that the requests hold or will hold.
 	Memory lavid.Tokens
 }
 
 // Plus returns the sum of both loads.
 func (l Load) Plus(other Load) Load {
-	return Load{Requests: l.Requests + other.Requests, Unread: l.Unread + other.Unread, Deferred: l.Deferred + other.Deferred, Memory: l.Memory + other.Memory}
+	return Load{Requests: l.Requests + other.Requests, Unread: l.Unread + other.Unread, Memory: l.Memory + other.Memory}
 }
 
 // Minus returns the difference of both loads; no part of it is below zero.
@@ -32,7 +30,6 @@
 	return Load{
 		Requests: max(l.Requests-other.Requests, 0),
 		Unread:   max(l.Unread-other.Unread, 0),
-		Deferred: max(l.Deferred-other.Deferred, 0),
 		Memory:   max(l.Memory-other.Memory, 0),
 	}
 }
@@ -77,13 +74,13 @@
 
 // MarkPromptRead removes the prompt from the unread work; the first event of the answer shows that its prefill is done.
 func (j *Job) MarkPromptRead() {
-	j.table.add(j.server, Load{Unread: -j.load.Unread, Deferred: -j.load.Deferred})
-	j.load.Unread, j.load.Deferred = 0, 0
+	j.table.add(j.server, Load{Unread: -j.load.Unread})
+	j.load.Unread = 0
 }
 
 // End removes the request. Further calls have no effect.
 func (j *Job) End() {
-	j.table.add(j.server, Load{Requests: -j.load.Requests, Unread: -j.load.Unread, Deferred: -j.load.Deferred, Memory: -j.load.Memory})
+	j.table.add(j.server, Load{Requests: -j.load.Requests, Unread: -j.load.Unread, Memory: -j.load.Memory})
 	j.load = Load{}
 }
 
--- /dev/null
+++ b/core/services/lavwaiting/queue.go
@@ -0,0 +1,153 @@
+package lavwaiting
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"lavenderswitch/core/models/lavid"
+)
+
+const (
+	// maxItems is the number of requests that wait for a service at a host, and maxBytes the size of their bodies.
+	maxItems = 512
+	maxBytes = 16 << 20
+	// rateWindow is the time constant of the rate at which this host's work is released.
+	rateWindow = 2 * time.Second
+	// minRateTime is how long work must have been released before a turn is predicted by the rate.
+	minRateTime = time.Second
+)
+
+// Item is a request that waits.
+type Item struct {
+	Account lavid.AccountID
+	// Urgency is the urgency of the request; zero is the most urgent.
+	Urgency int
+	// Work is what an engine reads for the request, in tokens of the smallest model, and Bytes the size of its body.
+	Work  float64
+	Bytes int
+	// Target is when the first event is late, and Deadline when the caller stops waiting.
+	Target   time.Time
+	Deadline time.Time
+
+	number int
+	// start is the virtual time of the item, in work of its account.
+	start float64
+}
+
+// Queue holds the requests of a service that wait at this host. It is not safe for concurrent use.
+type Queue struct {
+	items  []*Item
+	bytes  int
+	number int
+	// virtual is the virtual time of the item released last, and finish that of the latest item of each account.
+	virtual float64
+	finish  map[lavid.AccountID]float64
+	// rate is the work released a second, as of ratedAt, while requests waited since busySince.
+	rate      float64
+	ratedAt   time.Time
+	busySince time.Time
+}
+
+// New returns an empty queue.
+func New() *Queue {
+	return &Queue{finish: make(map[lavid.AccountID]float64)}
+}
+
+// Len returns the number of requests that wait.
+func (q *Queue) Len() int { return len(q.items) }
+
+// Add adds a request and reports whether there is room for it.
+func (q *Queue) Add(item *Item, now time.Time) bool {
+	if len(q.items) >= maxItems || q.bytes+item.Bytes > maxBytes {
+		return false
+	}
+	if len(q.items) == 0 {
+		q.busySince, q.ratedAt, q.rate = now, now, 0
+	}
+	q.number++
+	item.number = q.number
+	// The items of an account follow each other in virtual time, so that accounts get equal work while they wait.
+	item.start = max(q.virtual, q.finish[item.Account])
+	q.finish[item.Account] = item.start + item.Work
+	q.items = append(q.items, item)
+	q.bytes += item.Bytes
+	return true
+}
+
+// Remove removes a request, because it was released or its caller left.
+func (q *Queue) Remove(item *Item) {
+	position := slices.Index(q.items, item)
+	if position < 0 {
+		return
+	}
+	q.items = slices.Delete(q.items, position, position+1)
+	q.bytes -= item.Bytes
+	if len(q.items) == 0 {
+		clear(q.finish)
+		q.virtual = 0
+	}
+}
+
+// Release removes a request that goes to an engine.
+func (q *Queue) Release(item *Item, now time.Time) {
+	elapsed := now.Sub(q.ratedAt).Seconds()
+	share := min(elapsed/rateWindow.Seconds(), 1)
+	q.rate += item.Work/rateWindow.Seconds() - share*q.rate
+	q.ratedAt = now
+	q.virtual = max(q.virtual, item.start)
+	q.Remove(item)
+}
+
+// Ordered returns the requests in the order in which they are to be released: those that can still be in time before those
+// that are late, the more urgent ones first, and accounts by turns.
+func (q *Queue) Ordered(now time.Time) []*Item {
+	ordered := slices.Clone(q.items)
+	slices.SortFunc(ordered, func(a, b *Item) int { return compare(a, b, now) })
+	return ordered
+}
+
+func compare(a, b *Item, now time.Time) int {
+	late := func(item *Item) int {
+		if now.After(item.Target) {
+			return 1
+		}
+		return 0
+	}
+	return cmp.Or(
+		cmp.Compare(late(a), late(b)),
+		cmp.Compare(a.Urgency, b.Urgency),
+		cmp.Compare(a.start, b.start),
+		cmp.Compare(a.number, b.number),
+	)
+}
+
+// Turn predicts how long a request waits from now until it is released, or false while the rate is not known.
+func (q *Queue) Turn(item *Item, now time.Time) (time.Duration, bool) {
+	if now.Sub(q.busySince) < minRateTime || q.rate <= 0 {
+		return 0, false
+	}
+	before := 0.0
+	for _, other := range q.items {
+		if other != item && compare(other, item, now) < 0 {
+			before += other.Work
+		}
+	}
+	return time.Duration(before / q.rate * float64(time.Second)), true
+}
+
+// Hopeless returns the requests that cannot get their turn before their deadline.
+func (q *Queue) Hopeless(now time.Time) []*Item {
+	var hopeless []*Item
+	before := 0.0
+	known := now.Sub(q.busySince) >= minRateTime && q.rate > 0
+	for _, item := range q.Ordered(now) {
+		left := item.Deadline.Sub(now).Seconds()
+		if left <= 0 || known && before/q.rate > left {
+			hopeless = append(hopeless, item)
+			continue
+		}
+		before += item.Work
+	}
+	return hopeless
+}
--- a/entry/services/lavbroadcast/decode.go
+++ b/entry/services/lavbroadcast/decode.go
@@ -43,7 +43,6 @@
 			Requests: int(load.GetRequests()),
 			Unread:   float64(load.GetUnreadTokens()),
 			Memory:   lavid.Tokens(load.GetMemoryTokens()),
-			Deferred: float64(load.GetDeferredTokens()),
 		}
 	}
 	var err error
@@ -72,9 +71,9 @@
 	if len(encoded.GetSequences()) != len(hosts) || len(encoded.GetAgesMillis()) != len(hosts) {
 		return lavreport.Sum{}, errors.Errorf("sum of %d hosts has %d sequences and %d ages", len(hosts), len(encoded.GetSequences()), len(encoded.GetAgesMillis()))
 	}
-	if len(encoded.GetRequests()) != len(servers) || len(encoded.GetUnreadTokens()) != len(servers) || len(encoded.GetMemoryTokens()) != len(servers) || len(encoded.GetDeferredTokens()) != len(servers) {
-		return lavreport.Sum{}, errors.Errorf("sum of %d backend servers has %d, %d, %d and %d loads", len(servers),
-			len(encoded.GetRequests()), len(encoded.GetUnreadTokens()), len(encoded.GetMemoryTokens()), len(encoded.GetDeferredTokens()))
+	if len(encoded.GetRequests()) != len(servers) || len(encoded.GetUnreadTokens()) != len(servers) || len(encoded.GetMemoryTokens()) != len(servers) {
+		return lavreport.Sum{}, errors.Errorf("sum of %d backend servers has %d, %d and %d loads", len(servers),
+			len(encoded.GetRequests()), len(encoded.GetUnreadTokens()), len(encoded.GetMemoryTokens()))
 	}
 	for i, host := range hosts {
 		sum.Entries = append(sum.Entries, lavreport.Entry{
@@ -89,7 +88,6 @@
 			Requests: int(encoded.GetRequests()[i]),
 			Unread:   float64(encoded.GetUnreadTokens()[i]),
 			Memory:   lavid.Tokens(encoded.GetMemoryTokens()[i]),
-			Deferred: float64(encoded.GetDeferredTokens()[i]),
 		}
 	}
 	return sum, nil
--- a/entry/services/lavbroadcast/encode.go
+++ b/entry/services/lavbroadcast/encode.go
@@ -35,7 +35,6 @@
 			Requests:        uint32(load.Requests),
 			UnreadTokens:    uint64(max(load.Unread, 0)),
 			MemoryTokens:    uint64(max(load.Memory, 0)),
-			DeferredTokens:  uint64(max(load.Deferred, 0)),
 		})
 	}
 	if message.Kind == lavreport.KindExchange || message.Kind == lavreport.KindTotal {
@@ -69,7 +68,6 @@
 		encoded.Requests = append(encoded.Requests, uint32(load.Requests))
 		encoded.UnreadTokens = append(encoded.UnreadTokens, uint64(max(load.Unread, 0)))
 		encoded.MemoryTokens = append(encoded.MemoryTokens, uint64(max(load.Memory, 0)))
-		encoded.DeferredTokens = append(encoded.DeferredTokens, uint64(max(load.Deferred, 0)))
 	}
 	return encoded
 }
--- a/entry/services/lavforward/choose.go
+++ b/entry/services/lavforward/choose.go
@@ -28,13 +28,9 @@
 	lavdirectory.Row
 	model lavid.ModelID
 	// unreadTokens is the prompt work that the request adds, and unreadTokensBefore the prompt work that is already
-	// pending at the server, of which deferredTokensBefore belongs to requests behind those that can be in time; all are in
-	// tokens of the smallest model.
-	unreadTokens         float64
-	unreadTokensBefore   float64
-	deferredTokensBefore float64
-	// band is the place of the request among those of its urgency.
-	band lavforecast.Band
+	// pending at the server; both are in tokens of the smallest model.
+	unreadTokens       float64
+	unreadTokensBefore float64
 	// candidateCount is the number of servers from which this one was chosen.
 	candidateCount int
 }
@@ -48,9 +44,12 @@
 	if e.request.Service.Engine == nil {
 		return e.choosePlain(rows, now)
 	}
-	return e.chooseEngine(rows, model, now)
+	return e.chooseEngine(rows, model, noLimit, now)
 }
 
+// noLimit allows any delay at an engine.
+const noLimit = time.Duration(math.MaxInt64)
+
 // candidates returns the servers that may take the request, without the excluded ones. It prefers servers of a preferred
 // release to those of a fallback release, and among servers of equal preference those that this host's own health records
 // show as usable.
@@ -106,21 +105,27 @@
 	return string(e.request.ID)
 }
 
-// chooseEngine returns the engine that is expected to answer first.
-func (e *execution) chooseEngine(rows []lavdirectory.Row, model lavid.ModelID, now time.Time) (choice, bool) {
+// chooseEngine returns the engine that is expected to answer first, of those at which the work in progress delays the request
+// by at most maxDelay.
+func (e *execution) chooseEngine(rows []lavdirectory.Row, model lavid.ModelID, maxDelay time.Duration, now time.Time) (choice, bool) {
 	engine := e.request.Service.Engine
 	home := e.homeServer(rows, model)
 	engines := make([]lavbalance.Engine, 0, len(rows))
+	usable := make([]lavdirectory.Row, 0, len(rows))
 	meanRate := e.meanFailureRate(rows, now)
 	for _, row := range rows {
 		load := e.Loads.Total(row.ID, now)
+		if maxDelay != noLimit && e.forecasts.Delay(lavforecast.Query{Service: row.Service, Server: row.ID, Before: load.Unread}, now) > maxDelay {
+			continue
+		}
+		usable = append(usable, row)
 		engines = append(engines, lavbalance.Engine{
 			ID:                row.ID,
 			Requests:          load.Requests,
 			Slots:             row.Slots,
 			Unread:            load.Unread,
-			Deferred:          load.Deferred,
 			AddedWork:         e.promptWork(row, model, row.ID == home, now),
+			WholeWork:         float64(e.request.Prompt.Input) * e.readFactor(model),
 			Memory:            load.Memory + e.memoryTokens(),
 			Capacity:          engine.Capacity,
 			ExcessFailureRate: e.excessFailureRate(row.ID, meanRate, now),
@@ -128,16 +133,11 @@
 			Far:               row.DataCentre != e.DataCentre,
 		})
 	}
-	best := lavbalance.LeastWork(engines)
+	best := lavbalance.LeastWorkOfSample(engines, e.random)
 	if best < 0 {
 		return choice{}, false
 	}
-	chosen := choice{
-		Row: rows[best], model: model, candidateCount: len(rows),
-		unreadTokens: engines[best].AddedWork, unreadTokensBefore: engines[best].Unread, deferredTokensBefore: engines[best].Deferred,
-	}
-	chosen.band = e.band(chosen, now)
-	return chosen, true
+	return choice{Row: usable[best], model: model, unreadTokens: engines[best].AddedWork, unreadTokensBefore: engines[best].Unread, candidateCount: len(rows)}, true
 }
 
 // homeServer returns the server that all hosts prefer for the shared prefix of the prompt, by rendezvous hashing; it is
@@ -252,9 +252,5 @@
 	}
 	e.Releases.RecordSend(chosen.Server, e.sessionKey(), now)
 	e.prompts.add(chosen.ID, model, e.request.Prompt, now)
-	load := lavload.Load{Unread: chosen.unreadTokens, Memory: e.memoryTokens()}
-	if chosen.band != lavforecast.InTime {
-		load.Deferred = load.Unread
-	}
-	return e.Loads.Start(chosen.ID, load), true
+	return e.Loads.Start(chosen.ID, lavload.Load{Unread: chosen.unreadTokens, Memory: e.memoryTokens()}), true
 }
--- a/entry/services/lavforward/delivery.go
+++ b/entry/services/lavforward/delivery.go
@@ -14,7 +14,6 @@
 	"lavenderswitch/core/models/lavroute"
 	"lavenderswitch/core/modules/lavevent"
 	"lavenderswitch/core/services/lavcutover"
-	"lavenderswitch/core/services/lavforecast"
 	"lavenderswitch/core/services/lavload"
 	"lavenderswitch/core/services/lavplan"
 )
@@ -294,7 +293,7 @@
 		return lavplan.Forecast{}, false
 	}
 	// The high estimate counts, as a run that turns out late delays others besides.
-	first := e.estimate(chosen, lavforecast.Deferred, now).High
+	first := e.estimate(chosen, now).High
 	last := first + e.speeds.expectEvents(model, e.expectedEvents())
 	return lavplan.Forecast{
 		FirstEvent:   first,
--- a/entry/services/lavforward/execution.go
+++ b/entry/services/lavforward/execution.go
@@ -12,7 +12,6 @@
 	"lavenderswitch/core/models/lavid"
 	"lavenderswitch/core/modules/lavexchange"
 	"lavenderswitch/core/services/lavcutover"
-	"lavenderswitch/core/services/lavforecast"
 	"lavenderswitch/core/services/lavload"
 )
 
@@ -43,6 +42,8 @@
 	answeringModel lavid.ModelID
 	confidence     int
 	stream         streamState
+	// waited is how long the request waited until an engine could serve it in time.
+	waited time.Duration
 	// lastServer is the server of the latest send, and lastFailure the reason of the latest send that failed.
 	lastServer  lavid.BackendServerID
 	lastFailure string
@@ -80,6 +81,18 @@
 			return e.fail("deadline has passed")
 		}
 		model := e.chooseModel()
+		if e.mayWait() {
+			entry := e.waiting.wait(ctx, e, model)
+			if entry.refused != "" {
+				return e.refuse(entry.refused, entry.retryAfter)
+			}
+			next, result := e.send(ctx, entry.chosen, model, entry.job, e.Clock())
+			entry.job.End()
+			if next == stepDone {
+				return result
+			}
+			continue
+		}
 		chosen, ok := e.choose(model, now)
 		if !ok {
 			return e.fail("no server may take the request")
@@ -124,9 +137,6 @@
 	ctx, cancel := context.WithTimeout(ctx, remaining)
 	defer cancel()
 	rank := e.rank()
-	if chosen.band != lavforecast.InTime {
-		e.Metrics.deferrals.WithLabelValues(string(chosen.Service)).Inc()
-	}
 	var awaitingHead atomic.Bool
 	awaitingHead.Store(true)
 	others := maps.Clone(e.excluded)
@@ -282,6 +292,11 @@
 	return Result{Refusal: &Refusal{Status: http.StatusBadGateway, Reason: reason}}
 }
 
+// refuse ends a request that was sent to no server. The caller may return when its turn would have come.
+func (e *execution) refuse(reason string, turn time.Duration) Result {
+	return Result{Refusal: &Refusal{Status: http.StatusServiceUnavailable, RetryAfter: turn + e.retryAfter(), Reason: reason}}
+}
+
 const (
 	// minRetryAfter and retryAfterSpread are the smallest Retry-After of a refusal and the range of its random part.
 	minRetryAfter    = 300 * time.Millisecond
--- a/entry/services/lavforward/forwarder.go
+++ b/entry/services/lavforward/forwarder.go
@@ -71,6 +71,7 @@
 	speeds   *speedEstimates
 	// forecasts predicts the first events of engines.
 	forecasts *lavforecast.Forecaster
+	waiting   *waitingRoom
 	random    func() float64
 }
 
@@ -84,6 +85,7 @@
 		prompts:      newPromptCache(),
 		speeds:       newSpeedEstimates(),
 		forecasts:    lavforecast.New(),
+		waiting:      newWaitingRoom(dependencies.Metrics, dependencies.Clock),
 		random:       rand.Float64,
 	}
 }
--- a/entry/services/lavforward/metrics.go
+++ b/entry/services/lavforward/metrics.go
@@ -48,7 +48,8 @@
 	firstEvent        *prometheus.HistogramVec
 	serverFirstAnswer *prometheus.HistogramVec
 	predictionRatio   *prometheus.HistogramVec
-	deferrals         *prometheus.CounterVec
+	waiting           *prometheus.GaugeVec
+	waited            *prometheus.HistogramVec
 
 	mu sync.Mutex
 	// servers holds the backend servers for which sends has label values.
@@ -71,7 +72,8 @@
 	}, []string{labelService})
 	return &Metrics{
 		predictionRatio:   predictionRatio,
-		deferrals:         counter("deferred_sends_total", "Sends to engines behind the requests that can be in time.", labelService),
+		waiting:           factory.NewGaugeVec(prometheus.GaugeOpts{Name: "lavenderswitch_requests_waiting", Help: "Requests that wait at this host until an engine can serve them in time."}, []string{labelService}),
+		waited:            histogram("request_wait_seconds", "Time that a request waited at this host until an engine could serve it in time.", labelService),
 		servers:           make(map[lavid.BackendServerID]bool),
 		requests:          counter("requests_total", "Requests that ended, by kind and outcome.", labelKind, labelOutcome),
 		refusals:          counter("refusals_total", "Requests that were refused, by kind and status.", labelKind, labelStatus),
--- a/entry/services/lavforward/send_log.go
+++ b/entry/services/lavforward/send_log.go
@@ -11,7 +11,6 @@
 	"lavenderswitch/core/models/lavid"
 	"lavenderswitch/core/models/lavroute"
 	"lavenderswitch/core/modules/lavlog"
-	"lavenderswitch/core/services/lavforecast"
 )
 
 // The outcomes of a request.
@@ -85,7 +84,6 @@
 			fields["unread_tokens"] = int64(send.unreadTokens)
 			fields["unread_tokens_before"] = int64(send.unreadTokensBefore)
 			fields["expected_first_ms"] = send.expectedFirst.Milliseconds()
-			fields["deferred"] = send.band != lavforecast.InTime
 		}
 		e.Log.WithFields(fields).Info("sent")
 	}
@@ -127,6 +125,9 @@
 		fields["retry_after_ms"] = result.Refusal.RetryAfter.Milliseconds()
 		e.Metrics.refusals.WithLabelValues(e.request.Route.Kind.String(), strconv.Itoa(result.Refusal.Status)).Inc()
 	}
+	if e.waited > 0 {
+		fields["waited_ms"] = e.waited.Milliseconds()
+	}
 	if e.firstEventAfter > 0 {
 		fields["first_ms"] = e.firstEventAfter.Milliseconds()
 		fields["events"] = e.deliveredEvents
