Let the relays read the store for the hosts of their data centres

Change: core/services/lavnews decides who reads and what is taken over, with the time as an argument. The two relays of a data centre read; their messages tell the version, digest and age of what they know, and who hears of a change fetches the content from them over the internal listener, compressed and decoded as a reply of the store is. A reader reads when what it knows from any host is older than 0.2 to 0.3 of the bound, and by itself once in the bound; another host once it is older than 0.55 to 0.65 (0.75 to 0.85 for polled rows). No host goes back to a lower version but by an own read, which shows a store that was replaced. Rows of hosts and cut-overs are read again by readers only.

Trusted are datagrams and answers on internal addresses, as before.

Refused callers come back in the order of their refusal, as many at a time as the host releases (lavwaiting.ReturnAfter; ten thousand callers simulated).

--- a/core/services/lavreport/message.go
+++ b/core/services/lavreport/message.go
@@ -9,6 +9,7 @@
 	"lavenderswitch/core/modules/lavring"
 	"lavenderswitch/core/services/lavcutover"
 	"lavenderswitch/core/services/lavload"
+	"lavenderswitch/core/services/lavnews"
 )
 
 // HostKey identifies a host in sums. It is a hash of the host's ID.
@@ -60,6 +61,8 @@
 	Exchanged []CentreSum
 	// Members are hosts that the receiver may not know.
 	Members []lavring.Member
+	// News is what a relay knows of the store; nil if the sender is none.
+	News *lavnews.News
 	// ForwardTo are addresses to which the receiver forwards the message, without this list.
 	ForwardTo []string
 }
--- a/core/services/lavreport/node.go
+++ b/core/services/lavreport/node.go
@@ -8,6 +8,7 @@
 	"lavenderswitch/core/modules/lavring"
 	"lavenderswitch/core/services/lavcutover"
 	"lavenderswitch/core/services/lavload"
+	"lavenderswitch/core/services/lavnews"
 )
 
 const (
@@ -59,6 +60,9 @@
 	cutovers []lavcutover.Status
 }
 
+// NewsSource returns what this host knows of the store.
+type NewsSource func(now time.Time) *lavnews.News
+
 // AgeObserver is called with the age of each report that a total brings to this host.
 type AgeObserver func(age time.Duration)
 
@@ -68,6 +72,7 @@
 	loads    *lavload.Table
 	cutovers *lavcutover.Cutovers
 	observe  AgeObserver
+	news     NewsSource
 
 	mu       sync.Mutex
 	sequence Sequence
@@ -106,11 +111,11 @@
 	counts cutoverCounts
 }
 
-// NewNode returns a node that reports the loads and cutovers of this host, and applies those of the others to them. The
-// observer may be nil.
-func NewNode(peers *Peers, loads *lavload.Table, cutovers *lavcutover.Cutovers, observe AgeObserver, now time.Time) *Node {
+// NewNode returns a node that reports the loads and cutovers of this host, and applies those of the others to them. As a
+// relay, it passes the news on. The source of news and the observer may be nil.
+func NewNode(peers *Peers, loads *lavload.Table, cutovers *lavcutover.Cutovers, news NewsSource, observe AgeObserver, now time.Time) *Node {
 	return &Node{
-		peers: peers, loads: loads, cutovers: cutovers, observe: observe,
+		peers: peers, loads: loads, cutovers: cutovers, news: news, observe: observe,
 		// A restarted host goes on above its earlier numbers.
 		sequence:     Sequence(now.UnixMilli() / reportInterval.Milliseconds()),
 		startedAt:    now,
@@ -123,6 +128,16 @@
 	}
 }
 
+// Rank returns the place of this host among the relays of its data centre, which are the readers of the store.
+func (n *Node) Rank() lavnews.Rank {
+	for rank, relay := range n.Relays() {
+		if relay.ID == n.peers.Self().ID {
+			return lavnews.Rank(rank)
+		}
+	}
+	return lavnews.NotReader
+}
+
 // Relays returns the relays that this host reports to.
 func (n *Node) Relays() []lavring.Member {
 	n.mu.Lock()
@@ -188,6 +203,14 @@
 	return &Message{Kind: kind, From: n.peers.Self(), Sequence: n.sequence, Leaving: n.leaving}
 }
 
+// currentNews returns what this host knows of the store, or nil.
+func (n *Node) currentNews(now time.Time) *lavnews.News {
+	if n.news == nil {
+		return nil
+	}
+	return n.news(now)
+}
+
 func (n *Node) others(members []lavring.Member) []lavring.Member {
 	var others []lavring.Member
 	for _, member := range members {
@@ -271,6 +294,7 @@
 	message.Loads, message.Cutovers = report.loads, report.cutovers
 	if message.IsRelay = n.isRelay(); message.IsRelay {
 		message.Exchanged = n.exchangedSums(now)
+		message.News = n.currentNews(now)
 	}
 	return []Envelope{{To: addressesOf(receivers), Message: message}}
 }
--- a/core/services/lavreport/peers.go
+++ b/core/services/lavreport/peers.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"maps"
+	"net/netip"
 	"slices"
 	"sync"
 	"time"
@@ -193,6 +194,18 @@
 	return append(recent[first:], recent[:first]...)[:introductions]
 }
 
+// HasAddress reports whether a host on record has the IP address.
+func (p *Peers) HasAddress(ip netip.Addr) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, row := range p.peers {
+		if address, err := netip.ParseAddrPort(row.member.Address); err == nil && address.Addr() == ip {
+			return true
+		}
+	}
+	return false
+}
+
 // Hosts returns all hosts that may have requests in progress, in order of their ids. A silent host is included until
 // silentTimeout has passed.
 func (p *Peers) Hosts(now time.Time) []lavring.Member {
--- a/core/services/lavreport/receive.go
+++ b/core/services/lavreport/receive.go
@@ -11,6 +11,8 @@
 
 // Receipt tells what a message changed.
 type Receipt struct {
+	// Accepted is false if the message is this host's own, or has no known age.
+	Accepted bool
 	// Replies are the messages to send.
 	Replies []Envelope
 	// NewPeer reports whether the sender was heard for the first time.
@@ -27,7 +29,7 @@
 	if message.From.ID == "" || message.From.ID == self.ID || now.Before(n.dropBefore) || now.Sub(n.lastTick) > suspensionGap {
 		return Receipt{}
 	}
-	receipt := Receipt{NewPeer: n.peers.recordMessage(message.From, message.Leaving, now)}
+	receipt := Receipt{Accepted: true, NewPeer: n.peers.recordMessage(message.From, message.Leaving, now)}
 	n.peers.AddListed(message.Members, now)
 	if receipt.NewPeer && message.Kind != KindHello && !n.leaving {
 		receipt.Replies = append(receipt.Replies, Envelope{To: []string{message.From.Address}, Message: n.message(KindHello)})
--- a/core/services/lavwaiting/queue.go
+++ b/core/services/lavwaiting/queue.go
@@ -47,6 +47,8 @@
 	rate      float64
 	ratedAt   time.Time
 	busySince time.Time
+	// nextReturn is when the next refused caller is asked to come back.
+	nextReturn time.Time
 }
 
 // New returns an empty queue.
@@ -122,18 +124,24 @@
 	)
 }
 
-// Turn predicts how long a request waits from now until it is released, or false while the rate is not known.
-func (q *Queue) Turn(item *Item, now time.Time) (time.Duration, bool) {
+// ReturnAfter returns when the caller of a refused request is to come back: after the requests that wait and the callers that
+// were refused before, as many at a time as the host can release. It returns zero while the rate is not known.
+func (q *Queue) ReturnAfter(item *Item, now time.Time) time.Duration {
 	if now.Sub(q.busySince) < minRateTime || q.rate <= 0 {
-		return 0, false
+		return 0
 	}
-	before := 0.0
+	waiting := 0.0
 	for _, other := range q.items {
-		if other != item && compare(other, item, now) < 0 {
-			before += other.Work
+		if other != item {
+			waiting += other.Work
 		}
 	}
-	return time.Duration(before / q.rate * float64(time.Second)), true
+	turn := now.Add(time.Duration(waiting / q.rate * float64(time.Second)))
+	if turn.Before(q.nextReturn) {
+		turn = q.nextReturn
+	}
+	q.nextReturn = turn.Add(time.Duration(item.Work / q.rate * float64(time.Second)))
+	return turn.Sub(now)
 }
 
 // Hopeless returns the requests that cannot get their turn before their deadline.
--- a/core/services/lavwaiting/queue_test.go
+++ b/core/services/lavwaiting/queue_test.go
@@ -88,9 +88,7 @@
 	hopeless := q.Hopeless(now)
 	is.True(len(hopeless) > 100) // eight seconds are left, for 80 requests
 	is.True(len(hopeless) < 190)
-	turn, known := q.Turn(hopeless[0], now)
-	is.True(known)
-	is.True(turn > 6*time.Second)
+	is.True(q.ReturnAfter(hopeless[0], now) > 6*time.Second)
 }
 
 func TestDeadlineEndsTheWait(t *testing.T) {
@@ -154,3 +152,34 @@
 	is.Equal(targets.Allowance(0, time.Second, start), 750*time.Millisecond)
 	is.Equal(targets.Allowance(1, 3*time.Second, start.Add(time.Minute)), 2250*time.Millisecond) // no urgent request for long
 }
+
+// TestRefusedCallersReturnInOrderAtTheRateOfTheHost answers the pattern of many callers that are refused at once: those that
+// obey come back in the order in which they were refused, as many at a time as can be served.
+func TestRefusedCallersReturnInOrderAtTheRateOfTheHost(t *testing.T) {
+	is := is.New(t)
+	const callers, work, rate = 10_000, 100.0, 50_000.0
+	q := New()
+	is.True(q.Add(newItem("a", 0, work), start))
+	now := start
+	for now.Sub(start) < 10*time.Second { // the host releases 500 requests a second, while one more always waits
+		now = now.Add(2 * time.Millisecond)
+		is.True(q.Add(newItem("a", 0, work), now))
+		q.Release(q.Ordered(now)[0], now)
+	}
+	is.True(q.rate > 0.9*rate && q.rate < 1.1*rate)
+	perSecond := make(map[int]int)
+	last := time.Duration(-1)
+	for range callers {
+		after := q.ReturnAfter(newItem("a", 0, work), now)
+		is.True(after > last)
+		last = after
+		perSecond[int(after/time.Second)]++
+	}
+	is.True(last > 18*time.Second && last < 22*time.Second)
+	for second, count := range perSecond {
+		if second < int(last/time.Second) {
+			is.True(count > 440 && count < 560)
+		}
+	}
+	is.Equal(q.ReturnAfter(newItem("a", 0, work), now.Add(time.Hour)), time.Duration(work/q.rate*float64(time.Second))) // only the one that waits is before it
+}
--- a/entry/services/lavbroadcast/broadcaster.go
+++ b/entry/services/lavbroadcast/broadcaster.go
@@ -12,9 +12,11 @@
 	"github.com/sourcegraph/conc"
 	"google.golang.org/protobuf/proto"
 
+	"lavenderswitch/core/models/lavid"
 	"lavenderswitch/core/modules/lavlife"
 	"lavenderswitch/core/modules/lavlog"
 	"lavenderswitch/core/modules/lavring"
+	"lavenderswitch/core/services/lavnews"
 	"lavenderswitch/core/services/lavreport"
 	"lavenderswitch/wire/lavwire"
 )
@@ -26,10 +28,12 @@
 type Broadcaster struct {
 	lavlife.DoneSignal
 	// Self is this host; its address receives the datagrams.
-	Self  lavring.Member
-	Node  *lavreport.Node
-	Log   logrus.FieldLogger
-	Clock func() time.Time
+	Self lavring.Member
+	Node *lavreport.Node
+	// OnNews is called with what a relay knows of the store. Total states that the message holds the rows of all cutovers.
+	OnNews func(news *lavnews.News, from lavid.HostID, total bool, now time.Time)
+	Log    logrus.FieldLogger
+	Clock  func() time.Time
 
 	socket *net.UDPConn
 	// relays are the addresses of the relays that were logged last.
@@ -128,7 +132,11 @@
 
 // apply applies a message of another host.
 func (b *Broadcaster) apply(message *lavreport.Message) {
-	receipt := b.Node.Receive(message, b.Clock())
+	now := b.Clock()
+	receipt := b.Node.Receive(message, now)
+	if message.News != nil && receipt.Accepted && b.OnNews != nil {
+		b.OnNews(message.News, message.From.ID, message.Kind == lavreport.KindTotal, now)
+	}
 	if receipt.NewPeer {
 		b.Log.WithField(lavlog.FieldPeer, message.From.ID).Info("peer heard for the first time")
 	}
--- a/entry/services/lavbroadcast/broadcaster_test.go
+++ b/entry/services/lavbroadcast/broadcaster_test.go
@@ -42,7 +42,7 @@
 		Loads:    lavload.New(),
 		Cutovers: lavcutover.New(lavcutover.Settings{Test: lavrollout.DefaultSettings(), StopEvidence: 100}),
 	}
-	node := lavreport.NewNode(h.Peers, h.Loads, h.Cutovers, nil, time.Now())
+	node := lavreport.NewNode(h.Peers, h.Loads, h.Cutovers, nil, nil, time.Now())
 	h.Broadcaster = &Broadcaster{Self: h.Peers.Self(), Node: node, Log: log, Clock: time.Now}
 	is.New(t).NoErr(h.Listen())
 	return h
--- a/entry/services/lavbroadcast/decode.go
+++ b/entry/services/lavbroadcast/decode.go
@@ -10,6 +10,7 @@
 	"lavenderswitch/core/modules/lavring"
 	"lavenderswitch/core/services/lavcutover"
 	"lavenderswitch/core/services/lavload"
+	"lavenderswitch/core/services/lavnews"
 	"lavenderswitch/core/services/lavreport"
 	"lavenderswitch/core/services/lavrollout"
 	"lavenderswitch/wire/lavwire"
@@ -56,6 +57,14 @@
 		}
 		message.Exchanged = append(message.Exchanged, lavreport.CentreSum{DataCentre: lavid.DataCentreID(exchanged.GetDataCentreId()), Sum: sum})
 	}
+	if news := state.GetNews(); news != nil {
+		message.News = &lavnews.News{
+			Servers:      decodeEdition(news.GetServers()),
+			Operations:   decodeEdition(news.GetOperations()),
+			CutoversRead: news.GetCutoversRead(),
+			Address:      news.GetAddress(),
+		}
+	}
 	for _, member := range state.GetMembers() {
 		message.Members = append(message.Members, lavring.Member{
 			ID: lavid.HostID(member.GetHostId()), DataCentre: lavid.DataCentreID(member.GetDataCentreId()), Address: member.GetAddress(),
@@ -64,6 +73,17 @@
 	return message, nil
 }
 
+func decodeEdition(edition *lavwire.StoreEdition) *lavnews.Edition {
+	if edition == nil {
+		return nil
+	}
+	return &lavnews.Edition{
+		Version: lavnews.Version(edition.GetVersion()),
+		Digest:  lavnews.Digest(edition.GetDigest()),
+		Age:     time.Duration(edition.GetAgeMillis()) * time.Millisecond,
+	}
+}
+
 // decodeSum returns a sum. It fails if its lists have unequal lengths.
 func decodeSum(encoded *lavwire.HostSum) (lavreport.Sum, error) {
 	sum := lavreport.Sum{Loads: make(map[lavload.ServerKey]lavload.Load, len(encoded.GetServers())), Cutovers: decodeCutovers(encoded.GetCutovers())}
--- a/entry/services/lavbroadcast/encode.go
+++ b/entry/services/lavbroadcast/encode.go
@@ -3,6 +3,7 @@
 import (
 	"lavenderswitch/core/modules/lavring"
 	"lavenderswitch/core/services/lavcutover"
+	"lavenderswitch/core/services/lavnews"
 	"lavenderswitch/core/services/lavreport"
 	"lavenderswitch/wire/lavwire"
 )
@@ -43,12 +44,27 @@
 	for _, sum := range message.Exchanged {
 		state.Exchanged = append(state.Exchanged, &lavwire.CentreSum{DataCentreId: string(sum.DataCentre), Sum: encodeSum(sum.Sum)})
 	}
+	if message.News != nil {
+		state.News = &lavwire.StoreNews{
+			Servers:      encodeEdition(message.News.Servers),
+			Operations:   encodeEdition(message.News.Operations),
+			CutoversRead: message.News.CutoversRead,
+			Address:      message.News.Address,
+		}
+	}
 	for _, member := range message.Members {
 		state.Members = append(state.Members, encodeMember(member))
 	}
 	return state
 }
 
+func encodeEdition(edition *lavnews.Edition) *lavwire.StoreEdition {
+	if edition == nil {
+		return nil
+	}
+	return &lavwire.StoreEdition{Version: float64(edition.Version), Digest: uint64(edition.Digest), AgeMillis: uint32(edition.Age.Milliseconds())}
+}
+
 func encodeMember(member lavring.Member) *lavwire.HostMember {
 	return &lavwire.HostMember{HostId: string(member.ID), DataCentreId: string(member.DataCentre), Address: member.Address}
 }
--- a/entry/services/lavforward/waiting.go
+++ b/entry/services/lavforward/waiting.go
@@ -86,7 +86,7 @@
 	service.targets.Record(route.Name, e.request.Urgency(), route.LatencyTarget, now)
 	entry := &waiter{execution: e, done: make(chan struct{}), item: e.waitingItem(model)}
 	if !service.queue.Add(entry.item, now) {
-		entry.refused = "too many requests wait"
+		entry.refused, entry.retryAfter = "too many requests wait", service.queue.ReturnAfter(entry.item, now)
 		close(entry.done)
 		return entry
 	}
@@ -160,8 +160,8 @@
 // mutex.
 func (w *waitingRoom) advance(id lavid.ServiceID, service *waitingService, now time.Time) {
 	for _, item := range service.queue.Hopeless(now) {
-		turn, _ := service.queue.Turn(item, now)
 		service.queue.Remove(item)
+		turn := service.queue.ReturnAfter(item, now)
 		w.finish(service, item, func(entry *waiter) {
 			entry.refused, entry.retryAfter = "its turn would come after the deadline", turn
 		})
--- a/entry/services/lavwatch/cutover.go
+++ b/entry/services/lavwatch/cutover.go
@@ -41,6 +41,8 @@
 	Store    CutoverStore
 	Rank     lavcutover.Rank
 	Busy     lavcutover.Busy
+	// Reads reports whether this host reads the rows repeatedly during a cutover. Others learn of changes from it.
+	Reads func() bool
 	// CallTimeout bounds one call to the store.
 	CallTimeout time.Duration
 	Log         logrus.FieldLogger
@@ -58,7 +60,7 @@
 		if !c.Cutovers.RowsRead() {
 			interval = cutoverFirstReadInterval
 		}
-		if (!c.Cutovers.RowsRead() || c.Cutovers.Running()) && now.Sub(c.lastRead) >= interval {
+		if (!c.Cutovers.RowsRead() || c.Cutovers.Running() && c.Reads()) && now.Sub(c.lastRead) >= interval {
 			c.readRows(ctx)
 		}
 		for _, change := range c.Cutovers.Tick(c.Rank, c.Busy, c.Clock()) {
--- /dev/null
+++ b/entry/services/lavwatch/news_test.go
@@ -0,0 +1,144 @@
+package lavwatch
+
+import (
+	"context"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/pkg/errors"
+
+	"lavenderswitch/core/models/lavid"
+	"lavenderswitch/core/models/lavserver"
+	"lavenderswitch/core/services/lavcutover"
+	"lavenderswitch/core/services/lavdirectory"
+	"lavenderswitch/core/services/lavnews"
+)
+
+// hostFetcher fetches from the watcher of another host, unless that is unreachable.
+type hostFetcher struct {
+	host        *Watcher
+	unreachable bool
+	fetches     atomic.Int64
+}
+
+func (f *hostFetcher) Fetch(_ context.Context, _ string, part Part) (Snapshot, time.Duration, error) {
+	f.fetches.Add(1)
+	if f.unreachable {
+		return Snapshot{}, 0, errors.New("unreachable")
+	}
+	snapshot, age, known := f.host.Snapshot(part, f.host.Clock())
+	if !known {
+		return Snapshot{}, 0, errors.New("unknown")
+	}
+	return snapshot, age, nil
+}
+
+// newPair returns a reader and another host that hears from it, before the same store. Their clock is set by the test.
+func newPair(source *fakeSource) (reader, other *Watcher, fetcher *hostFetcher, now *time.Time) {
+	current := time.Unix(1000, 0)
+	now = &current
+	newWatcher := func(rank lavnews.Rank) *Watcher {
+		return &Watcher{
+			Settings: Settings{
+				Servers:     lavnews.Schedule{Host: "a", Bound: 2 * time.Second},
+				Operations:  lavnews.Schedule{Host: "a", Bound: 2 * time.Second, Polled: true},
+				CallTimeout: time.Second,
+			},
+			Source: source, Current: &Current{},
+			Directory: lavdirectory.New(lavdirectory.Settings{ReturnGrace: 2 * time.Second, OutageGap: 3 * time.Second}),
+			OnOrders:  func([]lavcutover.Order, time.Time) {},
+			Rank:      func() lavnews.Rank { return rank },
+			Log:       discardLogger(),
+			Clock:     func() time.Time { return *now },
+		}
+	}
+	reader, other = newWatcher(0), newWatcher(lavnews.NotReader)
+	fetcher = &hostFetcher{host: reader}
+	other.Fetcher = fetcher
+	return reader, other, fetcher, now
+}
+
+// hear lets a host hear from the reader and waits for what it fetches.
+func hear(ctx context.Context, reader, other *Watcher) {
+	other.Hear(ctx, reader.News("address", true, reader.Clock()), "reader", other.Clock())
+	other.fetches.Wait()
+}
+
+// TestHostTakesOverWhatAReaderKnows guards against hosts that each read the store, and against content that is fetched again
+// although it has not changed.
+func TestHostTakesOverWhatAReaderKnows(t *testing.T) {
+	is := is.New(t)
+	source := &fakeSource{version: 1, servers: []lavserver.Server{{ID: "a", Service: "pool"}}, operations: Operations{Table: table(3)}}
+	reader, other, fetcher, now := newPair(source)
+	reader.listServers(t.Context())
+	reader.readOperations(t.Context())
+	*now = now.Add(300 * time.Millisecond)
+	hear(t.Context(), reader, other)
+	is.Equal(len(other.Directory.Usable("pool", *now)), 1)
+	is.Equal(other.Current.Table().Number, lavid.ConfigNumber(3))
+	is.Equal(other.Current.Age(*now), 300*time.Millisecond) // as old as the reader's read
+	is.Equal(source.reads, 2)
+	is.Equal(fetcher.fetches.Load(), int64(2))
+	*now = now.Add(time.Second)
+	reader.listServers(t.Context())
+	hear(t.Context(), reader, other)
+	is.Equal(fetcher.fetches.Load(), int64(2)) // the same content is confirmed
+	is.Equal(now.Sub(other.Directory.LastListing()), time.Duration(0))
+	source.set(func(s *fakeSource) { s.servers = nil })
+	*now = now.Add(time.Second)
+	reader.listServers(t.Context())
+	hear(t.Context(), reader, other)
+	is.Equal(len(other.Directory.Usable("pool", *now)), 0)
+}
+
+// TestColdServerWarmsUpWhileTheListIsConfirmed guards against a server that stays cold for ever at a host that applies the
+// same list again and again.
+func TestColdServerWarmsUpWhileTheListIsConfirmed(t *testing.T) {
+	is := is.New(t)
+	source := &fakeSource{version: 1, servers: []lavserver.Server{{ID: "a", Service: "pool", ColdFor: 2 * time.Second}}}
+	reader, other, _, now := newPair(source)
+	reader.listServers(t.Context())
+	hear(t.Context(), reader, other)
+	is.True(other.Directory.All()[0].Cold(*now))
+	for range 5 {
+		*now = now.Add(500 * time.Millisecond)
+		reader.servers.Learn(1, 1, *now, "") // the reader has confirmed the list
+		hear(t.Context(), reader, other)
+	}
+	is.True(!other.Directory.All()[0].Cold(*now))
+}
+
+// TestHostReadsItselfOnceItsReadersAreSilent guards against a host that goes on with old knowledge because the hosts that read
+// for it have gone, are cut off or cannot be reached.
+func TestHostReadsItselfOnceItsReadersAreSilent(t *testing.T) {
+	is := is.New(t)
+	source := &fakeSource{version: 1, servers: []lavserver.Server{{ID: "a", Service: "pool"}}}
+	reader, other, fetcher, now := newPair(source)
+	reader.listServers(t.Context())
+	hear(t.Context(), reader, other)
+	is.True(!other.awaitDue(t.Context(), other.Settings.Servers, &other.servers))
+	source.set(func(s *fakeSource) { s.servers = nil })
+	fetcher.unreachable = true
+	*now = now.Add(500 * time.Millisecond)
+	reader.listServers(t.Context())
+	hear(t.Context(), reader, other) // it hears of the change and cannot fetch it
+	is.Equal(len(other.Directory.Usable("pool", *now)), 1)
+	*now = now.Add(800 * time.Millisecond)
+	is.True(other.awaitDue(t.Context(), other.Settings.Servers, &other.servers)) // well within the bound
+	other.listServers(t.Context())
+	is.Equal(len(other.Directory.Usable("pool", *now)), 0)
+}
+
+// TestDamagedSnapshotChangesNothing guards against a list that another host sent in part.
+func TestDamagedSnapshotChangesNothing(t *testing.T) {
+	is := is.New(t)
+	source := &fakeSource{version: 1, servers: []lavserver.Server{{ID: "a", Service: "pool"}}}
+	_, other, _, now := newPair(source)
+	other.listServers(t.Context())
+	*now = now.Add(time.Second)
+	other.applyServers(Snapshot{Version: 9, Digest: 9, Data: []byte("damaged")}, *now, "reader")
+	is.Equal(len(other.Directory.Usable("pool", *now)), 1)
+	is.Equal(other.servers.Edition(*now).Version, Version(1))
+}
--- a/entry/services/lavwatch/operations.go
+++ b/entry/services/lavwatch/operations.go
@@ -40,9 +40,15 @@
 	return true
 }
 
-// Confirm records that the store was read at now, so that the configuration in force was up to date then.
-func (c *Current) Confirm(now time.Time) {
-	c.confirmed.Store(now.UnixNano())
+// Confirm records that the store was read at a time, so that the configuration in force was up to date then. Earlier times
+// than the latest one have no effect.
+func (c *Current) Confirm(readAt time.Time) {
+	for {
+		latest := c.confirmed.Load()
+		if readAt.UnixNano() <= latest || c.confirmed.CompareAndSwap(latest, readAt.UnixNano()) {
+			return
+		}
+	}
 }
 
 // Age returns the time since the store last confirmed the configuration in force. It has no meaning before the first
--- a/entry/services/lavwatch/registrar.go
+++ b/entry/services/lavwatch/registrar.go
@@ -34,6 +34,8 @@
 	lavlife.DoneSignal
 	Peers *lavreport.Peers
 	Store HostStore
+	// Reads reports whether this host reads the list repeatedly. Others hear of new hosts from it.
+	Reads func() bool
 	// CallTimeout bounds one call to the store.
 	CallTimeout time.Duration
 	Log         logrus.FieldLogger
@@ -48,7 +50,7 @@
 	}
 	pause := secondReadDelay
 	for ctx.Err() == nil {
-		if !r.callStore(ctx, r.readHosts) {
+		if first := pause == secondReadDelay; (first || r.Reads()) && !r.callStore(ctx, r.readHosts) {
 			lavlife.Sleep(ctx, storeRetryPause)
 			continue
 		}
--- a/entry/services/lavwatch/watcher.go
+++ b/entry/services/lavwatch/watcher.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -13,90 +14,190 @@
 	"lavenderswitch/core/modules/lavlog"
 	"lavenderswitch/core/services/lavcutover"
 	"lavenderswitch/core/services/lavdirectory"
+	"lavenderswitch/core/services/lavnews"
 )
 
 // Version numbers the states of the store's tables. A caller requests the changes after a version.
-type Version float64
+type Version = lavnews.Version
 
-// Source reads the store. Every method returns an error when the store does not answer.
+// Part names a part of the store that all hosts need.
+type Part string
+
+// The parts of the store, under the names by which hosts fetch them from each other.
+const (
+	PartServers    Part = "servers"
+	PartOperations Part = "operations"
+)
+
+// Snapshot is the content of a part of the store.
+type Snapshot struct {
+	Version Version
+	Digest  lavnews.Digest
+	// Data holds the rows in the encoding of the Source.
+	Data []byte
+}
+
+// Source reads the store. Its reads return an error when the store does not answer.
 type Source interface {
-	Servers(ctx context.Context) ([]lavserver.Server, error)
-	Operations(ctx context.Context) (Operations, Version, error)
+	ReadServers(ctx context.Context) (Snapshot, error)
+	ReadOperations(ctx context.Context) (Snapshot, error)
+	// DecodeServers and DecodeOperations return the content of a snapshot, which may come from another host. They fail if it
+	// is damaged, and skip unreadable rows.
+	DecodeServers(data []byte) ([]lavserver.Server, error)
+	DecodeOperations(data []byte) (Operations, error)
 	// WaitForChange waits for a change of the operators' rows after a version. It reports whether there was one, and
 	// returns the version to continue from. It fails when the store no longer has the changes since that version.
 	WaitForChange(ctx context.Context, after Version, wait time.Duration) (bool, Version, error)
 }
 
-// Settings are the intervals and timeouts of a Watcher.
+// Fetcher fetches what another host knows of a part of the store, and the age of that knowledge.
+type Fetcher interface {
+	Fetch(ctx context.Context, address string, part Part) (Snapshot, time.Duration, error)
+}
+
+// Settings are the schedules and timeouts of a Watcher.
 type Settings struct {
-	// ListInterval separates two listings of the backend servers.
-	ListInterval time.Duration
+	// Servers and Operations decide when this host reads the parts of the store.
+	Servers    lavnews.Schedule
+	Operations lavnews.Schedule
 	// CallTimeout bounds one read.
 	CallTimeout time.Duration
-	// ChangeWait is how long the store may hold a request for changes open.
-	ChangeWait time.Duration
 	// RetryPause is the first pause between tries while the store does not answer. It doubles up to MaxRetryPause.
 	RetryPause    time.Duration
 	MaxRetryPause time.Duration
 }
 
-// Watcher reads the store until its context ends.
+// maxScheduleCheck is how often a waiting watcher checks its schedule at least, as its rank and knowledge may change.
+const maxScheduleCheck = 50 * time.Millisecond
+
+// Watcher keeps this host's knowledge of the store up to date until its context ends.
 type Watcher struct {
 	lavlife.DoneSignal
 	Settings  Settings
 	Source    Source
 	Current   *Current
 	Directory *lavdirectory.Directory
-	// OnOrders is called after each read of the operators' rows, with the cutovers that operators have ordered.
+	// OnOrders is called after each change of the operators' rows, with the cutovers that operators have ordered.
 	OnOrders func(orders []lavcutover.Order, now time.Time)
-	Log      logrus.FieldLogger
-	Clock    func() time.Time
+	// Rank returns the place of this host among the readers of its data centre. Fetcher may be nil if there are no others.
+	Rank    func() lavnews.Rank
+	Fetcher Fetcher
+	Metrics *Metrics
+	Log     logrus.FieldLogger
+	Clock   func() time.Time
+
+	storeLost  bool
+	servers    knownPart
+	operations knownPart
+	// listed holds the servers of the latest listing, which was read at listedAt.
+	listed   []lavserver.Server
+	listedAt time.Time
+	// fetches are the running fetches; none begins once ended is set.
+	fetchMutex sync.Mutex
+	fetches    conc.WaitGroup
+	ended      bool
+}
 
-	storeLost bool
+// knownPart is what this host knows of a part of the store.
+type knownPart struct {
+	lavnews.Knowledge
+	// applying is held while the content is applied, so that an earlier edition never follows a later one.
+	applying sync.Mutex
+	snapshot Snapshot
+	fetching bool
 }
 
-// Run reads the store until ctx ends.
+// Run keeps the knowledge up to date until ctx ends.
 func (w *Watcher) Run(ctx context.Context) {
 	defer w.Finish()
 	var loops conc.WaitGroup
-	defer loops.Wait()
 	loops.Go(func() { w.watchServers(ctx) })
 	loops.Go(func() { w.watchOperations(ctx) })
+	loops.Wait()
+	w.fetchMutex.Lock()
+	w.ended = true
+	w.fetchMutex.Unlock()
+	w.fetches.Wait()
+}
+
+// awaitDue waits until a read of a part is due, or for maxScheduleCheck, and reports whether it is due.
+func (w *Watcher) awaitDue(ctx context.Context, schedule lavnews.Schedule, part *knownPart) bool {
+	now := w.Clock()
+	wait := schedule.Due(&part.Knowledge, w.Rank()).Sub(now)
+	if wait <= 0 {
+		return ctx.Err() == nil
+	}
+	lavlife.Sleep(ctx, min(wait, maxScheduleCheck))
+	return false
 }
 
 func (w *Watcher) watchServers(ctx context.Context) {
-	backoff := w.newBackoff()
 	for ctx.Err() == nil {
-		if !w.listServers(ctx) {
-			backoff.wait(ctx)
-			continue
+		if w.awaitDue(ctx, w.Settings.Servers, &w.servers) {
+			w.listServers(ctx)
 		}
-		backoff.reset()
-		lavlife.Sleep(ctx, w.Settings.ListInterval)
 	}
 }
 
-// listServers applies one listing of the backend servers and reports whether the store answered.
-func (w *Watcher) listServers(ctx context.Context) bool {
+// listServers reads the list of backend servers.
+func (w *Watcher) listServers(ctx context.Context) {
 	listCtx, cancel := context.WithTimeout(ctx, w.Settings.CallTimeout)
 	defer cancel()
-	servers, err := w.Source.Servers(listCtx)
-	now := w.Clock()
+	began := w.Clock()
+	w.servers.Attempted(began)
+	snapshot, err := w.Source.ReadServers(listCtx)
 	if err != nil {
 		w.Directory.ListingFailed()
 		w.logStoreState(err)
-		return false
+		return
 	}
 	w.logStoreState(nil)
-	for _, change := range w.Directory.ApplyListing(servers, now) {
+	w.applyServers(snapshot, began, "")
+}
+
+// applyServers applies a listing that was read at readAt by a host; the source is empty for this one.
+func (w *Watcher) applyServers(snapshot Snapshot, readAt time.Time, source lavid.HostID) {
+	w.servers.applying.Lock()
+	defer w.servers.applying.Unlock()
+	servers, err := w.Source.DecodeServers(snapshot.Data)
+	if err != nil {
+		w.Log.WithError(err).WithField(lavlog.FieldPeer, source).Warn("list of backend servers cannot be decoded; it is not used")
+		return
+	}
+	if !w.servers.Learn(snapshot.Version, snapshot.Digest, readAt, source) {
+		return
+	}
+	w.servers.snapshot, w.listed, w.listedAt = snapshot, servers, readAt
+	w.applyListing(servers, readAt, source)
+}
+
+// confirmServers records that the known listing was still the newest at readAt.
+func (w *Watcher) confirmServers(edition lavnews.Edition, readAt time.Time, source lavid.HostID) {
+	w.servers.applying.Lock()
+	defer w.servers.applying.Unlock()
+	if w.servers.snapshot.Digest != edition.Digest || !w.servers.Learn(edition.Version, edition.Digest, readAt, source) {
+		return
+	}
+	servers := make([]lavserver.Server, len(w.listed))
+	for i, server := range w.listed {
+		server.ColdFor = max(server.ColdFor-readAt.Sub(w.listedAt), 0)
+		servers[i] = server
+	}
+	w.applyListing(servers, readAt, source)
+}
+
+func (w *Watcher) applyListing(servers []lavserver.Server, readAt time.Time, source lavid.HostID) {
+	w.Metrics.observe(PartServers, w.Clock().Sub(readAt), source)
+	for _, change := range w.Directory.ApplyListing(servers, readAt) {
 		w.Log.WithFields(logrus.Fields{
 			lavlog.FieldServer: change.Server.ID,
 			"service":          change.Server.Service,
 			"release":          change.Server.Release,
 			"cold_ms":          change.Server.ColdFor.Milliseconds(),
+			"read_by":          source,
+			"listing_age_ms":   w.Clock().Sub(readAt).Milliseconds(),
 		}).Info("backend server " + change.Kind)
 	}
-	return true
 }
 
 // logStoreState logs each loss and return of the store once.
@@ -110,18 +211,29 @@
 	w.storeLost = err != nil
 }
 
+// watchOperations keeps the operators' rows up to date. Readers let the store wait for changes; other hosts read the rows when
+// what they know is too old.
 func (w *Watcher) watchOperations(ctx context.Context) {
 	upToDate, after := false, Version(0)
 	backoff := w.newBackoff()
 	for ctx.Err() == nil {
+		rank := w.Rank()
+		if rank == lavnews.NotReader {
+			upToDate = false
+			if w.awaitDue(ctx, w.Settings.Operations, &w.operations) {
+				w.readOperations(ctx)
+			}
+			continue
+		}
 		if !upToDate {
 			if after, upToDate = w.readOperations(ctx); !upToDate {
 				backoff.wait(ctx)
 				continue
 			}
 		}
-		waitCtx, cancel := context.WithTimeout(ctx, w.Settings.ChangeWait+w.Settings.CallTimeout)
-		changed, next, err := w.Source.WaitForChange(waitCtx, after, w.Settings.ChangeWait)
+		wait := w.Settings.Operations.PollWait(rank)
+		waitCtx, cancel := context.WithTimeout(ctx, wait+w.Settings.CallTimeout)
+		changed, next, err := w.Source.WaitForChange(waitCtx, after, wait)
 		cancel()
 		if err != nil {
 			// A new read of the rows includes any missed changes.
@@ -130,29 +242,66 @@
 			continue
 		}
 		backoff.reset()
-		w.Current.Confirm(w.Clock())
+		if !changed && next >= after {
+			w.confirmOperations(lavnews.Edition{Version: next, Digest: w.operations.digest()}, w.Clock(), "")
+		}
 		// A lower version means that this is another store, for instance after a change of its address.
 		after, upToDate = next, !changed && next >= after
 	}
 }
 
+func (p *knownPart) digest() lavnews.Digest {
+	p.applying.Lock()
+	defer p.applying.Unlock()
+	return p.snapshot.Digest
+}
+
 // readOperations applies the operators' rows. It returns their version and whether the store answered.
 func (w *Watcher) readOperations(ctx context.Context) (Version, bool) {
 	readCtx, cancel := context.WithTimeout(ctx, w.Settings.CallTimeout)
 	defer cancel()
-	operations, version, err := w.Source.Operations(readCtx)
+	began := w.Clock()
+	w.operations.Attempted(began)
+	snapshot, err := w.Source.ReadOperations(readCtx)
 	if err != nil {
 		w.Log.WithError(err).Debug("reading the operators' rows failed")
 		return 0, false
 	}
+	return snapshot.Version, w.applyOperations(snapshot, began, "")
+}
+
+// applyOperations applies operators' rows that a host has read, and reports whether they are valid.
+func (w *Watcher) applyOperations(snapshot Snapshot, readAt time.Time, source lavid.HostID) bool {
+	w.operations.applying.Lock()
+	defer w.operations.applying.Unlock()
+	operations, err := w.Source.DecodeOperations(snapshot.Data)
+	if err != nil {
+		w.Log.WithError(err).WithField(lavlog.FieldPeer, source).Warn("operators' rows cannot be decoded; they are not used")
+		return false
+	}
+	if !w.operations.Learn(snapshot.Version, snapshot.Digest, readAt, source) {
+		return true
+	}
+	w.operations.snapshot = snapshot
 	now := w.Clock()
-	w.Current.Confirm(now)
+	w.Metrics.observe(PartOperations, now.Sub(readAt), source)
+	w.Current.Confirm(readAt)
 	if w.Current.Update(operations.Table) {
-		w.Log.WithField(lavlog.FieldConfig, operations.Table.Number).Info("configuration in force")
+		w.Log.WithFields(logrus.Fields{lavlog.FieldConfig: operations.Table.Number, "read_by": source, "age_ms": now.Sub(readAt).Milliseconds()}).Info("configuration in force")
 	}
 	w.setEvacuated(operations.Evacuated)
 	w.OnOrders(operations.Orders, now)
-	return version, true
+	return true
+}
+
+// confirmOperations records that the known operators' rows were still the newest at readAt.
+func (w *Watcher) confirmOperations(edition lavnews.Edition, readAt time.Time, source lavid.HostID) {
+	w.operations.applying.Lock()
+	defer w.operations.applying.Unlock()
+	if w.operations.snapshot.Digest == edition.Digest && w.operations.Learn(edition.Version, edition.Digest, readAt, source) {
+		w.Metrics.observe(PartOperations, w.Clock().Sub(readAt), source)
+		w.Current.Confirm(readAt)
+	}
 }
 
 func (w *Watcher) setEvacuated(centres []lavid.DataCentreID) {
--- a/entry/services/lavwatch/watcher_test.go
+++ b/entry/services/lavwatch/watcher_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"sync"
 	"testing"
@@ -16,6 +17,7 @@
 	"lavenderswitch/core/models/lavserver"
 	"lavenderswitch/core/services/lavcutover"
 	"lavenderswitch/core/services/lavdirectory"
+	"lavenderswitch/core/services/lavnews"
 	"lavenderswitch/core/services/lavrollout"
 )
 
@@ -38,6 +40,9 @@
 	servers    []lavserver.Server
 	// oldestVersion is the oldest version from which changes can be requested.
 	oldestVersion Version
+	// contents holds the content of each snapshot by its type and data, and reads the number of reads.
+	contents map[string]any
+	reads    int
 }
 
 func (s *fakeSource) set(change func(*fakeSource)) {
@@ -49,22 +54,54 @@
 
 var errDown = errors.New("store is down")
 
-func (s *fakeSource) Servers(context.Context) ([]lavserver.Server, error) {
+func (s *fakeSource) ReadServers(context.Context) (Snapshot, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.down {
-		return nil, errDown
+		return Snapshot{}, errDown
 	}
-	return s.servers, nil
+	s.reads++
+	return s.keep(s.servers), nil
 }
 
-func (s *fakeSource) Operations(context.Context) (Operations, Version, error) {
+func (s *fakeSource) ReadOperations(context.Context) (Snapshot, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.down {
-		return Operations{}, 0, errDown
+		return Snapshot{}, errDown
 	}
-	return s.operations, s.version, nil
+	s.reads++
+	return s.keep(s.operations), nil
+}
+
+// keep returns a snapshot whose data names the content, which is kept.
+func (s *fakeSource) keep(content any) Snapshot {
+	if s.contents == nil {
+		s.contents = make(map[string]any)
+	}
+	name := fmt.Sprint(s.version)
+	s.contents[fmt.Sprintf("%T", content)+name] = content
+	return Snapshot{Version: s.version, Digest: lavnews.Digest(s.version), Data: []byte(name)}
+}
+
+func (s *fakeSource) DecodeServers(data []byte) ([]lavserver.Server, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	servers, ok := s.contents["[]lavserver.Server"+string(data)].([]lavserver.Server)
+	if !ok {
+		return nil, errors.New("damaged")
+	}
+	return servers, nil
+}
+
+func (s *fakeSource) DecodeOperations(data []byte) (Operations, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	operations, ok := s.contents["lavwatch.Operations"+string(data)].(Operations)
+	if !ok {
+		return Operations{}, errors.New("damaged")
+	}
+	return operations, nil
 }
 
 func (s *fakeSource) WaitForChange(ctx context.Context, after Version, _ time.Duration) (bool, Version, error) {
@@ -86,11 +123,16 @@
 func startWatcher(t *testing.T, source *fakeSource) *Watcher {
 	t.Helper()
 	watcher := &Watcher{
-		Settings:  Settings{ListInterval: 5 * time.Millisecond, CallTimeout: 50 * time.Millisecond, ChangeWait: 100 * time.Millisecond, RetryPause: 5 * time.Millisecond},
+		Settings: Settings{
+			Servers:     lavnews.Schedule{Host: "a", Bound: 25 * time.Millisecond},
+			Operations:  lavnews.Schedule{Host: "a", Bound: 100 * time.Millisecond, Polled: true},
+			CallTimeout: 50 * time.Millisecond, RetryPause: 5 * time.Millisecond,
+		},
 		Source:    source,
 		Current:   &Current{},
 		Directory: lavdirectory.New(lavdirectory.Settings{ReturnGrace: 50 * time.Millisecond, OutageGap: time.Second}),
 		OnOrders:  func([]lavcutover.Order, time.Time) {},
+		Rank:      func() lavnews.Rank { return 0 },
 		Log:       discardLogger(),
 		Clock:     time.Now,
 	}
@@ -214,6 +256,7 @@
 		Store:       store,
 		Rank:        func(lavid.ServiceID) int { return 0 },
 		Busy:        func(lavid.ServiceID, lavid.ReleaseID) bool { return false },
+		Reads:       func() bool { return true },
 		CallTimeout: time.Second,
 		Log:         discardLogger(),
 		Clock:       time.Now,
