--- a/core/modules/lavplatform/client.go
+++ b/core/modules/lavplatform/client.go
@@ -145,12 +145,16 @@
 	return rating, decode(resp, &rating)
 }
 
+// minLoadPause is the shortest time between two requests for a load.
+const minLoadPause = 100 * time.Millisecond
+
 // StartLoad requests permission from the weight store to load the weights of a version. It returns zero if the load may
 // start, or the time to wait before the next request.
 func (c *Client) StartLoad(ctx context.Context, version lavid.VersionID) (time.Duration, error) {
 	resp, err := c.exchange(ctx, request{method: http.MethodGet, path: "/weights/" + url.PathEscape(string(version))})
 	if resp.status == http.StatusTooManyRequests {
-		return resp.retryAfter, nil
+		// Zero would mean that the load may start.
+		return max(resp.retryAfter, minLoadPause), nil
 	}
 	return 0, err
 }
--- a/core/modules/lavplatform/client_test.go
+++ b/core/modules/lavplatform/client_test.go
@@ -197,3 +197,16 @@
 		}
 	}
 }
+
+// TestRefusedLoadNeverStarts guards against a load that starts because the weight store refused it with a wait of zero.
+func TestRefusedLoadNeverStarts(t *testing.T) {
+	is := is.New(t)
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Retry-After", "0")
+		w.WriteHeader(http.StatusTooManyRequests)
+	}))
+	defer server.Close()
+	wait, err := NewClient(server.URL).StartLoad(t.Context(), "v1")
+	is.NoErr(err)
+	is.True(wait >= minLoadPause)
+}
--- a/core/services/lavbalance/choose_test.go
+++ b/core/services/lavbalance/choose_test.go
@@ -97,6 +97,21 @@
 	is.Equal(len(covered), 100)
 }
 
+// TestSubsetHasNoCandidateTwice guards against a host that reaches fewer servers than it may: candidates drawn at random had
+// replaced others in the list that was drawn from.
+func TestSubsetHasNoCandidateTwice(t *testing.T) {
+	is := is.New(t)
+	for host := range 200 {
+		subset := Subset(pool(30), lavid.HostID(fmt.Sprint(host)), SubsetSize)
+		ids := map[lavid.BackendServerID]bool{}
+		for _, candidate := range subset {
+			ids[candidate.ID] = true
+		}
+		is.Equal(len(ids), SubsetSize)
+		is.Equal(len(subset), SubsetSize)
+	}
+}
+
 func TestFailurePauseDoublesAndEnds(t *testing.T) {
 	is := is.New(t)
 	health := Health{}.AfterFailure(start)
--- a/core/services/lavbalance/subset.go
+++ b/core/services/lavbalance/subset.go
@@ -26,14 +26,14 @@
 		return cmp.Or(cmp.Compare(a.Distance, b.Distance), cmp.Compare(score(host, b.ID), score(host, a.ID)))
 	})
 	farPlaces := max(1, size/10)
-	chosen := ranked[:size-farPlaces]
+	chosen := slices.Clone(ranked[:size-farPlaces])
 	rest := ranked[size-farPlaces:]
 	random := rand.New(rand.NewPCG(xxhash.Sum64String(string(host)), 0))
-	for range farPlaces {
-		chosen = append(chosen, rest[random.IntN(len(rest))])
+	for _, position := range random.Perm(len(rest))[:farPlaces] {
+		chosen = append(chosen, rest[position])
 	}
 	slices.SortFunc(chosen, func(a, b Candidate) int { return cmp.Compare(a.ID, b.ID) })
-	return slices.CompactFunc(chosen, func(a, b Candidate) bool { return a.ID == b.ID })
+	return chosen
 }
 
 // score returns the rendezvous hash of a host and a backend server.
--- a/core/services/lavspread/encode.go
+++ b/core/services/lavspread/encode.go
@@ -47,10 +47,13 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "decompress configuration")
 	}
-	text, err := io.ReadAll(io.LimitReader(reader, maxDocumentBytes))
+	text, err := io.ReadAll(io.LimitReader(reader, maxDocumentBytes+1))
 	if err != nil {
 		return nil, errors.Wrap(err, "decompress configuration")
 	}
+	if len(text) > maxDocumentBytes {
+		return nil, errors.Errorf("configuration is larger than %d bytes after decompression", maxDocumentBytes)
+	}
 	document := &lavconfig.Document{}
 	if err := json.Unmarshal(text, document); err != nil {
 		return nil, errors.Wrap(err, "decode configuration")
--- a/ctl/cmd/hash_key.go
+++ b/ctl/cmd/hash_key.go
@@ -24,6 +24,9 @@
 	line, err := bufio.NewReader(command.Root().Reader).ReadString('\n')
 	key := strings.TrimSpace(line)
 	if key == "" {
+		if err == nil {
+			err = errors.New("the first line is empty")
+		}
 		return errors.Wrap(err, "no key on standard input")
 	}
 	printLine(command, "%s", lavkey.Hash(key))
--- a/ctl/cmd/root_test.go
+++ b/ctl/cmd/root_test.go
@@ -140,6 +140,11 @@
 	}
 	_, out, _ := host.run(t, "secret\n", "hash-key")
 	is.Equal(strings.TrimSpace(out), lavkey.Hash("secret"))
+	for _, input := range []string{"", "\n", "  \nsecret\n"} {
+		code, out, _ := host.run(t, input, "hash-key")
+		is.True(code != ExitDone) // no hash of an empty key
+		is.Equal(out, "")
+	}
 }
 
 // TestExplainReadsFilesAndStandardInput guards against an explain command that ignores one of its two inputs, or that
--- a/entry/routers/lavcaller/body.go
+++ b/entry/routers/lavcaller/body.go
@@ -7,6 +7,7 @@
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/google/uuid"
+	"github.com/pkg/errors"
 
 	"lavenderswitch/core/models/lavconfig"
 	"lavenderswitch/core/models/lavid"
@@ -35,8 +36,11 @@
 		limit = defaultMaxBodyBytes
 	}
 	body, err := io.ReadAll(http.MaxBytesReader(w, request.Body, limit))
+	if tooLarge := (*http.MaxBytesError)(nil); errors.As(err, &tooLarge) {
+		return nil, laverror.New(laverror.KindTooLarge, "body is too large: "+err.Error(), "send a body within the client account's limit")
+	}
 	if err != nil {
-		return nil, laverror.New(laverror.KindTooLarge, "body is too large or incomplete: "+err.Error(), "send a complete body within the client account's limit")
+		return nil, laverror.New(laverror.KindBadRequest, "body is incomplete: "+err.Error(), "send the whole body")
 	}
 	now := time.Now()
 	timeout, hasTimeout, err := r.parseTimeout(request)
--- a/entry/routers/lavcaller/router_test.go
+++ b/entry/routers/lavcaller/router_test.go
@@ -141,3 +141,21 @@
 		}
 	})
 }
+
+// brokenBody is a body whose sender leaves before its end.
+type brokenBody struct{}
+
+func (brokenBody) Read([]byte) (int, error) { return 0, io.ErrUnexpectedEOF }
+
+// TestIncompleteBodyIsNotTooLarge guards against a caller that is told to send less because its connection broke off.
+func TestIncompleteBodyIsNotTooLarge(t *testing.T) {
+	is := is.New(t)
+	f := newFakeServer()
+	router := &Router{Configs: f, Server: f, RequestTimeout: time.Minute}
+	request := httptest.NewRequest(http.MethodPost, pathChat, brokenBody{})
+	request.Header.Set("Authorization", "Bearer key")
+	recorder := httptest.NewRecorder()
+	router.Routes().ServeHTTP(recorder, request)
+	is.Equal(recorder.Code, http.StatusBadRequest)
+	is.True(f.served == nil)
+}
--- a/entry/services/lavwatch/cutover.go
+++ b/entry/services/lavwatch/cutover.go
@@ -101,17 +101,18 @@
 	writeCtx, cancel := context.WithTimeout(ctx, c.CallTimeout)
 	defer cancel()
 	version, err := c.Store.WriteCutover(writeCtx, change)
-	c.Log.WithFields(logrus.Fields{
+	log := c.Log.WithFields(logrus.Fields{
 		"service":  change.Progress.Service,
 		"release":  change.Progress.To,
 		"state":    change.Progress.State,
 		"evidence": change.Evidence,
-		"error":    err,
-	}).Info("cutover written")
+	})
 	if err != nil {
+		log.WithError(err).Warn("cutover not written, or the reply was lost; reading its row again")
 		// The reply may have been lost, or another host may have written the row first.
 		c.readRows(ctx)
 		return
 	}
+	log.Info("cutover written")
 	c.apply(CutoverRow{Progress: change.Progress, Version: version})
 }
--- a/fake/services/lavplain/service.go
+++ b/fake/services/lavplain/service.go
@@ -31,7 +31,12 @@
 	// Capacity is the number of calls that may run at the same time. Zero sets no limit.
 	Capacity int
 	// Journal keeps the runs across a restart. With nil, they are not kept.
-	Journal *lavjournal.Journal
+	Journal Journal
+}
+
+// Journal stores a run before it starts.
+type Journal interface {
+	Append(run lavtruth.Run) error
 }
 
 // Service answers every call with the number of times that its request ran.
@@ -131,20 +136,23 @@
 		s.truth.Overloads++
 		return nil, 0, false
 	}
-	s.running++
-	s.truth.MaxRunning = max(s.truth.MaxRunning, s.running)
 	id := request.Header.Get(headerRequest)
-	s.counts[id]++
 	run := &lavtruth.Run{
 		Request:  lavid.RequestID(id),
 		Attempt:  lavid.AttemptID(request.Header.Get(headerAttempt)),
 		Path:     request.URL.Path,
 		Arrived:  now,
-		Running:  s.running,
+		Running:  s.running + 1,
 		Capacity: capacity,
 	}
+	if err := s.settings.Journal.Append(*run); err != nil {
+		return nil, 0, false // a call that is not on record does not run
+	}
+	s.running++
+	s.truth.MaxRunning = max(s.truth.MaxRunning, s.running)
+	s.counts[id]++
 	s.runs = append(s.runs, run)
-	return run, s.counts[id], s.settings.Journal.Append(*run) == nil
+	return run, s.counts[id], true
 }
 
 func (s *Service) end(run *lavtruth.Run, now time.Time) {
