Hosts tell each other of slow servers; totals over thousands of servers fit

Pattern: some replicas turn slow while the others are normal, and a request waits at one of them. Each host sees few answers of a server: with 68 hosts and 78 servers one in several seconds.

Change: reports hold the speeds that a host has seen, sums add them, and totals hold the servers that are slow by more than chance. The cost of an engine is multiplied by its slowness. A send is given up after a multiple of the usual time, not of the slow server's own. A message that does not fit into a datagram loses its speeds, then the servers with the fewest requests; before, a total over some 4,000 servers would not have been sent.

--- a/core/services/lavbalance/choose_test.go
+++ b/core/services/lavbalance/choose_test.go
@@ -97,6 +97,41 @@
 	is.Equal(len(covered), 100)
 }
 
+// TestLeastWorkAvoidsASlowEngine answers the pattern of replicas that turn slow while the others are normal: what is before a
+// request there takes longer than it does elsewhere.
+func TestLeastWorkAvoidsASlowEngine(t *testing.T) {
+	is := is.New(t)
+	engines := []Engine{
+		{ID: "slow", Slots: 64, Requests: 5, Unread: 8000, AddedWork: 1000, Slowness: 3.5},
+		{ID: "normal", Slots: 64, Requests: 10, Unread: 16_000, AddedWork: 1000, Slowness: 1},
+	}
+	is.Equal(LeastWork(engines), 1)
+	engines[0].Slowness = 0 // not known
+	is.Equal(LeastWork(engines), 0)
+}
+
+// TestSampleKeepsEnginesThatHaveReadThePrompt guards against prompts that are read again because the engine that holds them
+// was not drawn.
+func TestSampleKeepsEnginesThatHaveReadThePrompt(t *testing.T) {
+	is := is.New(t)
+	random := rand.New(rand.NewPCG(1, 2))
+	engines := make([]Engine, 40)
+	for i := range engines {
+		engines[i] = Engine{ID: lavid.BackendServerID(fmt.Sprint(i)), Slots: 64, AddedWork: 9000, WholeWork: 9000}
+	}
+	engines[33].AddedWork = 1000
+	drawn := make(map[int]bool)
+	for range 200 {
+		is.Equal(LeastWorkOfSample(engines, random.Float64), 33)
+		engines[33].AddedWork = 9000
+		drawn[LeastWorkOfSample(engines, random.Float64)] = true
+		engines[33].AddedWork = 1000
+	}
+	is.True(len(drawn) > 30) // equal engines are chosen by chance
+	is.Equal(LeastWorkOfSample(nil, random.Float64), -1)
+	is.Equal(LeastWorkOfSample(engines[:1], random.Float64), 0)
+}
+
 // TestSubsetHasNoCandidateTwice guards against a host that reaches fewer servers than it may: candidates drawn at random had
 // replaced others in the list that was drawn from.
 func TestSubsetHasNoCandidateTwice(t *testing.T) {
--- a/core/services/lavbalance/least_loaded.go
+++ b/core/services/lavbalance/least_loaded.go
@@ -16,6 +16,8 @@
 	// of the smallest model of the route.
 	Unread    float64
 	AddedWork float64
+	// Slowness is how many times longer than usual the engine takes; zero means unknown.
+	Slowness float64
 	// WholeWork is the work of the whole prompt; AddedWork is less if the engine has read a part of it before.
 	WholeWork float64
 	// Memory is the number of tokens that the requests in progress hold, including this one; Capacity is how many the
@@ -94,7 +96,7 @@
 }
 
 func (e *Engine) cost() float64 {
-	cost := e.Unread + addedWeight*e.AddedWork + requestTokens*float64(e.Requests)
+	cost := (e.Unread + addedWeight*e.AddedWork + requestTokens*float64(e.Requests)) * max(e.Slowness, 1)
 	if e.Slots > 0 && e.Requests >= e.Slots {
 		cost += waitingTokens * float64(e.Requests-e.Slots+1)
 	}
--- a/core/services/lavforecast/forecaster.go
+++ b/core/services/lavforecast/forecaster.go
@@ -8,13 +8,21 @@
 	lru "github.com/hashicorp/golang-lru/v2"
 
 	"lavenderswitch/core/models/lavid"
+	"lavenderswitch/core/services/lavload"
 )
 
 const (
-	// serverWeight is the weight of the newest sample in the mean of a server's slowness, whose half-life without samples is
-	// slownessHalfLife: a server that was slow becomes normal again without notice.
-	serverWeight     = 0.3
-	slownessHalfLife = 5 * time.Second
+	// slownessHalfLife is the time in which the weight of a sample in a server's slowness halves: a server that was slow
+	// becomes normal again without notice.
+	slownessHalfLife = 3 * time.Second
+	// priorWeight is the number of samples at usual speed that each server is taken to have.
+	priorWeight = 2
+	// maxLogRatio bounds the logarithm of seen over usual times, so that a single answer that waited says little.
+	maxLogRatio = 2
+	// minSlowness is the logarithm of the slowness from which hosts tell each other of a server.
+	minSlowness = 0.2
+	// minWeight is the weight below which the samples of a server are forgotten.
+	minWeight = 0.05
 	// errorWeight is the weight of the newest sample in the mean error of a service.
 	errorWeight = 0.03
 	// maxServers is the number of servers whose slowness is kept.
@@ -48,10 +56,40 @@
 	Known bool
 }
 
-// slowness is the mean logarithm of seen over predicted times of a server.
-type slowness struct {
-	mean float64
-	at   time.Time
+// Speed is the sum of the logarithms of seen over usual times at a server, and the weight of these samples.
+type Speed struct {
+	Sum    float64
+	Weight float64
+}
+
+// Plus returns the sum of both speeds.
+func (s Speed) Plus(other Speed) Speed {
+	return Speed{Sum: s.Sum + other.Sum, Weight: s.Weight + other.Weight}
+}
+
+// Slow reports whether the samples show that the server is slower than usual by more than chance.
+func (s Speed) Slow() bool {
+	return s.Sum/(s.Weight+priorWeight) > minSlowness
+}
+
+// Minus returns the speed without another one that it contains.
+func (s Speed) Minus(other Speed) Speed {
+	if other.Weight >= s.Weight {
+		return Speed{}
+	}
+	return Speed{Sum: s.Sum - other.Sum, Weight: s.Weight - other.Weight}
+}
+
+// observed is the speed of a server as this host has seen it, as of a time.
+type observed struct {
+	Speed
+	at time.Time
+}
+
+// since returns the speed with the weight that it has now.
+func (o observed) since(now time.Time) Speed {
+	share := math.Exp2(-now.Sub(o.at).Seconds() / slownessHalfLife.Seconds())
+	return Speed{Sum: share * o.Sum, Weight: share * o.Weight}
 }
 
 // service holds what is known of the engines of a service.
@@ -65,12 +103,15 @@
 type Forecaster struct {
 	mu       sync.Mutex
 	services map[lavid.ServiceID]*service
-	servers  *lru.Cache[lavid.BackendServerID, slowness]
+	servers  *lru.Cache[lavid.BackendServerID, observed]
+	// peers holds the speeds that all other hosts have seen, which count until peersUntil.
+	peers      map[lavload.ServerKey]Speed
+	peersUntil time.Time
 }
 
 // New returns a forecaster without samples.
 func New() *Forecaster {
-	servers, err := lru.New[lavid.BackendServerID, slowness](maxServers)
+	servers, err := lru.New[lavid.BackendServerID, observed](maxServers)
 	if err != nil {
 		// New fails only for a size that is not positive.
 		panic(err)
@@ -95,8 +136,9 @@
 		predicted := max(usual*math.Exp(f.slowness(query.Server, now)), minSeconds)
 		ratio = seen / predicted
 		known.meanError += errorWeight * (math.Abs(math.Log(ratio)) - known.meanError)
-		mean := f.slowness(query.Server, now)
-		f.servers.Add(query.Server, slowness{mean: mean + serverWeight*(math.Log(seen/usual)-mean), at: now})
+		logRatio := max(min(math.Log(seen/usual), maxLogRatio), -maxLogRatio)
+		row, _ := f.servers.Get(query.Server)
+		f.servers.Add(query.Server, observed{Speed: row.since(now).Plus(Speed{Sum: logRatio, Weight: 1}), at: now})
 	}
 	if query.Before <= maxBeforeShare*query.Own {
 		known.times.add(query.work(), seen)
@@ -110,13 +152,41 @@
 	return max(intercept+slope*work, minSeconds)
 }
 
-// slowness returns the mean logarithm of a server's times over the usual ones; the caller holds the mutex.
+// slowness returns the mean logarithm of a server's times over the usual ones, as all hosts have seen them; the caller holds
+// the mutex.
 func (f *Forecaster) slowness(server lavid.BackendServerID, now time.Time) float64 {
-	row, found := f.servers.Get(server)
-	if !found {
-		return 0
+	row, _ := f.servers.Get(server)
+	speed := row.since(now)
+	if now.Before(f.peersUntil) {
+		speed = speed.Plus(f.peers[lavload.KeyOf(server)])
 	}
-	return row.mean * math.Exp2(-now.Sub(row.at).Seconds()/slownessHalfLife.Seconds())
+	return speed.Sum / (speed.Weight + priorWeight)
+}
+
+// Speeds returns the speeds of servers that this host has seen lately.
+func (f *Forecaster) Speeds(now time.Time) map[lavload.ServerKey]Speed {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	speeds := make(map[lavload.ServerKey]Speed)
+	for _, server := range f.servers.Keys() {
+		row, _ := f.servers.Peek(server)
+		speed := row.since(now)
+		if speed.Weight < minWeight {
+			f.servers.Remove(server)
+			continue
+		}
+		key := lavload.KeyOf(server)
+		speeds[key] = speeds[key].Plus(speed)
+	}
+	return speeds
+}
+
+// SetPeerSpeeds replaces the speeds that all other hosts have seen. They count until the given time. The forecaster keeps the
+// map.
+func (f *Forecaster) SetPeerSpeeds(speeds map[lavload.ServerKey]Speed, until time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.peers, f.peersUntil = speeds, until
 }
 
 // First predicts the time to the first event of a request that is sent now.
--- a/core/services/lavforecast/forecaster_test.go
+++ b/core/services/lavforecast/forecaster_test.go
@@ -9,6 +9,7 @@
 	"github.com/matryer/is"
 
 	"lavenderswitch/core/models/lavid"
+	"lavenderswitch/core/services/lavload"
 )
 
 var start = time.Unix(1000, 0)
@@ -71,6 +72,34 @@
 	is.True(f.Slowness("slow", now.Add(30*time.Second)) < 1.05)
 }
 
+// TestHostsTellEachOtherOfASlowServer guards against each host finding a slow server by its own requests: with many hosts,
+// each has few answers of a server.
+func TestHostsTellEachOtherOfASlowServer(t *testing.T) {
+	is := is.New(t)
+	random := rand.New(rand.NewPCG(4, 4))
+	hosts := make([]*Forecaster, 30)
+	now := start
+	for i := range hosts {
+		hosts[i] = New()
+		for range 60 {
+			work := 1000 + 20_000*random.Float64()
+			hosts[i].Observe(Query{Service: "pool", Server: "normal", Own: work}, trueTime(random, work, 1), now)
+		}
+		hosts[i].Observe(Query{Service: "pool", Server: "slow", Own: 10_000}, trueTime(random, 10_000, 3.5), now)
+	}
+	is.True(hosts[0].Slowness("slow", now) < 1.7) // one answer says little
+	sum := make(map[lavload.ServerKey]Speed)
+	for _, host := range hosts[1:] {
+		for server, speed := range host.Speeds(now) {
+			sum[server] = sum[server].Plus(speed)
+		}
+	}
+	hosts[0].SetPeerSpeeds(sum, now.Add(time.Second))
+	is.True(hosts[0].Slowness("slow", now) > 2.5)
+	is.True(hosts[0].Slowness("normal", now) < 1.2)
+	is.True(hosts[0].Slowness("slow", now.Add(time.Second)) < 1.7) // the others fell silent
+}
+
 // TestUnknownWorkOfOthersDoesNotHideTheTimePerToken guards against engines that seem to read a backlog in no time, because the
 // hosts do not know what others have sent lately.
 func TestUnknownWorkOfOthersDoesNotHideTheTimePerToken(t *testing.T) {
--- a/core/services/lavreport/message.go
+++ b/core/services/lavreport/message.go
@@ -8,6 +8,7 @@
 	"lavenderswitch/core/models/lavid"
 	"lavenderswitch/core/modules/lavring"
 	"lavenderswitch/core/services/lavcutover"
+	"lavenderswitch/core/services/lavforecast"
 	"lavenderswitch/core/services/lavload"
 	"lavenderswitch/core/services/lavnews"
 )
@@ -51,6 +52,8 @@
 	Leaving bool
 	// Loads holds the sender's own loads in a report.
 	Loads map[lavid.BackendServerID]lavload.Load
+	// Speeds holds the speeds of backend servers that the sender has seen, in a report.
+	Speeds map[lavload.ServerKey]lavforecast.Speed
 	// Cutovers holds the sender's own counts in a report.
 	Cutovers []lavcutover.Status
 	// Sum is set in exchanges and totals.
@@ -92,5 +95,6 @@
 type Sum struct {
 	Entries  []Entry
 	Loads    map[lavload.ServerKey]lavload.Load
+	Speeds   map[lavload.ServerKey]lavforecast.Speed
 	Cutovers []lavcutover.Status
 }
--- a/core/services/lavreport/network_test.go
+++ b/core/services/lavreport/network_test.go
@@ -9,6 +9,7 @@
 	"lavenderswitch/core/models/lavid"
 	"lavenderswitch/core/modules/lavring"
 	"lavenderswitch/core/services/lavcutover"
+	"lavenderswitch/core/services/lavforecast"
 	"lavenderswitch/core/services/lavload"
 )
 
@@ -93,7 +94,7 @@
 // start starts the process of a host, which has one request in progress.
 func (s *simNetwork) start(host *simHost, member lavring.Member) {
 	host.peers, host.loads = NewPeers(member), lavload.New()
-	host.node = NewNode(host.peers, host.loads, lavcutover.New(lavcutover.Settings{}), nil, nil, s.now)
+	host.node = NewNode(host.peers, host.loads, lavforecast.New(), lavcutover.New(lavcutover.Settings{}), nil, nil, s.now)
 	host.job = host.loads.Start(host.server, lavload.Load{Memory: lavid.Tokens(s.now.UnixMilli())})
 	host.nextTick = s.now.Add(time.Duration(s.random.Int64N(int64(TickInterval))))
 	host.down = false
--- a/core/services/lavreport/node.go
+++ b/core/services/lavreport/node.go
@@ -7,6 +7,7 @@
 	"lavenderswitch/core/models/lavid"
 	"lavenderswitch/core/modules/lavring"
 	"lavenderswitch/core/services/lavcutover"
+	"lavenderswitch/core/services/lavforecast"
 	"lavenderswitch/core/services/lavload"
 	"lavenderswitch/core/services/lavnews"
 )
@@ -20,11 +21,12 @@
 	largeChange    = 8
 	// exchangeInterval separates two exchanges of a relay with the other data centres, of which at most exchangeTargets get
 	// one each time. totalInterval separates two totals of a relay.
-	exchangeInterval = 300 * time.Millisecond
+	exchangeInterval = 350 * time.Millisecond
 	exchangeTargets  = 4
 	totalInterval    = 300 * time.Millisecond
-	// maxMessageRate is the number of messages a second that a host sends at most. A host that would send fewer shortens its
-	// intervals, down to shortestShare of the usual ones.
+	// maxMessageRate is the number of messages a second that a host plans at most; some more are probes and greetings. A host
+	// that would send fewer shortens its intervals, down to shortestShare of the usual ones, and one that would send more,
+	// such as a relay for hosts that disagree, lengthens them.
 	maxMessageRate = 36
 	shortestShare  = 0.4
 	// reporterTimeout is how long after its last report a host gets totals.
@@ -49,6 +51,7 @@
 	// isRelay states that the host made the report as a relay of its data centre.
 	isRelay    bool
 	loads      map[lavid.BackendServerID]lavload.Load
+	speeds     map[lavload.ServerKey]lavforecast.Speed
 	cutovers   []lavcutover.Status
 	receivedAt time.Time
 }
@@ -57,9 +60,16 @@
 type sentReport struct {
 	sequence Sequence
 	loads    map[lavid.BackendServerID]lavload.Load
+	speeds   map[lavload.ServerKey]lavforecast.Speed
 	cutovers []lavcutover.Status
 }
 
+// Speeds holds the speeds of backend servers that this host has seen, and takes those that all other hosts have seen.
+type Speeds interface {
+	Speeds(now time.Time) map[lavload.ServerKey]lavforecast.Speed
+	SetPeerSpeeds(speeds map[lavload.ServerKey]lavforecast.Speed, until time.Time)
+}
+
 // NewsSource returns what this host knows of the store.
 type NewsSource func(now time.Time) *lavnews.News
 
@@ -70,6 +80,7 @@
 type Node struct {
 	peers    *Peers
 	loads    *lavload.Table
+	speeds   Speeds
 	cutovers *lavcutover.Cutovers
 	observe  AgeObserver
 	news     NewsSource
@@ -111,11 +122,11 @@
 	counts cutoverCounts
 }
 
-// NewNode returns a node that reports the loads and cutovers of this host, and applies those of the others to them. As a
+// NewNode returns a node that reports the loads, speeds and cutovers of this host, and applies those of the others to them. As a
 // relay, it passes the news on. The source of news and the observer may be nil.
-func NewNode(peers *Peers, loads *lavload.Table, cutovers *lavcutover.Cutovers, news NewsSource, observe AgeObserver, now time.Time) *Node {
+func NewNode(peers *Peers, loads *lavload.Table, speeds Speeds, cutovers *lavcutover.Cutovers, news NewsSource, observe AgeObserver, now time.Time) *Node {
 	return &Node{
-		peers: peers, loads: loads, cutovers: cutovers, news: news, observe: observe,
+		peers: peers, loads: loads, speeds: speeds, cutovers: cutovers, news: news, observe: observe,
 		// A restarted host goes on above its earlier numbers.
 		sequence:     Sequence(now.UnixMilli() / reportInterval.Milliseconds()),
 		startedAt:    now,
@@ -194,7 +205,7 @@
 	}
 	message := n.message(KindReport)
 	last := n.sent[n.sequence%sentReports]
-	message.Loads, message.Cutovers = last.loads, last.cutovers
+	message.Loads, message.Speeds, message.Cutovers = last.loads, last.speeds, last.cutovers
 	return []Envelope{{To: addressesOf(others), Message: message}}
 }
 
@@ -244,7 +255,7 @@
 	return max(time.Duration(share*float64(interval))-TickInterval/2, TickInterval/2)
 }
 
-// intervalShare returns the part of the usual intervals at which this host sends no more than maxMessageRate.
+// intervalShare returns the multiple of the usual intervals at which this host sends no more than maxMessageRate.
 func (n *Node) intervalShare(reporters int, serves bool, now time.Time) float64 {
 	rate := float64(len(n.others(n.relays))) / reportInterval.Seconds()
 	if serves {
@@ -254,7 +265,7 @@
 	if !serves && len(n.peers.relayCandidates(n.peers.Self().DataCentre, now)) > maxBranches+relayCount {
 		rate += maxBranches / totalInterval.Seconds() // it may forward totals
 	}
-	return min(max(rate/maxMessageRate, shortestShare), 1)
+	return max(rate/maxMessageRate, shortestShare)
 }
 
 // reportDue reports whether this host has to report its loads.
@@ -278,11 +289,11 @@
 // be relays.
 func (n *Node) report(own map[lavid.BackendServerID]lavload.Load, probing bool, now time.Time) []Envelope {
 	n.sequence++
-	report := sentReport{sequence: n.sequence, loads: own, cutovers: n.cutovers.Statuses()}
+	report := sentReport{sequence: n.sequence, loads: own, speeds: n.speeds.Speeds(now), cutovers: n.cutovers.Statuses()}
 	n.sent[n.sequence%sentReports] = report
 	n.lastReport, n.reportedRequests = now, requestsOf(own)
 	self := n.peers.Self()
-	n.direct[self.ID] = directReport{member: self, sequence: report.sequence, leaving: n.leaving, loads: report.loads, cutovers: report.cutovers, receivedAt: now}
+	n.direct[self.ID] = directReport{member: self, sequence: report.sequence, leaving: n.leaving, loads: report.loads, speeds: report.speeds, cutovers: report.cutovers, receivedAt: now}
 	receivers := n.others(n.relays)
 	if probing {
 		receivers = append(receivers, probes(n.peers.silentBefore(self.DataCentre, n.relays, now), n.round)...)
@@ -291,7 +302,7 @@
 		return nil
 	}
 	message := n.message(KindReport)
-	message.Loads, message.Cutovers = report.loads, report.cutovers
+	message.Loads, message.Speeds, message.Cutovers = report.loads, report.speeds, report.cutovers
 	if message.IsRelay = n.isRelay(); message.IsRelay {
 		message.Exchanged = n.exchangedSums(now)
 		message.News = n.currentNews(now)
--- a/core/services/lavreport/receive.go
+++ b/core/services/lavreport/receive.go
@@ -70,7 +70,7 @@
 	}
 	n.direct[message.From.ID] = directReport{
 		member: message.From, sequence: message.Sequence, leaving: message.Leaving, isRelay: message.IsRelay,
-		loads: message.Loads, cutovers: message.Cutovers, receivedAt: now,
+		loads: message.Loads, speeds: message.Speeds, cutovers: message.Cutovers, receivedAt: now,
 	}
 }
 
@@ -146,13 +146,20 @@
 	n.total = total
 	own, hasOwn := n.ownReport(total.Sum)
 	loads := maps.Clone(total.Loads)
-	if hasOwn {
+	if hasOwn && loads != nil {
 		for server, load := range own.loads {
 			key := lavload.KeyOf(server)
 			loads[key] = loads[key].Minus(load)
 		}
 	}
+	speeds := maps.Clone(total.Speeds)
+	if hasOwn && speeds != nil {
+		for server, speed := range own.speeds {
+			speeds[server] = speeds[server].Minus(speed)
+		}
+	}
 	n.loads.SetPeers(loads, total.validUntil(totalLifetime))
+	n.speeds.SetPeerSpeeds(speeds, total.validUntil(totalLifetime))
 	if n.observe != nil {
 		for _, entry := range total.Entries {
 			if entry.Host != KeyOf(n.peers.Self().ID) {
--- a/core/services/lavreport/relay.go
+++ b/core/services/lavreport/relay.go
@@ -2,12 +2,14 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
 	"lavenderswitch/core/models/lavid"
 	"lavenderswitch/core/modules/lavring"
 	"lavenderswitch/core/services/lavcutover"
+	"lavenderswitch/core/services/lavforecast"
 	"lavenderswitch/core/services/lavload"
 )
 
@@ -88,6 +90,7 @@
 		for server, load := range report.loads {
 			sum.addLoad(lavload.KeyOf(server), load)
 		}
+		sum.addSpeeds(report.speeds)
 	}
 	return sum
 }
@@ -102,6 +105,8 @@
 		}
 		total.add(held.aged(now.Sub(held.receivedAt)))
 	}
+	// Hosts take servers without an entry to have their usual speed.
+	maps.DeleteFunc(total.Speeds, func(_ lavload.ServerKey, speed lavforecast.Speed) bool { return !speed.Slow() })
 	for _, services := range n.centreCounts {
 		for service, counts := range services {
 			total.Cutovers = mergeStatuses(total.Cutovers, []lavcutover.Status{statusOf(service, counts)})
--- a/core/services/lavreport/sum.go
+++ b/core/services/lavreport/sum.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"lavenderswitch/core/services/lavcutover"
+	"lavenderswitch/core/services/lavforecast"
 	"lavenderswitch/core/services/lavload"
 )
 
@@ -31,6 +32,16 @@
 	for server, load := range other.Loads {
 		s.addLoad(server, load)
 	}
+	s.addSpeeds(other.Speeds)
+}
+
+func (s *Sum) addSpeeds(speeds map[lavload.ServerKey]lavforecast.Speed) {
+	if s.Speeds == nil {
+		s.Speeds = make(map[lavload.ServerKey]lavforecast.Speed)
+	}
+	for server, speed := range speeds {
+		s.Speeds[server] = s.Speeds[server].Plus(speed)
+	}
 }
 
 // aged returns the sum with reports that are older by held.
--- a/entry/services/lavbroadcast/broadcaster.go
+++ b/entry/services/lavbroadcast/broadcaster.go
@@ -21,8 +21,12 @@
 	"lavenderswitch/wire/lavwire"
 )
 
-// maxDatagramBytes is the size of the receive buffer. No UDP datagram is larger.
-const maxDatagramBytes = 64 << 10
+const (
+	// maxDatagramBytes is the size of the receive buffer. No UDP datagram is larger.
+	maxDatagramBytes = 64 << 10
+	// maxMessageBytes is the largest message that is sent, which leaves room for headers.
+	maxMessageBytes = 60_000
+)
 
 // Broadcaster exchanges reports with the other entry hosts in datagrams until its context ends.
 type Broadcaster struct {
@@ -85,15 +89,11 @@
 
 func (b *Broadcaster) send(envelopes []lavreport.Envelope) {
 	for _, envelope := range envelopes {
-		data, err := proto.Marshal(encode(envelope.Message))
+		data, err := marshal(envelope.Message)
 		if err != nil {
 			b.Log.WithError(err).Error("encoding a message for peers failed")
 			continue
 		}
-		if len(data) > maxDatagramBytes {
-			b.Log.WithField("bytes", len(data)).Error("message for peers is larger than a datagram; it is not sent")
-			continue
-		}
 		for _, text := range envelope.To {
 			address, err := netip.ParseAddrPort(text)
 			if err != nil {
--- a/entry/services/lavbroadcast/broadcaster_test.go
+++ b/entry/services/lavbroadcast/broadcaster_test.go
@@ -10,14 +10,18 @@
 
 	"github.com/matryer/is"
 	"github.com/sirupsen/logrus"
+	"google.golang.org/protobuf/proto"
 
 	"lavenderswitch/core/models/lavid"
 	"lavenderswitch/core/models/lavserver"
 	"lavenderswitch/core/modules/lavring"
 	"lavenderswitch/core/services/lavcutover"
+	"lavenderswitch/core/services/lavforecast"
 	"lavenderswitch/core/services/lavload"
+	"lavenderswitch/core/services/lavnews"
 	"lavenderswitch/core/services/lavreport"
 	"lavenderswitch/core/services/lavrollout"
+	"lavenderswitch/wire/lavwire"
 )
 
 // testHost is a broadcaster with what it reports.
@@ -42,7 +46,7 @@
 		Loads:    lavload.New(),
 		Cutovers: lavcutover.New(lavcutover.Settings{Test: lavrollout.DefaultSettings(), StopEvidence: 100}),
 	}
-	node := lavreport.NewNode(h.Peers, h.Loads, h.Cutovers, nil, nil, time.Now())
+	node := lavreport.NewNode(h.Peers, h.Loads, lavforecast.New(), h.Cutovers, nil, nil, time.Now())
 	h.Broadcaster = &Broadcaster{Self: h.Peers.Self(), Node: node, Log: log, Clock: time.Now}
 	is.New(t).NoErr(h.Listen())
 	return h
@@ -127,3 +131,66 @@
 	a.AnnounceLeaving()
 	eventually(t, "one live host", func() bool { return len(b.Peers.Live(time.Now())) == 1 })
 }
+
+// TestTotalOverManyServersFitsIntoADatagram guards against totals that are not sent at all before thousands of servers.
+func TestTotalOverManyServersFitsIntoADatagram(t *testing.T) {
+	is := is.New(t)
+	message := &lavreport.Message{Kind: lavreport.KindTotal, From: lavring.Member{ID: "a", Address: "127.0.0.1:1"}}
+	message.Sum.Loads = make(map[lavload.ServerKey]lavload.Load)
+	message.Sum.Speeds = make(map[lavload.ServerKey]lavforecast.Speed)
+	for i := range 9000 {
+		server := lavload.ServerKey(i * 477_001)
+		message.Sum.Loads[server] = lavload.Load{Requests: i % 50, Unread: 60_000, Memory: 500_000}
+		message.Sum.Speeds[server] = lavforecast.Speed{Sum: 3, Weight: 9}
+	}
+	data, err := marshal(message)
+	is.NoErr(err)
+	is.True(len(data) <= maxMessageBytes)
+	var state lavwire.HostState
+	is.NoErr(proto.Unmarshal(data, &state))
+	decoded, err := decode(&state)
+	is.NoErr(err)
+	is.True(len(decoded.Sum.Loads) > 2000)
+	lowestKept, highestLeft := 50, 0
+	for server, load := range message.Sum.Loads {
+		if _, kept := decoded.Sum.Loads[server]; kept {
+			lowestKept = min(lowestKept, load.Requests)
+			continue
+		}
+		highestLeft = max(highestLeft, load.Requests)
+	}
+	is.True(lowestKept >= highestLeft) // the busiest servers stay
+}
+
+// TestMessageSurvivesTheWire guards against a field that is lost or changed between two hosts.
+func TestMessageSurvivesTheWire(t *testing.T) {
+	is := is.New(t)
+	load := lavload.Load{Requests: 3, Unread: 1200, Memory: 7000}
+	counts := lavcutover.Counts{Failures: lavrollout.Sample{Trials: 5, Bad: 1}, Slow: lavrollout.Sample{Trials: 4, Bad: 2}, Longer: lavrollout.Sample{Trials: 3, Bad: 3}, Sends: 9}
+	sum := lavreport.Sum{
+		Entries: []lavreport.Entry{{Host: 7, Sequence: 65_535, Age: 300 * time.Millisecond, Leaving: true}, {Host: 8, Sequence: 1}},
+		Loads:   map[lavload.ServerKey]lavload.Load{11: load},
+		Speeds:  map[lavload.ServerKey]lavforecast.Speed{11: {Sum: -1.25, Weight: 2.5}},
+		Cutovers: []lavcutover.Status{{
+			Progress: lavcutover.Progress{Service: "pool", To: "v2", State: lavcutover.Running, Began: time.Minute, Duration: 20 * time.Second}, Version: 4,
+			Counts: map[lavcutover.Key]lavcutover.Counts{{Service: "pool", Release: "v2", Kind: "chat"}: counts},
+		}},
+	}
+	member := lavring.Member{ID: "a", DataCentre: "centre-a", Address: "127.0.0.1:1"}
+	message := &lavreport.Message{
+		Kind: lavreport.KindTotal, From: member, Sequence: 65_535, Leaving: true, IsRelay: true, Sum: sum,
+		Loads: map[lavid.BackendServerID]lavload.Load{"server": load}, Speeds: sum.Speeds, Cutovers: sum.Cutovers,
+		Exchanged: []lavreport.CentreSum{{DataCentre: "centre-b", Sum: sum}}, Members: []lavring.Member{member}, ForwardTo: []string{"127.0.0.1:2"},
+		News: &lavnews.News{Servers: &lavnews.Edition{Version: 7, Digest: 1 << 63, Age: time.Second}, CutoversRead: true, Address: "127.0.0.1:3"},
+	}
+	data, err := proto.Marshal(encode(message))
+	is.NoErr(err)
+	var state lavwire.HostState
+	is.NoErr(proto.Unmarshal(data, &state))
+	decoded, err := decode(&state)
+	is.NoErr(err)
+	is.Equal(decoded, message)
+	state.Sum.Requests = nil
+	_, err = decode(&state)
+	is.True(err != nil) // lists of unequal lengths
+}
--- a/entry/services/lavbroadcast/decode.go
+++ b/entry/services/lavbroadcast/decode.go
@@ -9,6 +9,7 @@
 	"lavenderswitch/core/models/lavid"
 	"lavenderswitch/core/modules/lavring"
 	"lavenderswitch/core/services/lavcutover"
+	"lavenderswitch/core/services/lavforecast"
 	"lavenderswitch/core/services/lavload"
 	"lavenderswitch/core/services/lavnews"
 	"lavenderswitch/core/services/lavreport"
@@ -47,6 +48,9 @@
 		}
 	}
 	var err error
+	if message.Speeds, err = decodeSpeeds(state.GetSpeeds()); err != nil {
+		return nil, err
+	}
 	if message.Sum, err = decodeSum(state.GetSum()); err != nil {
 		return nil, err
 	}
@@ -86,7 +90,11 @@
 
 // decodeSum returns a sum. It fails if its lists have unequal lengths.
 func decodeSum(encoded *lavwire.HostSum) (lavreport.Sum, error) {
-	sum := lavreport.Sum{Loads: make(map[lavload.ServerKey]lavload.Load, len(encoded.GetServers())), Cutovers: decodeCutovers(encoded.GetCutovers())}
+	speeds, err := decodeSpeeds(encoded.GetSpeeds())
+	if err != nil {
+		return lavreport.Sum{}, err
+	}
+	sum := lavreport.Sum{Speeds: speeds, Loads: make(map[lavload.ServerKey]lavload.Load, len(encoded.GetServers())), Cutovers: decodeCutovers(encoded.GetCutovers())}
 	hosts, servers := encoded.GetHosts(), encoded.GetServers()
 	if len(encoded.GetSequences()) != len(hosts) || len(encoded.GetAgesMillis()) != len(hosts) {
 		return lavreport.Sum{}, errors.Errorf("sum of %d hosts has %d sequences and %d ages", len(hosts), len(encoded.GetSequences()), len(encoded.GetAgesMillis()))
@@ -113,6 +121,19 @@
 	return sum, nil
 }
 
+// decodeSpeeds returns speeds. It fails if their lists have unequal lengths.
+func decodeSpeeds(encoded *lavwire.ServerSpeeds) (map[lavload.ServerKey]lavforecast.Speed, error) {
+	servers, sums, weights := encoded.GetServers(), encoded.GetSums(), encoded.GetWeights()
+	if len(sums) != len(servers) || len(weights) != len(servers) {
+		return nil, errors.Errorf("speeds of %d backend servers have %d sums and %d weights", len(servers), len(sums), len(weights))
+	}
+	speeds := make(map[lavload.ServerKey]lavforecast.Speed, len(servers))
+	for i, server := range servers {
+		speeds[lavload.ServerKey(server)] = lavforecast.Speed{Sum: speedUnit * float64(sums[i]), Weight: speedUnit * float64(weights[i])}
+	}
+	return speeds, nil
+}
+
 func decodeCutovers(states []*lavwire.CutoverState) []lavcutover.Status {
 	statuses := make([]lavcutover.Status, 0, len(states))
 	for _, state := range states {
--- a/entry/services/lavbroadcast/encode.go
+++ b/entry/services/lavbroadcast/encode.go
@@ -1,8 +1,18 @@
 package lavbroadcast
 
 import (
+	"cmp"
+	"maps"
+	"math"
+	"slices"
+
+	"github.com/pkg/errors"
+	"google.golang.org/protobuf/proto"
+
 	"lavenderswitch/core/modules/lavring"
 	"lavenderswitch/core/services/lavcutover"
+	"lavenderswitch/core/services/lavforecast"
+	"lavenderswitch/core/services/lavload"
 	"lavenderswitch/core/services/lavnews"
 	"lavenderswitch/core/services/lavreport"
 	"lavenderswitch/wire/lavwire"
@@ -16,6 +26,54 @@
 	lavreport.KindTotal:    lavwire.MessageKind_MESSAGE_KIND_TOTAL,
 }
 
+// marshal returns the bytes of a message. If they do not fit into a datagram, the speeds are left out, and then the backend
+// servers with the fewest requests, which matter least to a choice.
+func marshal(message *lavreport.Message) ([]byte, error) {
+	data, err := proto.Marshal(encode(message))
+	if err != nil || len(data) <= maxMessageBytes {
+		return data, errors.Wrap(err, "encode message")
+	}
+	smaller := *message
+	smaller.Speeds = nil
+	smaller.Sum = withoutSpeeds(message.Sum)
+	smaller.Exchanged = nil
+	for _, sum := range message.Exchanged {
+		smaller.Exchanged = append(smaller.Exchanged, lavreport.CentreSum{DataCentre: sum.DataCentre, Sum: withoutSpeeds(sum.Sum)})
+	}
+	for {
+		data, err = proto.Marshal(encode(&smaller))
+		if err != nil || len(data) <= maxMessageBytes {
+			return data, errors.Wrap(err, "encode message")
+		}
+		if len(smaller.Exchanged) > 0 {
+			smaller.Exchanged = nil // the exchanges bring these sums too
+			continue
+		}
+		if len(smaller.Sum.Loads) == 0 {
+			return nil, errors.Errorf("message without loads has %d bytes", len(data))
+		}
+		smaller.Sum.Loads = busiest(smaller.Sum.Loads, len(smaller.Sum.Loads)*9/10)
+	}
+}
+
+func withoutSpeeds(sum lavreport.Sum) lavreport.Sum {
+	sum.Speeds = nil
+	return sum
+}
+
+// busiest returns the loads of the servers with the most requests.
+func busiest(loads map[lavload.ServerKey]lavload.Load, count int) map[lavload.ServerKey]lavload.Load {
+	servers := slices.Collect(maps.Keys(loads))
+	slices.SortFunc(servers, func(a, b lavload.ServerKey) int {
+		return cmp.Or(cmp.Compare(loads[b].Requests, loads[a].Requests), cmp.Compare(a, b))
+	})
+	kept := make(map[lavload.ServerKey]lavload.Load, count)
+	for _, server := range servers[:count] {
+		kept[server] = loads[server]
+	}
+	return kept
+}
+
 // encode returns the datagram of a message.
 func encode(message *lavreport.Message) *lavwire.HostState {
 	state := &lavwire.HostState{
@@ -29,6 +87,7 @@
 		ForwardTo:    message.ForwardTo,
 		Relay:        message.IsRelay,
 		Cutovers:     encodeCutovers(message.Cutovers),
+		Speeds:       encodeSpeeds(message.Speeds),
 	}
 	for server, load := range message.Loads {
 		state.Loads = append(state.Loads, &lavwire.ServerLoad{
@@ -70,7 +129,7 @@
 }
 
 func encodeSum(sum lavreport.Sum) *lavwire.HostSum {
-	encoded := &lavwire.HostSum{Cutovers: encodeCutovers(sum.Cutovers)}
+	encoded := &lavwire.HostSum{Cutovers: encodeCutovers(sum.Cutovers), Speeds: encodeSpeeds(sum.Speeds)}
 	for _, entry := range sum.Entries {
 		encoded.Hosts = append(encoded.Hosts, uint32(entry.Host))
 		encoded.Sequences = append(encoded.Sequences, uint32(entry.Sequence))
@@ -88,6 +147,22 @@
 	return encoded
 }
 
+// speedUnit is the unit of speeds on the wire.
+const speedUnit = 0.01
+
+func encodeSpeeds(speeds map[lavload.ServerKey]lavforecast.Speed) *lavwire.ServerSpeeds {
+	if len(speeds) == 0 {
+		return nil
+	}
+	encoded := &lavwire.ServerSpeeds{}
+	for server, speed := range speeds {
+		encoded.Servers = append(encoded.Servers, uint32(server))
+		encoded.Sums = append(encoded.Sums, int32(math.Round(speed.Sum/speedUnit)))
+		encoded.Weights = append(encoded.Weights, uint32(math.Round(max(speed.Weight, 0)/speedUnit)))
+	}
+	return encoded
+}
+
 func encodeCutovers(statuses []lavcutover.Status) []*lavwire.CutoverState {
 	states := make([]*lavwire.CutoverState, 0, len(statuses))
 	for _, status := range statuses {
--- a/entry/services/lavforward/choose.go
+++ b/entry/services/lavforward/choose.go
@@ -115,7 +115,7 @@
 	meanRate := e.meanFailureRate(rows, now)
 	for _, row := range rows {
 		load := e.Loads.Total(row.ID, now)
-		if maxDelay != noLimit && e.forecasts.Delay(lavforecast.Query{Service: row.Service, Server: row.ID, Before: load.Unread}, now) > maxDelay {
+		if maxDelay != noLimit && e.Forecasts.Delay(lavforecast.Query{Service: row.Service, Server: row.ID, Before: load.Unread}, now) > maxDelay {
 			continue
 		}
 		usable = append(usable, row)
@@ -125,6 +125,7 @@
 			Slots:             row.Slots,
 			Unread:            load.Unread,
 			AddedWork:         e.promptWork(row, model, row.ID == home, now),
+			Slowness:          e.Forecasts.Slowness(row.ID, now),
 			WholeWork:         float64(e.request.Prompt.Input) * e.readFactor(model),
 			Memory:            load.Memory + e.memoryTokens(),
 			Capacity:          engine.Capacity,
--- a/entry/services/lavforward/fixture_test.go
+++ b/entry/services/lavforward/fixture_test.go
@@ -20,6 +20,7 @@
 	"lavenderswitch/core/services/lavcold"
 	"lavenderswitch/core/services/lavcutover"
 	"lavenderswitch/core/services/lavdirectory"
+	"lavenderswitch/core/services/lavforecast"
 	"lavenderswitch/core/services/lavload"
 )
 
@@ -54,6 +55,7 @@
 	f.Forwarder = New(Settings{ColdOverage: 1, RepeatShare: 0.7, RepeatSlack: 10, RepeatWindow: 10 * time.Second}, Dependencies{
 		Directory:  f.directory,
 		Loads:      lavload.New(),
+		Forecasts:  lavforecast.New(),
 		Cold:       lavcold.New(self.ID),
 		Releases:   lavcutover.New(lavcutover.Settings{}),
 		Hosts:      hosts{self},
--- a/entry/services/lavforward/forwarder.go
+++ b/entry/services/lavforward/forwarder.go
@@ -48,6 +48,7 @@
 type Dependencies struct {
 	Directory *lavdirectory.Directory
 	Loads     *lavload.Table
+	Forecasts *lavforecast.Forecaster
 	Cold      *lavcold.Limiter
 	Releases  Releases
 	Hosts     Hosts
@@ -69,10 +70,8 @@
 	repeats  *repeatBudget
 	prompts  *promptCache
 	speeds   *speedEstimates
-	// forecasts predicts the first events of engines.
-	forecasts *lavforecast.Forecaster
-	waiting   *waitingRoom
-	random    func() float64
+	waiting  *waitingRoom
+	random   func() float64
 }
 
 // New returns a forwarder with the given settings and dependencies.
@@ -84,7 +83,6 @@
 		repeats:      newRepeatBudget(settings),
 		prompts:      newPromptCache(),
 		speeds:       newSpeedEstimates(),
-		forecasts:    lavforecast.New(),
 		waiting:      newWaitingRoom(dependencies.Metrics, dependencies.Clock),
 		random:       rand.Float64,
 	}
--- a/entry/services/lavforward/forwarder_test.go
+++ b/entry/services/lavforward/forwarder_test.go
@@ -12,6 +12,7 @@
 
 	"lavenderswitch/core/models/lavid"
 	"lavenderswitch/core/models/lavroute"
+	"lavenderswitch/core/services/lavforecast"
 )
 
 func TestOnceOnlyRequestIsNotRepeatedAfterItMayHaveRun(t *testing.T) {
@@ -313,6 +314,26 @@
 	is.True(after(1500 * time.Millisecond))
 }
 
+// TestSlowServerDoesNotProlongTheWait answers the pattern of a request that waits at a server that turned slow: the server's
+// own slowness must not be a reason to wait longer for it.
+func TestSlowServerDoesNotProlongTheWait(t *testing.T) {
+	is := is.New(t)
+	fixture := newFixture(1)
+	sentAt := time.Unix(1000, 0)
+	e := &execution{Forwarder: fixture.Forwarder, request: newRequest(lavroute.Streaming)}
+	chosen := choice{Row: e.Directory.All()[0], unreadTokens: 10_000}
+	for range 50 {
+		e.Forecasts.Observe(lavforecast.Query{Service: service, Server: "normal", Own: 10_000}, 300*time.Millisecond, sentAt)
+		e.Forecasts.Observe(lavforecast.Query{Service: service, Server: chosen.ID, Own: 10_000, Before: 1e6}, time.Minute, sentAt)
+	}
+	is.True(e.expectedFirst(chosen, sentAt) > 600*time.Millisecond)
+	e.health.recordActivity(chosen.ID, sentAt.Add(time.Second))
+	for range overtakenThreshold {
+		e.health.recordAnswer(chosen.ID, sentAt.Add(time.Millisecond), e.rank())
+	}
+	is.True(e.isLost(chosen, e.rank(), sentAt, sentAt.Add(time.Second)))
+}
+
 // TestOnlyServerIsNotGivenUp guards against a request that fails while its server is slow, although no other one could take
 // it.
 func TestOnlyServerIsNotGivenUp(t *testing.T) {
--- a/entry/services/lavforward/outlook.go
+++ b/entry/services/lavforward/outlook.go
@@ -8,7 +8,7 @@
 
 // estimate returns the predicted time to the first event of an engine's answer.
 func (e *execution) estimate(chosen choice, now time.Time) lavforecast.Estimate {
-	return e.forecasts.First(chosen.query(), now)
+	return e.Forecasts.First(chosen.query(), now)
 }
 
 // query returns the query for the first event of the engine's answer.
@@ -21,9 +21,17 @@
 	return e.estimate(chosen, now).Expected
 }
 
+// usualFirst returns the expected time to the first event of the answer of an engine that is not slow. A request is not to
+// wait longer because its engine has turned slow.
+func (e *execution) usualFirst(chosen choice, now time.Time) time.Duration {
+	query := chosen.query()
+	query.Server = ""
+	return e.Forecasts.First(query, now).Expected
+}
+
 // observeFirst records the time to the first event of an engine's answer.
 func (e *execution) observeFirst(chosen choice, took time.Duration, now time.Time) {
-	if ratio := e.forecasts.Observe(chosen.query(), took, now); ratio > 0 {
+	if ratio := e.Forecasts.Observe(chosen.query(), took, now); ratio > 0 {
 		e.Metrics.predictionRatio.WithLabelValues(string(chosen.Service)).Observe(ratio)
 	}
 }
--- a/entry/services/lavforward/timeouts.go
+++ b/entry/services/lavforward/timeouts.go
@@ -51,7 +51,7 @@
 	if waited >= silence && e.health.silentSince(chosen.ID, now.Add(-silence)) {
 		return true
 	}
-	expected := overtakenFactor * e.expectedFirst(chosen, sentAt)
+	expected := overtakenFactor * e.usualFirst(chosen, sentAt)
 	overtaking := e.health.overtaking(chosen.ID, sentAt, rank)
 	overtakenTimeout := max(time.Duration(overtakenTimeoutShare*float64(e.firstEventTimeout())), expected)
 	if waited >= overtakenTimeout && overtaking >= overtakenThreshold {
@@ -62,7 +62,7 @@
 
 // silenceTimeout returns how long a send waits for its answer while its server is silent towards this host.
 func (e *execution) silenceTimeout(chosen choice, sentAt time.Time) time.Duration {
-	return min(e.firstEventTimeout(), max(e.waitLimit(sentAt), overtakenFactor*e.expectedFirst(chosen, sentAt)))
+	return min(e.firstEventTimeout(), max(e.waitLimit(sentAt), overtakenFactor*e.usualFirst(chosen, sentAt)))
 }
 
 // waitLimit returns waitShare of the time that was left when a request was sent.
--- a/entry/services/lavwatch/watcher_test.go
+++ b/entry/services/lavwatch/watcher_test.go
@@ -11,6 +11,7 @@
 	"github.com/matryer/is"
 	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
+	"github.com/sirupsen/logrus/hooks/test"
 
 	"lavenderswitch/core/models/lavid"
 	"lavenderswitch/core/models/lavroute"
@@ -272,3 +273,22 @@
 	<-driver.Done()
 	is.Equal(store.version, 1.0) // The driver reads the row again instead of writing it a second time.
 }
+
+// failingCutoverStore rejects every write.
+type failingCutoverStore struct{ fakeCutoverStore }
+
+func (*failingCutoverStore) WriteCutover(context.Context, lavcutover.Change) (float64, error) {
+	return 0, errDown
+}
+
+// TestFailedWriteIsNotLoggedAsWritten guards against a log that shows a roll-out as begun or stopped although its row was not
+// written.
+func TestFailedWriteIsNotLoggedAsWritten(t *testing.T) {
+	is := is.New(t)
+	log, hook := test.NewNullLogger()
+	driver := &CutoverDriver{Cutovers: lavcutover.New(lavcutover.Settings{}), Store: &failingCutoverStore{}, CallTimeout: time.Second, Log: log, Clock: time.Now}
+	driver.writeChange(t.Context(), lavcutover.Change{Progress: lavcutover.Progress{Service: "pool", To: "v2", State: lavcutover.Running}})
+	is.Equal(len(hook.AllEntries()), 1)
+	is.True(hook.LastEntry().Message != "cutover written")
+	is.Equal(hook.LastEntry().Level, logrus.WarnLevel)
+}
