Leave out a server whose address a later one has

Change: of two servers with one address, the one that was born first, or seen first where births are not stated, takes no new work from the listing on. The test fails without it.

--- a/core/services/lavdirectory/directory.go
+++ b/core/services/lavdirectory/directory.go
@@ -108,6 +108,7 @@
 			changes = append(changes, change)
 		}
 	}
+	d.displaceEarlier()
 	for id, row := range d.rows {
 		if listed[id] {
 			continue
@@ -126,6 +127,31 @@
 	return changes
 }
 
+// displaceEarlier marks the servers whose addresses have later ones as displaced; the caller holds the lock. A server that
+// ended without notice stays listed until its entry expires, and another one may have started at its address meanwhile.
+func (d *Directory) displaceEarlier() {
+	latest := make(map[string]Row, len(d.rows))
+	for _, row := range d.rows {
+		if other, found := latest[row.Address]; !found || row.startedAfter(other) {
+			latest[row.Address] = row
+		}
+	}
+	for id, row := range d.rows {
+		if other := latest[row.Address]; other.ID != id && other.startedAfter(row) {
+			row.Displaced = true
+			d.rows[id] = row
+		}
+	}
+}
+
+// startedAfter reports whether the server is known to have started after another one.
+func (r Row) startedAfter(other Row) bool {
+	if !r.Born.IsZero() && !other.Born.IsZero() {
+		return r.Born.After(other.Born)
+	}
+	return r.FirstSeen.After(other.FirstSeen)
+}
+
 // mayHaveExpired reports whether the entry of an unlisted server may have expired during an outage and be listed again.
 func (d *Directory) mayHaveExpired(row Row, now time.Time) bool {
 	return row.LastListed.Before(d.storeReturned) && now.Before(d.storeReturned.Add(d.settings.ReturnGrace))
--- a/core/services/lavdirectory/directory_test.go
+++ b/core/services/lavdirectory/directory_test.go
@@ -166,3 +166,27 @@
 	is.Equal(usable(d, storeReturned.Add(1999*time.Millisecond)), "a")
 	is.Equal(usable(d, storeReturned.Add(2*time.Second)), "")
 }
+
+// TestLaterServerAtAnAddressReplacesTheEarlierOne answers the pattern of many servers that end without notice and return at
+// their addresses under new IDs: each host would learn by a refused request of its own that an earlier one has gone.
+func TestLaterServerAtAnAddressReplacesTheEarlierOne(t *testing.T) {
+	is := is.New(t)
+	d := directory()
+	earlier, other, later := server("a"), server("b"), server("c")
+	other.Address = "10.0.0.2:1"
+	later.Born = start.Add(5 * time.Second)
+	d.ApplyListing([]lavserver.Server{earlier, other}, start)
+	is.Equal(usable(d, start), "ab")
+	now := start.Add(6 * time.Second)
+	d.ApplyListing([]lavserver.Server{later, other, earlier}, now)
+	is.Equal(usable(d, now), "bc")
+	d.ApplyListing([]lavserver.Server{earlier, other}, now.Add(time.Second))
+	is.Equal(usable(d, now.Add(time.Second)), "b") // another server had its address
+	withoutBirth := server("d")
+	withoutBirth.Born, withoutBirth.Address = time.Time{}, "10.0.0.3:1"
+	d.ApplyListing([]lavserver.Server{other, withoutBirth}, now.Add(2*time.Second))
+	unknown := withoutBirth
+	unknown.ID = "e"
+	d.ApplyListing([]lavserver.Server{other, withoutBirth, unknown}, now.Add(3*time.Second))
+	is.Equal(usable(d, now.Add(3*time.Second)), "be") // the one seen later
+}
