Connections for calls that may run once neither fill up servers nor hide a refusal

With 34 hosts before 3 servers that accept 230, servers reset connections, and the call was written before the reset arrived: 351 answers 502 for calls that had reached no server, to which callers may not repeat.

Change: such a connection is kept only while at most one other is idle, and the call is written after the time that the connection took to open, 1 to 10 ms, unless the server has reset it; then it is not sent and may go elsewhere or be refused as not run. Both tests fail without it.

--- a/core/modules/lavexchange/client.go
+++ b/core/modules/lavexchange/client.go
@@ -19,6 +19,13 @@
 	idleMargin = 500 * time.Millisecond
 	// maxIdlePerServer is the maximum number of idle connections to one server.
 	maxIdlePerServer = 32
+	// maxIdleUnneeded is the number of idle connections to one server up to which those are kept that were opened for a
+	// request that required a new one. Such requests reuse none, so that more would only fill up the server's connections.
+	maxIdleUnneeded = 2
+	// minAcceptWait and maxAcceptWait bound the time that a new connection waits for its reset by a server that accepts no
+	// more connections.
+	minAcceptWait = time.Millisecond
+	maxAcceptWait = 10 * time.Millisecond
 	// maxStrayResponses is the maximum number of responses to other requests that are skipped on one connection.
 	maxStrayResponses = 3
 )
@@ -34,7 +41,7 @@
 	// Matches reports whether response headers belong to this request. Nil accepts every response.
 	Matches func(http.Header) bool
 	// NewConnection requires a new connection. A server may be about to close an idle one, and it would then be unknown
-	// whether the request ran.
+	// whether the request ran. The request is sent once the server had the time to reset a connection that it does not accept.
 	NewConnection bool
 }
 
@@ -96,11 +103,10 @@
 func (c *Client) Do(ctx context.Context, address string, request Request) (*Response, error) {
 	connection := c.takeIdle(address, request.NewConnection)
 	if connection == nil {
-		opened, err := dial(ctx, address, c.connectTimeout)
+		opened, err := c.open(ctx, address, request.NewConnection)
 		if err != nil {
 			return nil, ErrExchange{Reason: err.Error(), cause: err}
 		}
-		c.opened.Add(1)
 		connection = opened
 	}
 	response := &Response{client: c, conn: connection, address: address, sendResult: make(chan error, 1)}
@@ -116,6 +122,26 @@
 	return response, nil
 }
 
+// open opens a connection. If the request requires a new one, it waits about as long as the connection took to be opened for a
+// reset by the server.
+func (c *Client) open(ctx context.Context, address string, required bool) (*conn, error) {
+	began := c.clock()
+	opened, err := dial(ctx, address, c.connectTimeout)
+	if err != nil {
+		return nil, err
+	}
+	c.opened.Add(1)
+	opened.unneeded = required
+	if !required {
+		return opened, nil
+	}
+	if err := opened.awaitReset(min(max(c.clock().Sub(began), minAcceptWait), maxAcceptWait)); err != nil {
+		opened.Close()
+		return nil, err
+	}
+	return opened, nil
+}
+
 // takeIdle returns a usable idle connection, or nil if there is none or a new connection is required.
 func (c *Client) takeIdle(address string, newConnection bool) *conn {
 	if newConnection {
@@ -153,7 +179,8 @@
 	connection.used = true
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if len(c.idle[address]) >= maxIdlePerServer {
+	kept := len(c.idle[address])
+	if kept >= maxIdlePerServer || connection.unneeded && kept >= maxIdleUnneeded {
 		connection.Close()
 		return
 	}
--- a/core/modules/lavexchange/client_test.go
+++ b/core/modules/lavexchange/client_test.go
@@ -339,3 +339,49 @@
 	}
 	is.Equal(client.ConnectionsOpened(), int64(2))
 }
+
+// TestRefusedConnectionLeavesTheRequestUnsent answers the pattern of a server at its limit of connections, which resets further
+// ones: a request that may run once was written at once and then might have run.
+func TestRefusedConnectionLeavesTheRequestUnsent(t *testing.T) {
+	is := is.New(t)
+	address := startTestServer(t, func(_ int, conn net.Conn, _ *bufio.Reader) {
+		if tcp, ok := conn.(*net.TCPConn); ok {
+			_ = tcp.SetLinger(0) // closing resets the connection
+		}
+	})
+	request := newTestRequest("1")
+	request.NewConnection = true
+	for range 20 {
+		_, err := NewClient(time.Second, time.Now).Do(t.Context(), address, request)
+		is.True(err != nil)
+		is.True(!WasSent(err))
+	}
+}
+
+// TestConnectionsOfOnceOnlyRequestsAreNotHoarded guards against idle connections that fill up a server: requests that require a
+// new connection never reuse them.
+func TestConnectionsOfOnceOnlyRequestsAreNotHoarded(t *testing.T) {
+	is := is.New(t)
+	address := startTestServer(t, func(_ int, conn net.Conn, reader *bufio.Reader) {
+		for {
+			id, ok := readRequest(reader)
+			if !ok {
+				return
+			}
+			writeResponse(conn, id, "body")
+		}
+	})
+	client := NewClient(time.Second, time.Now)
+	for i := range 10 {
+		request := newTestRequest(fmt.Sprint(i))
+		request.NewConnection = true
+		response, err := client.Do(t.Context(), address, request)
+		is.NoErr(err)
+		_, err = io.ReadAll(response)
+		is.NoErr(err)
+		response.Close()
+	}
+	client.mu.Lock()
+	defer client.mu.Unlock()
+	is.Equal(len(client.idle[address]), maxIdleUnneeded)
+}
--- a/core/modules/lavexchange/conn.go
+++ b/core/modules/lavexchange/conn.go
@@ -4,9 +4,11 @@
 	"bufio"
 	"context"
 	"net"
+	"os"
 	"syscall"
 	"time"
 
+	"github.com/pkg/errors"
 	"golang.org/x/sys/unix"
 )
 
@@ -29,6 +31,23 @@
 	// idleDeadline is the time from which the idle connection is not used, as the peer may close it.
 	idleDeadline time.Time
 	used         bool
+	// unneeded states that the connection was opened for a request that required a new one.
+	unneeded bool
+}
+
+// awaitReset waits for a time and returns an error if the peer has reset or closed the connection, or has sent anything.
+func (c *conn) awaitReset(wait time.Duration) error {
+	if err := c.SetReadDeadline(time.Now().Add(wait)); err != nil {
+		return errors.Wrap(err, "set a deadline")
+	}
+	_, err := c.reader.Peek(1)
+	if err == nil {
+		return errors.New("server sent data before a request")
+	}
+	if !errors.Is(err, os.ErrDeadlineExceeded) {
+		return errors.Wrap(err, "server does not accept the connection")
+	}
+	return errors.Wrap(c.SetReadDeadline(time.Time{}), "clear the deadline")
 }
 
 // dial opens an IPv4 TCP connection that is closed if its peer stops responding.
