--- a/core/modules/lavexchange/client_test.go
+++ b/core/modules/lavexchange/client_test.go
@@ -379,7 +379,7 @@
 		is.NoErr(err)
 		_, err = io.ReadAll(response)
 		is.NoErr(err)
-		response.Close()
+		is.NoErr(response.Close())
 	}
 	client.mu.Lock()
 	defer client.mu.Unlock()
--- a/core/services/lavreport/receive.go
+++ b/core/services/lavreport/receive.go
@@ -6,6 +6,7 @@
 
 	"lavenderswitch/core/models/lavid"
 	"lavenderswitch/core/services/lavcutover"
+	"lavenderswitch/core/services/lavforecast"
 	"lavenderswitch/core/services/lavload"
 )
 
@@ -141,41 +142,59 @@
 	}
 }
 
-// applyTotal makes a total, without this host's own report, the loads and counts of the other hosts.
+// applyTotal makes a total, without this host's own report, the loads, speeds and counts of the other hosts.
 func (n *Node) applyTotal(total heldSum) {
 	n.total = total
 	own, hasOwn := n.ownReport(total.Sum)
-	loads := maps.Clone(total.Loads)
-	if hasOwn && loads != nil {
-		for server, load := range own.loads {
-			key := lavload.KeyOf(server)
-			loads[key] = loads[key].Minus(load)
+	loads, speeds := maps.Clone(total.Loads), maps.Clone(total.Speeds)
+	if hasOwn {
+		subtractOwn(loads, speeds, own)
+	}
+	until := total.validUntil(totalLifetime)
+	n.loads.SetPeers(loads, until)
+	n.speeds.SetPeerSpeeds(speeds, until)
+	n.observeAges(total.Sum)
+	for _, status := range total.Cutovers {
+		keepCounts(n.otherCounts, status, own.withoutOwn(status))
+		n.cutovers.SetOtherCounts(status.Progress.Service, n.otherCounts[status.Progress.Service].counts)
+	}
+}
+
+// subtractOwn removes a report of this host from the loads and speeds of a sum that contains it.
+func subtractOwn(loads map[lavload.ServerKey]lavload.Load, speeds map[lavload.ServerKey]lavforecast.Speed, own sentReport) {
+	for server, load := range own.loads {
+		key := lavload.KeyOf(server)
+		if total, found := loads[key]; found {
+			loads[key] = total.Minus(load)
 		}
 	}
-	speeds := maps.Clone(total.Speeds)
-	if hasOwn && speeds != nil {
-		for server, speed := range own.speeds {
-			speeds[server] = speeds[server].Minus(speed)
+	for server, speed := range own.speeds {
+		if total, found := speeds[server]; found {
+			speeds[server] = total.Minus(speed)
 		}
 	}
-	n.loads.SetPeers(loads, total.validUntil(totalLifetime))
-	n.speeds.SetPeerSpeeds(speeds, total.validUntil(totalLifetime))
-	if n.observe != nil {
-		for _, entry := range total.Entries {
-			if entry.Host != KeyOf(n.peers.Self().ID) {
-				n.observe(entry.Age)
-			}
+}
+
+// withoutOwn returns the counts of a status in a sum without those of this report, which the sum contains.
+func (s sentReport) withoutOwn(status lavcutover.Status) map[lavcutover.Key]lavcutover.Counts {
+	counts := status.Counts
+	for _, own := range s.cutovers {
+		if own.Progress.Service == status.Progress.Service && own.Progress.To == status.Progress.To {
+			counts = subtractCounts(counts, own.Counts)
 		}
 	}
-	for _, status := range total.Cutovers {
-		counts := status.Counts
-		for _, ownStatus := range own.cutovers {
-			if ownStatus.Progress.Service == status.Progress.Service && ownStatus.Progress.To == status.Progress.To {
-				counts = subtractCounts(counts, ownStatus.Counts)
-			}
+	return counts
+}
+
+// observeAges passes on the ages of the reports of other hosts in a sum.
+func (n *Node) observeAges(sum Sum) {
+	if n.observe == nil {
+		return
+	}
+	for _, entry := range sum.Entries {
+		if entry.Host != KeyOf(n.peers.Self().ID) {
+			n.observe(entry.Age)
 		}
-		keepCounts(n.otherCounts, status, counts)
-		n.cutovers.SetOtherCounts(status.Progress.Service, n.otherCounts[status.Progress.Service].counts)
 	}
 }
 
