Copy the counts of other data centres into a relay's total

Found on reading: the total held the map of a relay's own counts, and is encoded without the node's lock while exchanges change that map; Go ends a process at such an access.

--- a/core/services/lavreport/relay.go
+++ b/core/services/lavreport/relay.go
@@ -117,7 +117,8 @@
 
 // statusOf returns the counts of other hosts as a status. Its version is zero, so that it replaces no row.
 func statusOf(service lavid.ServiceID, counts countsOfRelease) lavcutover.Status {
-	return lavcutover.Status{Progress: lavcutover.Progress{Service: service, To: counts.to}, Counts: counts.counts}
+	// A copy, because messages are encoded while the counts change.
+	return lavcutover.Status{Progress: lavcutover.Progress{Service: service, To: counts.to}, Counts: maps.Clone(counts.counts)}
 }
 
 // sendTotal returns the total for the reporters, and applies it to this host.
