Keep sessions on their release at every host during a trial

Change: - Hosts tell each other, in their reports, which sessions older releases serve: a Bloom filter of the sessions within the trial share, per cutover. Nothing is ever removed from it, so that all hosts come to hold the same set in whatever order messages arrive. Its sessions stay on older releases until the trial ends; a false member only takes a session out of the trial. - A cutover moves no session in the first 2 s after its begin, nor in the first 2 s after a host has learned of it; sessions served then are added. - A session's pause counts from the end of its latest send, and one with a send in progress is in use. - A session that this host moves although it should stay (no usable server of its release) is counted and logged.

--- a/core/services/lavcutover/cutovers.go
+++ b/core/services/lavcutover/cutovers.go
@@ -29,6 +29,8 @@
 	// MaxCompleteEvidence is the highest evidence at which a release may complete, after which the old servers end.
 	// Without answers the evidence is 1.
 	MaxCompleteEvidence float64
+	// OnMove is called with each session that changes its release though it should have stayed; it may be nil.
+	OnMove func(Move)
 }
 
 // maxSessions bounds the sessions whose release is kept; the least recently used is removed first.
@@ -50,10 +52,20 @@
 	session string
 }
 
-// sessionPlacement holds the release that served a session last, and when.
+// sessionPlacement holds the release that served a session last.
 type sessionPlacement struct {
 	release lavid.ReleaseID
-	used    time.Time
+	// used is when the session's latest send began or ended, and inProgress the number of its sends that have not ended.
+	used       time.Time
+	inProgress int
+}
+
+// callerDelay is how much later than the host the caller sees the end of an answer, from which pauses of a session count.
+const callerDelay = 500 * time.Millisecond
+
+// continues reports whether a request at now belongs to the session's current run of requests.
+func (p sessionPlacement) continues(maxPause time.Duration, now time.Time) bool {
+	return p.inProgress > 0 || now.Sub(p.used) <= maxPause+callerDelay
 }
 
 // cutover is the state of one service's cutover on this host.
@@ -69,6 +81,10 @@
 	takesAll bool
 	// idleSince is the time from which the old servers have had no work in progress; zero while they have some.
 	idleSince time.Time
+	// learnedAt is when this host learned of the cutover, and earlier the sessions that older releases served then or
+	// soon after, at any host. Of these, it holds only those that would be part of the trial.
+	learnedAt time.Time
+	earlier   SessionSet
 	// dueSince is the time from which a change of the row has been due; the hosts of higher rank write it only after a
 	// delay.
 	dueSince time.Time
@@ -129,15 +145,14 @@
 		if found {
 			version = row.version
 		}
+		progress := Progress{Service: order.Service, To: order.To, Duration: order.Duration}
 		c.rows[order.Service] = &cutover{
-			ordered:  true,
-			version:  version,
-			dueSince: now,
-			progress: Progress{
-				Service:  order.Service,
-				To:       order.To,
-				Duration: order.Duration,
-			},
+			ordered:   true,
+			version:   version,
+			dueSince:  now,
+			learnedAt: now,
+			earlier:   c.earlierSessions(progress, now),
+			progress:  progress,
 		}
 	}
 	for service, row := range c.rows {
@@ -164,7 +179,13 @@
 		row.version = version
 		return false
 	}
-	*row = cutover{progress: progress, version: version, ordered: ordered, stopped: row.stopped && row.progress.To == progress.To, dueSince: now}
+	next := cutover{progress: progress, version: version, ordered: ordered, dueSince: now}
+	if row.progress.To == progress.To {
+		next.stopped, next.learnedAt, next.earlier = row.stopped, row.learnedAt, row.earlier
+	} else {
+		next.learnedAt, next.earlier = now, c.earlierSessions(progress, now)
+	}
+	*row = next
 	return true
 }
 
@@ -228,22 +249,53 @@
 	if elapsed < 0 {
 		return false
 	}
+	inTrial := row.progress.inTrial(elapsed)
 	placement, found := c.sessions.Get(sessionKey{row.progress.Service, session})
-	if found && now.Sub(placement.used) <= c.settings.MaxSessionPause {
+	if found && placement.continues(c.settings.MaxSessionPause, now) {
 		if placement.release == row.progress.To {
 			return true
 		}
-		if row.progress.inTrial(elapsed) {
+		if inTrial {
 			return false
 		}
 	}
-	return row.takesAll || row.progress.sessionPosition(session) < float64(c.settings.TrialShare)
+	if inTrial && (elapsed < settleTime || now.Sub(row.learnedAt) < settleTime || row.earlier.Contains(session)) {
+		return false
+	}
+	return row.takesAll || c.mayEnterTrial(row.progress, session)
 }
 
-// RecordSend counts a send and records the release that serves the session.
+// RecordSend counts a send and records the release that serves the session. RecordEnd has to follow.
 func (c *Cutovers) RecordSend(server lavserver.Server, session string, now time.Time) {
-	c.sessions.Add(sessionKey{server.Service, session}, sessionPlacement{release: server.Release, used: now})
 	c.statistics.addSend(server)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	key := sessionKey{server.Service, session}
+	before, found := c.sessions.Get(key)
+	placement := sessionPlacement{release: server.Release, used: now, inProgress: before.inProgress + 1}
+	c.sessions.Add(key, placement)
+	row, ordered := c.rows[server.Service]
+	if !ordered {
+		return
+	}
+	c.keepEarlier(row, placement, session)
+	if found && before.continues(c.settings.MaxSessionPause, now) {
+		c.countMove(row, Move{Service: server.Service, Session: session, From: before.release, To: server.Release, Pause: now.Sub(before.used)}, now)
+	}
+}
+
+// RecordEnd records the end of a send.
+func (c *Cutovers) RecordEnd(server lavserver.Server, session string, now time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	key := sessionKey{server.Service, session}
+	placement, found := c.sessions.Peek(key)
+	if !found {
+		return
+	}
+	placement.inProgress = max(placement.inProgress-1, 0)
+	placement.used = now
+	c.sessions.Add(key, placement)
 }
 
 // Observe counts an answer of a backend server as failed or not.
--- a/core/services/lavcutover/decisions.go
+++ b/core/services/lavcutover/decisions.go
@@ -129,6 +129,8 @@
 	Stopped  bool
 	Evidence float64
 	Counts   map[Key]Counts `json:"-"`
+	// Earlier holds the sessions that older releases served when the cutover began; empty once it has ended.
+	Earlier SessionSet `json:"-"`
 }
 
 // Statuses returns the status of every cutover.
@@ -138,6 +140,9 @@
 	statuses := make([]Status, 0, len(c.rows))
 	for service, row := range c.rows {
 		status := Status{Progress: row.progress, Version: row.version, Ordered: row.ordered, Stopped: row.stopped}
+		if row.progress.State == "" || row.progress.State == Running {
+			status.Earlier = row.earlier
+		}
 		if row.progress.State == Running {
 			status.Counts = c.statistics.ownCounts(service)
 			status.Evidence = c.statistics.evidence(row.progress, c.settings.Test)
--- a/core/services/lavcutover/progress.go
+++ b/core/services/lavcutover/progress.go
@@ -43,6 +43,9 @@
 	trialFraction = 0.5
 	// trialMargin lengthens the trial to allow for clock differences between hosts.
 	trialMargin = 300 * time.Millisecond
+	// settleTime is the time after its begin, and after a host has learned of it, in which a cutover moves no session. By then
+	// the hosts know of the cutover and have told each other which sessions older releases serve.
+	settleTime = 2 * time.Second
 	// endMargin is the time before the end at which the cutover must complete. It allows for reading the order late
 	// and for the write.
 	endMargin = 1200 * time.Millisecond
--- a/core/services/lavreport/node_test.go
+++ b/core/services/lavreport/node_test.go
@@ -326,3 +326,20 @@
 		is.Equal(len(seen), count)
 	}
 }
+
+// TestHostsLearnWhichSessionsOlderReleasesServe guards against a session that changes its release because its next request
+// comes through another host.
+func TestHostsLearnWhichSessionsOlderReleasesServe(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	progress := lavcutover.Progress{Service: "pool", To: "v2", State: lavcutover.Running}
+	var none lavcutover.SessionSet
+	cutovers := lavcutover.New(lavcutover.Settings{})
+	node := NewNode(NewPeers(lavring.Member{ID: "a", DataCentre: "centre-a"}), lavload.New(), lavforecast.New(), cutovers, nil, nil, now)
+	node.Receive(&Message{
+		Kind: KindExchange, From: lavring.Member{ID: "b", DataCentre: "centre-b", Address: "10.0.0.2:1"}, Sequence: 1,
+		Sum: Sum{Cutovers: []lavcutover.Status{{Progress: progress, Version: 1, Earlier: none.With("session-1")}}},
+	}, now)
+	merged := mergeStatuses(cutovers.Statuses(), []lavcutover.Status{{Progress: progress, Version: 1, Earlier: none.With("session-2")}})
+	is.Equal(merged[0].Earlier, none.With("session-1").With("session-2"))
+}
--- a/core/services/lavreport/receive.go
+++ b/core/services/lavreport/receive.go
@@ -57,6 +57,7 @@
 		if status.Progress.State != "" && n.cutovers.ApplyRow(status.Progress, status.Version, now) {
 			receipt.Changed = append(receipt.Changed, status.Progress)
 		}
+		n.cutovers.AddEarlierSessions(status)
 	}
 	return receipt
 }
--- a/core/services/lavreport/sum.go
+++ b/core/services/lavreport/sum.go
@@ -103,7 +103,8 @@
 // that was ever received is the most complete one, also when a relay that knew more hosts has gone.
 type cutoverCounts map[lavcutover.Key]lavcutover.Counts
 
-// mergeStatuses merges two lists of statuses: the newest row of each service, and the sums of the counts about its release.
+// mergeStatuses merges two lists of statuses: the newest row of each service, the sums of the counts about its
+// release, and the sessions that any of them names.
 func mergeStatuses(into, other []lavcutover.Status) []lavcutover.Status {
 	merged := append([]lavcutover.Status(nil), into...)
 	for _, status := range other {
@@ -117,17 +118,18 @@
 			merged = append(merged, status)
 			continue
 		}
-		newest, counts := merged[position], merged[position].Counts
+		newest, counts, earlier := merged[position], merged[position].Counts, merged[position].Earlier
 		switch {
 		case newest.Progress.To == status.Progress.To:
 			counts = sumCounts(counts, status.Counts)
+			earlier = earlier.Union(status.Earlier)
 		case status.Version > newest.Version:
-			counts = status.Counts
+			counts, earlier = status.Counts, status.Earlier
 		}
 		if status.Version > newest.Version {
 			newest = status
 		}
-		newest.Counts = counts
+		newest.Counts, newest.Earlier = counts, earlier
 		merged[position] = newest
 	}
 	return merged
--- a/entry/services/lavbroadcast/broadcaster_test.go
+++ b/entry/services/lavbroadcast/broadcaster_test.go
@@ -173,7 +173,8 @@
 		Speeds:  map[lavload.ServerKey]lavforecast.Speed{11: {Sum: -1.25, Weight: 2.5}},
 		Cutovers: []lavcutover.Status{{
 			Progress: lavcutover.Progress{Service: "pool", To: "v2", State: lavcutover.Running, Began: time.Minute, Duration: 20 * time.Second}, Version: 4,
-			Counts: map[lavcutover.Key]lavcutover.Counts{{Service: "pool", Release: "v2", Kind: "chat"}: counts},
+			Counts:  map[lavcutover.Key]lavcutover.Counts{{Service: "pool", Release: "v2", Kind: "chat"}: counts},
+			Earlier: lavcutover.SessionSet(nil).With("session"),
 		}},
 	}
 	member := lavring.Member{ID: "a", DataCentre: "centre-a", Address: "127.0.0.1:1"}
--- a/entry/services/lavbroadcast/decode.go
+++ b/entry/services/lavbroadcast/decode.go
@@ -152,6 +152,7 @@
 			Duration: time.Duration(state.GetDurationMillis()) * time.Millisecond,
 		},
 		Version: state.GetRowVersion(),
+		Earlier: state.GetEarlierSessions(),
 		Counts:  make(map[lavcutover.Key]lavcutover.Counts, len(state.GetCounts())),
 	}
 	for _, count := range state.GetCounts() {
--- a/entry/services/lavbroadcast/encode.go
+++ b/entry/services/lavbroadcast/encode.go
@@ -173,12 +173,13 @@
 
 func encodeCutover(row lavcutover.Status) *lavwire.CutoverState {
 	state := &lavwire.CutoverState{
-		ServiceId:      string(row.Progress.Service),
-		ReleaseId:      string(row.Progress.To),
-		State:          string(row.Progress.State),
-		BeganMillis:    row.Progress.Began.Milliseconds(),
-		DurationMillis: row.Progress.Duration.Milliseconds(),
-		RowVersion:     row.Version,
+		ServiceId:       string(row.Progress.Service),
+		ReleaseId:       string(row.Progress.To),
+		State:           string(row.Progress.State),
+		BeganMillis:     row.Progress.Began.Milliseconds(),
+		DurationMillis:  row.Progress.Duration.Milliseconds(),
+		RowVersion:      row.Version,
+		EarlierSessions: row.Earlier,
 	}
 	for key, counts := range row.Counts {
 		state.Counts = append(state.Counts, &lavwire.ReleaseCounts{
--- a/entry/services/lavforward/choose.go
+++ b/entry/services/lavforward/choose.go
@@ -246,7 +246,7 @@
 }
 
 // reserve adds the send to the load of the server and records it for the server's release and the prompt cache. It returns
-// false when the rate limit of a cold server is used up.
+// false when the rate limit of a cold server is used up. release has to follow.
 func (e *execution) reserve(chosen choice, model lavid.ModelID, now time.Time) (*lavload.Job, bool) {
 	if e.isRateLimited(chosen.Row, now) && !e.Cold.Allow(chosen.ID, e.coldRateLimit(), e.Hosts.Hosts(now), now) {
 		return nil, false
@@ -255,3 +255,9 @@
 	e.prompts.add(chosen.ID, model, e.request.Prompt, now)
 	return e.Loads.Start(chosen.ID, lavload.Load{Unread: chosen.unreadTokens, Memory: e.memoryTokens()}), true
 }
+
+// release ends a reservation whose send has ended or is not made.
+func (e *execution) release(chosen choice, job *lavload.Job) {
+	job.End()
+	e.Releases.RecordEnd(chosen.Server, e.sessionKey(), e.Clock())
+}
--- a/entry/services/lavforward/execution.go
+++ b/entry/services/lavforward/execution.go
@@ -87,7 +87,7 @@
 				return e.refuse(entry.refused, entry.retryAfter)
 			}
 			next, result := e.send(ctx, entry.chosen, model, entry.job, e.Clock())
-			entry.job.End()
+			e.release(entry.chosen, entry.job)
 			if next == stepDone {
 				return result
 			}
@@ -103,7 +103,7 @@
 			continue
 		}
 		next, result := e.send(ctx, chosen, model, job, now)
-		job.End()
+		e.release(chosen, job)
 		if next == stepDone {
 			return result
 		}
--- a/entry/services/lavforward/forwarder.go
+++ b/entry/services/lavforward/forwarder.go
@@ -34,6 +34,7 @@
 type Releases interface {
 	Preferences(service lavid.ServiceID, session string, now time.Time) func(lavid.ReleaseID) lavcutover.Preference
 	RecordSend(server lavserver.Server, session string, now time.Time)
+	RecordEnd(server lavserver.Server, session string, now time.Time)
 	Observe(server lavserver.Server, outcome lavcutover.Outcome)
 	ObserveDuration(server lavserver.Server, kind string, took time.Duration)
 	StartTiming(server lavserver.Server, kind string, varied bool, now time.Time) *lavcutover.Timing
--- a/entry/services/lavforward/waiting.go
+++ b/entry/services/lavforward/waiting.go
@@ -119,7 +119,7 @@
 	select {
 	case <-entry.done:
 		if entry.job != nil {
-			entry.job.End()
+			entry.execution.release(entry.chosen, entry.job)
 			entry.job = nil
 		}
 	default:
