Obey servers that state in an answer that they leave, or ask for a pause

- core/services/lavnotice keeps both by instance, apart from the rows of the directory: a listing does not undo them, another instance at the address does.
- The directory offers no server that leaves or is paused, so that waiting, cascades, resumed streams, homes of prompts and repeats follow.
MayTake is asked once more when the connection is open: a send that has become wrong meanwhile is withheld, which is not a failure of the server.
A 421 with the header marks the server that has the address now.
- If all servers leave, or all have asked for a pause, callers are refused at once as not run.
Retry-After then is the shortest pause, and a random part as long as it, so that callers do not return together.
- Hosts tell each other: leaving binds all, pauses of others are advice.

At 6 hosts each server asks all hosts within a short time, so that it idles; pacing by what a server refused is not built.

Not built: a host that was suspended does not ask its relays at once; the next total brings the news, at most 0.3 s later.

--- a/core/models/lavserver/server.go
+++ b/core/models/lavserver/server.go
@@ -1,8 +1,11 @@
 package lavserver
 
 import (
+	"strconv"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"lavenderswitch/core/models/lavid"
 )
 
@@ -29,3 +32,15 @@
 func (s Server) SameInstance(other Server) bool {
 	return s.ID == other.ID && s.Address == other.Address && s.Born.Equal(other.Born)
 }
+
+// InstanceKey identifies an instance of a backend server in reports between hosts. It is a hash of what SameInstance compares.
+type InstanceKey uint64
+
+// Instance returns the key of the instance.
+func (s Server) Instance() InstanceKey {
+	born := ""
+	if !s.Born.IsZero() {
+		born = strconv.FormatInt(s.Born.UnixNano(), 10)
+	}
+	return InstanceKey(xxhash.Sum64String(string(s.ID) + "\x00" + s.Address + "\x00" + born))
+}
--- a/core/modules/lavexchange/client.go
+++ b/core/modules/lavexchange/client.go
@@ -43,8 +43,13 @@
 	// NewConnection requires a new connection. A server may be about to close an idle one, and it would then be unknown
 	// whether the request ran. The request is sent once the server had the time to reset a connection that it does not accept.
 	NewConnection bool
+	// MaySend is called once a connection is open and reports whether the request may still be sent. Nil allows it.
+	MaySend func() bool
 }
 
+// ErrWithheld is the ErrExchange of a request that MaySend did not allow.
+var ErrWithheld error = ErrExchange{Reason: "server may not take the request any more"}
+
 // Client sends requests over pooled connections. It is safe for concurrent use.
 type Client struct {
 	connectTimeout time.Duration
@@ -109,6 +114,10 @@
 		}
 		connection = opened
 	}
+	if request.MaySend != nil && !request.MaySend() {
+		c.putIdle(address, connection, nil)
+		return nil, ErrWithheld
+	}
 	response := &Response{client: c, conn: connection, address: address, sendResult: make(chan error, 1)}
 	response.stopCancelWatch = context.AfterFunc(ctx, func() { connection.Close() })
 	if err := response.exchange(request); err != nil {
--- a/core/modules/lavexchange/client_test.go
+++ b/core/modules/lavexchange/client_test.go
@@ -385,3 +385,30 @@
 	defer client.mu.Unlock()
 	is.Equal(len(client.idle[address]), maxIdleUnneeded)
 }
+
+// TestWithheldRequestIsNotSent guards against requests that reach a server which stated, while the connection was opened, that
+// it takes no more.
+func TestWithheldRequestIsNotSent(t *testing.T) {
+	is := is.New(t)
+	received := make(chan string, 2)
+	address := startTestServer(t, func(_ int, conn net.Conn, reader *bufio.Reader) {
+		for {
+			id, ok := readRequest(reader)
+			if !ok {
+				return
+			}
+			received <- id
+			writeResponse(conn, id, "body")
+		}
+	})
+	client := newTestClient()
+	withheld := newTestRequest("withheld")
+	withheld.MaySend = func() bool { return false }
+	_, err := client.Do(context.Background(), address, withheld)
+	is.Equal(err, ErrWithheld)
+	is.True(!WasSent(err))
+	_, err = fetch(client, address, "sent")
+	is.NoErr(err)
+	is.Equal(<-received, "sent")
+	is.Equal(client.ConnectionsOpened(), int64(1)) // the open connection is kept
+}
--- a/core/services/lavdirectory/directory.go
+++ b/core/services/lavdirectory/directory.go
@@ -9,6 +9,7 @@
 
 	"lavenderswitch/core/models/lavid"
 	"lavenderswitch/core/models/lavserver"
+	"lavenderswitch/core/services/lavnotice"
 )
 
 // Settings bound how long a backend server that is missing from a listing is still used. A server's entry in the store
@@ -32,6 +33,12 @@
 	ColdUntil time.Time
 	// Displaced reports that another server answered at the server's address.
 	Displaced bool
+	// Relieve reports that the server has asked other hosts to send nothing for a while; this host may do as well.
+	Relieve bool
+	// Leaving reports that the server has stated in an answer that it leaves, and PausedUntil is the end of the pause that it
+	// has asked this host for. All sets them; servers with either are not Usable.
+	Leaving     bool
+	PausedUntil time.Time
 }
 
 // Cold reports whether the server is in its cold start at now.
@@ -42,6 +49,8 @@
 // Directory holds the backend servers; it is safe for concurrent use.
 type Directory struct {
 	settings Settings
+	// notices holds what servers state in their answers. It outlasts the rows, as a listing may be older than an answer.
+	notices *lavnotice.Table
 
 	mu          sync.Mutex
 	rows        map[lavid.BackendServerID]Row
@@ -57,6 +66,7 @@
 func New(settings Settings) *Directory {
 	return &Directory{
 		settings:  settings,
+		notices:   lavnotice.New(),
 		rows:      make(map[lavid.BackendServerID]Row),
 		evacuated: make(map[lavid.DataCentreID]bool),
 	}
@@ -207,7 +217,8 @@
 	defer d.mu.Unlock()
 	var usable []Row
 	for _, row := range d.rows {
-		if row.Service == service && d.isUsable(row, now) {
+		if row.Service == service && d.isUsable(row, now) && !d.isPaused(row, now) {
+			row.Relieve = now.Before(d.notices.AdvisedUntil(row.Instance()))
 			usable = append(usable, row)
 		}
 	}
@@ -215,9 +226,70 @@
 	return usable
 }
 
-// isUsable reports whether a server may take new work; the caller holds the lock.
+// isUsable reports whether a server may take new work, unless it has asked for a pause; the caller holds the lock.
 func (d *Directory) isUsable(row Row, now time.Time) bool {
-	return (row.Listed || d.mayHaveExpired(row, now)) && !row.Draining && !row.Displaced && !d.evacuated[row.DataCentre]
+	return (row.Listed || d.mayHaveExpired(row, now)) && !row.Draining && !row.Displaced && !d.evacuated[row.DataCentre] &&
+		!d.notices.Leaving(row.Instance())
+}
+
+// isPaused reports whether a server has asked this host for a pause that has not ended.
+func (d *Directory) isPaused(row Row, now time.Time) bool {
+	return now.Before(d.notices.PausedUntil(row.Instance()))
+}
+
+// MayTake reports whether an instance of a server may take a request that is about to be sent to it.
+func (d *Directory) MayTake(server lavserver.Server, now time.Time) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	row, exists := d.rows[server.ID]
+	return exists && row.SameInstance(server) && d.isUsable(row, now) && !d.isPaused(row, now)
+}
+
+// PauseLeft returns the time until the first server of a service ends its pause. It is zero if a server may take work now, or
+// if no server has asked for a pause.
+func (d *Directory) PauseLeft(service lavid.ServiceID, now time.Time) time.Duration {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	left := time.Duration(0)
+	for _, row := range d.rows {
+		if row.Service != service || !d.isUsable(row, now) {
+			continue
+		}
+		pause := d.notices.PausedUntil(row.Instance()).Sub(now)
+		if pause <= 0 {
+			return 0
+		}
+		if left == 0 || pause < left {
+			left = pause
+		}
+	}
+	return left
+}
+
+// Notices returns what servers have stated in their answers.
+func (d *Directory) Notices() *lavnotice.Table { return d.notices }
+
+// Leave records that an instance of a server has stated that it leaves: it takes no more work, whatever a listing shows. It
+// reports whether that is new.
+func (d *Directory) Leave(server lavserver.Server, now time.Time) bool {
+	return d.notices.RecordLeaving(server.Instance(), now)
+}
+
+// LeaveAddress records that the server which answered at the address of another one has stated that it leaves, as far as it
+// is listed there.
+func (d *Directory) LeaveAddress(other lavserver.Server, now time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, row := range d.rows {
+		if row.Address == other.Address && !row.SameInstance(other) && !row.Displaced {
+			d.notices.RecordLeaving(row.Instance(), now)
+		}
+	}
+}
+
+// Pause records that an instance of a server asks this host to send nothing for a while.
+func (d *Directory) Pause(server lavserver.Server, pause time.Duration, now time.Time) {
+	d.notices.RecordPause(server.Instance(), pause, now)
 }
 
 // Displace records that another server answered at a server's address; this instance of the server takes no more
@@ -238,6 +310,7 @@
 	defer d.mu.Unlock()
 	all := make([]Row, 0, len(d.rows))
 	for _, row := range d.rows {
+		row.Leaving, row.PausedUntil = d.notices.Leaving(row.Instance()), d.notices.PausedUntil(row.Instance())
 		all = append(all, row)
 	}
 	slices.SortFunc(all, func(a, b Row) int { return cmp.Compare(a.ID, b.ID) })
--- a/core/services/lavdirectory/directory_test.go
+++ b/core/services/lavdirectory/directory_test.go
@@ -8,6 +8,7 @@
 
 	"lavenderswitch/core/models/lavid"
 	"lavenderswitch/core/models/lavserver"
+	"lavenderswitch/core/services/lavnotice"
 )
 
 const pool = lavid.ServiceID("pool")
@@ -190,3 +191,57 @@
 	d.ApplyListing([]lavserver.Server{other, withoutBirth, unknown}, now.Add(3*time.Second))
 	is.Equal(usable(d, now.Add(3*time.Second)), "be") // the one seen later
 }
+
+// TestServerThatLeavesTakesNoWorkWhateverAListingShows guards against listings that are older than a server's own statement, or
+// that omit it for a moment.
+func TestServerThatLeavesTakesNoWorkWhateverAListingShows(t *testing.T) {
+	is := is.New(t)
+	d := directory()
+	other := server("b")
+	other.Address = "10.0.0.2:1"
+	d.ApplyListing([]lavserver.Server{server("a"), other}, start)
+	is.True(d.Leave(server("a"), start))
+	is.True(!d.MayTake(server("a"), start))
+	d.ApplyListing([]lavserver.Server{server("a"), other}, start.Add(time.Second))
+	is.Equal(usable(d, start.Add(time.Second)), "b")
+	d.ApplyListing([]lavserver.Server{other}, start.Add(2*time.Second))
+	d.ApplyListing([]lavserver.Server{server("a"), other}, start.Add(3*time.Second))
+	is.Equal(usable(d, start.Add(3*time.Second)), "b")
+	restarted := server("a")
+	restarted.Born = start.Add(4 * time.Second)
+	d.ApplyListing([]lavserver.Server{restarted, other}, start.Add(5*time.Second))
+	is.Equal(usable(d, start.Add(5*time.Second)), "ab") // another instance
+}
+
+func TestPauseEndsByTimeOrWithTheInstance(t *testing.T) {
+	is := is.New(t)
+	d := directory()
+	first, second := server("a"), server("b")
+	second.Address = "10.0.0.2:1"
+	d.ApplyListing([]lavserver.Server{first, second}, start)
+	d.Pause(first, 4*time.Second, start)
+	d.ApplyListing([]lavserver.Server{first, second}, start.Add(time.Second))
+	is.Equal(usable(d, start.Add(time.Second)), "b")
+	is.Equal(d.PauseLeft(pool, start), time.Duration(0))
+	d.Pause(second, 3*time.Second, start)
+	is.Equal(usable(d, start.Add(time.Second)), "")
+	is.Equal(d.PauseLeft(pool, start.Add(time.Second)), 2*time.Second)
+	is.Equal(usable(d, start.Add(3*time.Second)), "b")
+	is.Equal(usable(d, start.Add(4*time.Second)), "ab")
+	d.Pause(first, time.Minute, start)
+	restarted := first
+	restarted.Born = start.Add(4 * time.Second)
+	d.ApplyListing([]lavserver.Server{restarted, second}, start.Add(5*time.Second))
+	is.Equal(usable(d, start.Add(5*time.Second)), "ab")
+}
+
+// TestPauseAskedOfAnotherHostIsAdvice covers a pause that this host was not asked for: it may still use the server.
+func TestPauseAskedOfAnotherHostIsAdvice(t *testing.T) {
+	is := is.New(t)
+	d := directory()
+	d.ApplyListing([]lavserver.Server{server("a")}, start)
+	d.Notices().Apply([]lavnotice.Report{{Instance: server("a").Instance(), Pause: time.Second}}, start)
+	is.True(d.Usable(pool, start)[0].Relieve)
+	is.True(!d.Usable(pool, start.Add(time.Second))[0].Relieve)
+	is.Equal(d.PauseLeft(pool, start), time.Duration(0))
+}
--- a/core/services/lavreport/message.go
+++ b/core/services/lavreport/message.go
@@ -11,6 +11,7 @@
 	"lavenderswitch/core/services/lavforecast"
 	"lavenderswitch/core/services/lavload"
 	"lavenderswitch/core/services/lavnews"
+	"lavenderswitch/core/services/lavnotice"
 )
 
 // HostKey identifies a host in sums. It is a hash of the host's ID.
@@ -66,6 +67,8 @@
 	Members []lavring.Member
 	// News is what a relay knows of the store; nil if the sender is none.
 	News *lavnews.News
+	// Notices holds what backend servers have stated about new work, in every message with loads.
+	Notices []lavnotice.Report
 	// ForwardTo are addresses to which the receiver forwards the message, without this list.
 	ForwardTo []string
 }
--- a/core/services/lavreport/node.go
+++ b/core/services/lavreport/node.go
@@ -10,6 +10,7 @@
 	"lavenderswitch/core/services/lavforecast"
 	"lavenderswitch/core/services/lavload"
 	"lavenderswitch/core/services/lavnews"
+	"lavenderswitch/core/services/lavnotice"
 )
 
 const (
@@ -74,6 +75,12 @@
 	SetPeerSpeeds(speeds map[lavload.ServerKey]lavforecast.Speed, until time.Time)
 }
 
+// Notices holds what backend servers have stated about new work.
+type Notices interface {
+	Reports(now time.Time) []lavnotice.Report
+	Apply(reports []lavnotice.Report, now time.Time)
+}
+
 // NewsSource returns what this host knows of the store.
 type NewsSource func(now time.Time) *lavnews.News
 
@@ -88,6 +95,7 @@
 	cutovers *lavcutover.Cutovers
 	observe  AgeObserver
 	news     NewsSource
+	notices  Notices
 
 	mu       sync.Mutex
 	sequence Sequence
@@ -144,6 +152,9 @@
 	}
 }
 
+// ShareNotices makes the node tell other hosts of the notices and apply theirs. It is to be called before the first Tick.
+func (n *Node) ShareNotices(notices Notices) { n.notices = notices }
+
 // Rank returns the place of this host among the relays of its data centre, which are the readers of the store.
 func (n *Node) Rank() lavnews.Rank {
 	for rank, relay := range n.Relays() {
@@ -212,7 +223,7 @@
 	}
 	message := n.message(KindReport)
 	last := n.sent[n.sequence%sentReports]
-	message.Loads, message.Speeds, message.Cutovers = last.loads, last.speeds, last.cutovers
+	message.Loads, message.Speeds, message.Cutovers, message.Notices = last.loads, last.speeds, last.cutovers, n.currentNotices(now)
 	return []Envelope{{To: addressesOf(others), Message: message}}
 }
 
@@ -229,6 +240,14 @@
 	return n.news(now)
 }
 
+// currentNotices returns the notices of backend servers to tell other hosts, or nil.
+func (n *Node) currentNotices(now time.Time) []lavnotice.Report {
+	if n.notices == nil {
+		return nil
+	}
+	return n.notices.Reports(now)
+}
+
 func (n *Node) others(members []lavring.Member) []lavring.Member {
 	var others []lavring.Member
 	for _, member := range members {
@@ -309,7 +328,7 @@
 		return nil
 	}
 	message := n.message(KindReport)
-	message.Loads, message.Speeds, message.Cutovers = report.loads, report.speeds, report.cutovers
+	message.Loads, message.Speeds, message.Cutovers, message.Notices = report.loads, report.speeds, report.cutovers, n.currentNotices(now)
 	if message.IsRelay = n.isRelay(); message.IsRelay {
 		message.Exchanged = n.exchangedSums(now)
 		message.News = n.currentNews(now)
--- a/core/services/lavreport/node_test.go
+++ b/core/services/lavreport/node_test.go
@@ -12,10 +12,12 @@
 	"pgregory.net/rapid"
 
 	"lavenderswitch/core/models/lavid"
+	"lavenderswitch/core/models/lavserver"
 	"lavenderswitch/core/modules/lavring"
 	"lavenderswitch/core/services/lavcutover"
 	"lavenderswitch/core/services/lavforecast"
 	"lavenderswitch/core/services/lavload"
+	"lavenderswitch/core/services/lavnotice"
 )
 
 // The stated bounds of the reports, at any size.
@@ -327,6 +329,24 @@
 	}
 }
 
+// TestHostsOfAllDataCentresLearnOfNotices guards against hosts that go on using a server which leaves until they ask it.
+func TestHostsOfAllDataCentresLearnOfNotices(t *testing.T) {
+	is := is.New(t)
+	network := newSimNetwork(8, 30, 3)
+	tables := make([]*lavnotice.Table, len(network.hosts))
+	for i, host := range network.hosts {
+		tables[i] = lavnotice.New()
+		host.node.ShareNotices(tables[i])
+	}
+	network.run(2*time.Second, nil)
+	const instance = lavserver.InstanceKey(3)
+	tables[0].RecordLeaving(instance, network.now)
+	network.run(maxP99Age, nil)
+	for _, table := range tables {
+		is.True(table.Leaving(instance))
+	}
+}
+
 // TestHostsLearnWhichSessionsOlderReleasesServe guards against a session that changes its release because its next request
 // comes through another host.
 func TestHostsLearnWhichSessionsOlderReleasesServe(t *testing.T) {
--- a/core/services/lavreport/receive.go
+++ b/core/services/lavreport/receive.go
@@ -35,6 +35,9 @@
 	if receipt.NewPeer && message.Kind != KindHello && !n.leaving {
 		receipt.Replies = append(receipt.Replies, Envelope{To: []string{message.From.Address}, Message: n.message(KindHello)})
 	}
+	if n.notices != nil {
+		n.notices.Apply(message.Notices, now)
+	}
 	cutovers := message.Cutovers
 	switch message.Kind {
 	case KindHello:
--- a/entry/services/lavbroadcast/broadcaster_test.go
+++ b/entry/services/lavbroadcast/broadcaster_test.go
@@ -19,6 +19,7 @@
 	"lavenderswitch/core/services/lavforecast"
 	"lavenderswitch/core/services/lavload"
 	"lavenderswitch/core/services/lavnews"
+	"lavenderswitch/core/services/lavnotice"
 	"lavenderswitch/core/services/lavreport"
 	"lavenderswitch/core/services/lavrollout"
 	"lavenderswitch/wire/lavwire"
@@ -182,7 +183,8 @@
 		Kind: lavreport.KindTotal, From: member, Sequence: 65_535, Leaving: true, IsRelay: true, Sum: sum,
 		Loads: map[lavid.BackendServerID]lavload.Load{"server": load}, Speeds: sum.Speeds, Cutovers: sum.Cutovers,
 		Exchanged: []lavreport.CentreSum{{DataCentre: "centre-b", Sum: sum}}, Members: []lavring.Member{member}, ForwardTo: []string{"127.0.0.1:2"},
-		News: &lavnews.News{Servers: &lavnews.Edition{Version: 7, Digest: 1 << 63, Age: time.Second}, CutoversRead: true, Address: "127.0.0.1:3"},
+		News:    &lavnews.News{Servers: &lavnews.Edition{Version: 7, Digest: 1 << 63, Age: time.Second}, CutoversRead: true, Address: "127.0.0.1:3"},
+		Notices: []lavnotice.Report{{Instance: 1 << 63, Leaving: true, LeavingFor: time.Second, Pause: 2 * time.Second}},
 	}
 	data, err := proto.Marshal(encode(message))
 	is.NoErr(err)
--- a/entry/services/lavbroadcast/decode.go
+++ b/entry/services/lavbroadcast/decode.go
@@ -7,11 +7,13 @@
 	"github.com/pkg/errors"
 
 	"lavenderswitch/core/models/lavid"
+	"lavenderswitch/core/models/lavserver"
 	"lavenderswitch/core/modules/lavring"
 	"lavenderswitch/core/services/lavcutover"
 	"lavenderswitch/core/services/lavforecast"
 	"lavenderswitch/core/services/lavload"
 	"lavenderswitch/core/services/lavnews"
+	"lavenderswitch/core/services/lavnotice"
 	"lavenderswitch/core/services/lavreport"
 	"lavenderswitch/core/services/lavrollout"
 	"lavenderswitch/wire/lavwire"
@@ -69,6 +71,14 @@
 			Address:      news.GetAddress(),
 		}
 	}
+	for _, notice := range state.GetNotices() {
+		message.Notices = append(message.Notices, lavnotice.Report{
+			Instance:   lavserver.InstanceKey(notice.GetInstance()),
+			Leaving:    notice.GetLeaving(),
+			LeavingFor: time.Duration(notice.GetLeavingMillis()) * time.Millisecond,
+			Pause:      time.Duration(notice.GetPauseMillis()) * time.Millisecond,
+		})
+	}
 	for _, member := range state.GetMembers() {
 		message.Members = append(message.Members, lavring.Member{
 			ID: lavid.HostID(member.GetHostId()), DataCentre: lavid.DataCentreID(member.GetDataCentreId()), Address: member.GetAddress(),
--- a/entry/services/lavbroadcast/encode.go
+++ b/entry/services/lavbroadcast/encode.go
@@ -111,6 +111,14 @@
 			Address:      message.News.Address,
 		}
 	}
+	for _, notice := range message.Notices {
+		state.Notices = append(state.Notices, &lavwire.ServerNotice{
+			Instance:      uint64(notice.Instance),
+			Leaving:       notice.Leaving,
+			LeavingMillis: uint32(notice.LeavingFor.Milliseconds()),
+			PauseMillis:   uint32(notice.Pause.Milliseconds()),
+		})
+	}
 	for _, member := range message.Members {
 		state.Members = append(state.Members, encodeMember(member))
 	}
--- a/entry/services/lavforward/choose.go
+++ b/entry/services/lavforward/choose.go
@@ -52,7 +52,7 @@
 
 // candidates returns the servers that may take the request, without the excluded ones. It prefers servers of a preferred
 // release to those of a fallback release, and among servers of equal preference those that this host's own health records
-// show as usable.
+// show as usable and that have not asked other hosts for a pause.
 func (e *execution) candidates(excluded map[lavid.BackendServerID]bool, now time.Time) []lavdirectory.Row {
 	allowed := e.Releases.Preferences(e.request.Service.ID, e.sessionKey(), now)
 	hosts := e.Hosts.Hosts(now)
@@ -73,7 +73,7 @@
 		if preference == lavcutover.Fallback {
 			rank = 2
 		}
-		if usable, _ := e.health.usable(row.ID, now); !usable {
+		if usable, _ := e.health.usable(row.ID, now); !usable || row.Relieve {
 			rank++
 		}
 		ranked[rank] = append(ranked[rank], row)
--- a/entry/services/lavforward/execution.go
+++ b/entry/services/lavforward/execution.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
 
 	"lavenderswitch/core/models/lavid"
@@ -162,6 +163,7 @@
 		ResumeAfter: e.resumeAfter(),
 		Timeout:     remaining,
 		Rank:        rank,
+		MaySend:     func() bool { return e.Directory.MayTake(chosen.Server, e.Clock()) },
 	})
 	if err != nil {
 		return e.handleSendError(ctx, chosen, watchdog, err)
@@ -169,6 +171,7 @@
 	defer reply.Body.Close()
 	e.Metrics.serverFirstAnswer.WithLabelValues(string(chosen.Service)).Observe(e.Clock().Sub(now).Seconds())
 	e.health.recordActivity(chosen.ID, e.Clock())
+	e.recordNotices(chosen, reply)
 	if reply.NotRun {
 		return e.handleRefusal(chosen, reply)
 	}
@@ -215,6 +218,10 @@
 		e.runs++
 	}
 	requestEnded := ctx.Err() != nil && !watchdog.hasFired()
+	if errors.Is(err, lavexchange.ErrWithheld) {
+		e.logDecision("send withheld", chosen.ID, nil)
+		return stepRepeat, Result{}
+	}
 	if !requestEnded {
 		e.health.recordFailure(chosen.ID, now)
 		e.Metrics.countSend(chosen, sendLost)
@@ -258,9 +265,10 @@
 	e.excluded[chosen.ID] = true
 	e.lastFailure = "server refused with " + http.StatusText(reply.Status)
 	e.Metrics.countSend(chosen, sendRefused)
-	if reply.OtherServer {
+	switch {
+	case reply.OtherServer:
 		e.Directory.Displace(chosen.Server)
-	} else {
+	case reply.Pause == 0 && !reply.Leaving:
 		e.health.recordErrorAnswer(chosen.ID)
 	}
 	e.logDecision("server refused", chosen.ID, logrus.Fields{"status": reply.Status, "other_server": reply.OtherServer})
@@ -303,7 +311,9 @@
 	retryAfterSpread = 700 * time.Millisecond
 )
 
-// retryAfter returns a randomised delay, so that refused callers do not all return at the same time.
+// retryAfter returns a randomised delay, so that refused callers do not all return at the same time. While all servers have
+// asked for a pause, it ends after the first pause, and spreads the callers over as long a time as they were refused.
 func (e *execution) retryAfter() time.Duration {
-	return minRetryAfter + time.Duration(e.random()*float64(retryAfterSpread))
+	pause := e.Directory.PauseLeft(e.request.Service.ID, e.Clock())
+	return pause + minRetryAfter + time.Duration(e.random()*float64(max(retryAfterSpread, pause)))
 }
--- a/entry/services/lavforward/metrics.go
+++ b/entry/services/lavforward/metrics.go
@@ -32,6 +32,12 @@
 	sendBrokeOff = "broke_off"
 )
 
+// The values of the result label of a notice.
+const (
+	noticeLeaving = "leaving"
+	noticePause   = "pause"
+)
+
 // latencyBuckets holds the upper bounds of the histograms in seconds, from a short call of a plain service to the longest
 // stream.
 var latencyBuckets = []float64{0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2, 4, 8, 16, 32}
@@ -43,6 +49,7 @@
 	sends             *prometheus.CounterVec
 	repeats           *prometheus.CounterVec
 	escalations       *prometheus.CounterVec
+	notices           *prometheus.CounterVec
 	inProgress        prometheus.Gauge
 	duration          *prometheus.HistogramVec
 	firstEvent        *prometheus.HistogramVec
@@ -80,6 +87,7 @@
 		sends:             counter("sends_total", "Sends to each backend server, by result.", labelService, labelServer, labelResult),
 		repeats:           counter("repeats_total", "Requests to the repeat budget for a further send; the result refused means that it was used up.", labelService, labelResult),
 		escalations:       counter("escalations_total", "Answers of smaller models that were dropped in favour of a larger model.", labelService),
+		notices:           counter("server_notices_total", "Answers in which a backend server first stated that it leaves, or asked for a pause.", labelService, labelResult),
 		inProgress:        factory.NewGauge(prometheus.GaugeOpts{Name: "lavenderswitch_requests_in_progress", Help: "Requests that are being forwarded."}),
 		duration:          histogram("request_duration_seconds", "Time from a request's arrival to its end.", labelKind, labelOutcome),
 		firstEvent:        histogram("first_event_seconds", "Time from a streamed request's arrival to its first event.", labelKind),
@@ -115,6 +123,10 @@
 	m.repeats.WithLabelValues(string(service), result).Inc()
 }
 
+func (m *Metrics) countNotice(chosen choice, notice string) {
+	m.notices.WithLabelValues(string(chosen.Service), notice).Inc()
+}
+
 func (m *Metrics) countRequest(kind lavroute.Kind, outcome string, took, firstEvent time.Duration) {
 	m.requests.WithLabelValues(kind.String(), outcome).Inc()
 	m.duration.WithLabelValues(kind.String(), outcome).Observe(took.Seconds())
--- a/entry/services/lavforward/request.go
+++ b/entry/services/lavforward/request.go
@@ -82,6 +82,9 @@
 	Timeout time.Duration
 	// Rank is the priority within the engine; lower ranks run first.
 	Rank int
+	// MaySend is called once a connection to the server is open and reports whether the server may still take the request.
+	// If not, nothing is sent.
+	MaySend func() bool
 }
 
 // Reply is the head of a backend server's answer.
@@ -93,6 +96,12 @@
 	NotRun bool
 	// OtherServer states that the address now belongs to a server with another ID.
 	OtherServer bool
+	// Leaving states that the server takes no more requests, also of other hosts, than those that it has.
+	Leaving bool
+	// Pause is how long the server asks this host to send it nothing; zero if it does not.
+	Pause time.Duration
+	// BadPause is the text of a pause that cannot be read.
+	BadPause string
 	// ColdFor is how long the server reports that it will stay cold.
 	ColdFor time.Duration
 	// Confidence is the model's self-reported confidence in its answer, from 0 to 100; it is valid only if HasConfidence is
