Refuse a waiting request at once when more overtakes it than is released

Cause: a turn was predicted from the work that waits before a request, but not from what arrives and goes before it: all that is in time before a late request, and more urgent kinds before others.

The prediction now takes the work that arrives and overtakes off the work that is released. Both are measured over the time in which requests wait, with the bias of a short time removed; before, the rate started at zero. The tests of the rate read it through its function and are as strict.

TestOvertakenRequestIsRefusedAtOnce fails with the overtaking taken out.

--- a/core/services/lavwaiting/queue.go
+++ b/core/services/lavwaiting/queue.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 
@@ -43,17 +44,39 @@
 	// virtual is the virtual time of the item released last, and finish that of the latest item of each account.
 	virtual float64
 	finish  map[lavid.AccountID]float64
-	// rate is the work released a second, as of ratedAt, while requests waited since busySince.
-	rate      float64
-	ratedAt   time.Time
+	// released is the work that was released while requests waited since busySince, and arrived the work that arrived
+	// meanwhile, by urgency.
+	released  flow
+	arrived   map[int]*flow
 	busySince time.Time
 	// nextReturn is when the next refused caller is asked to come back.
 	nextReturn time.Time
 }
 
+// flow is a rate of work with the weight of the past decaying by rateWindow.
+type flow struct {
+	sum float64
+	at  time.Time
+}
+
+// add adds work at a time.
+func (f *flow) add(work float64, now time.Time) {
+	f.sum = f.sum*math.Exp(-now.Sub(f.at).Seconds()/rateWindow.Seconds()) + work
+	f.at = now
+}
+
+// rate returns the work a second since a time; it is zero at that time.
+func (f *flow) rate(since, now time.Time) float64 {
+	covered := rateWindow.Seconds() * (1 - math.Exp(-now.Sub(since).Seconds()/rateWindow.Seconds()))
+	if covered <= 0 {
+		return 0
+	}
+	return f.sum * math.Exp(-now.Sub(f.at).Seconds()/rateWindow.Seconds()) / covered
+}
+
 // New returns an empty queue.
 func New() *Queue {
-	return &Queue{finish: make(map[lavid.AccountID]float64)}
+	return &Queue{finish: make(map[lavid.AccountID]float64), arrived: make(map[int]*flow)}
 }
 
 // Len returns the number of requests that wait.
@@ -65,7 +88,14 @@
 		return false
 	}
 	if len(q.items) == 0 {
-		q.busySince, q.ratedAt, q.rate = now, now, 0
+		q.busySince, q.released = now, flow{at: now}
+		clear(q.arrived)
+	} else {
+		// The request that begins the wait is no measure of how many follow.
+		if q.arrived[item.Urgency] == nil {
+			q.arrived[item.Urgency] = &flow{at: now}
+		}
+		q.arrived[item.Urgency].add(item.Work, now)
 	}
 	q.number++
 	item.number = q.number
@@ -93,10 +123,7 @@
 
 // Release removes a request that goes to an engine.
 func (q *Queue) Release(item *Item, now time.Time) {
-	elapsed := now.Sub(q.ratedAt).Seconds()
-	share := min(elapsed/rateWindow.Seconds(), 1)
-	q.rate += item.Work/rateWindow.Seconds() - share*q.rate
-	q.ratedAt = now
+	q.released.add(item.Work, now)
 	q.virtual = max(q.virtual, item.start)
 	q.Remove(item)
 }
@@ -127,7 +154,8 @@
 // ReturnAfter returns when the caller of a refused request is to come back: after the requests that wait and the callers that
 // were refused before, as many at a time as the host can release. It returns zero while the rate is not known.
 func (q *Queue) ReturnAfter(item *Item, now time.Time) time.Duration {
-	if now.Sub(q.busySince) < minRateTime || q.rate <= 0 {
+	rate, known := q.rate(now)
+	if !known {
 		return 0
 	}
 	waiting := 0.0
@@ -136,22 +164,41 @@
 			waiting += other.Work
 		}
 	}
-	turn := now.Add(time.Duration(waiting / q.rate * float64(time.Second)))
+	turn := now.Add(time.Duration(waiting / rate * float64(time.Second)))
 	if turn.Before(q.nextReturn) {
 		turn = q.nextReturn
 	}
-	q.nextReturn = turn.Add(time.Duration(item.Work / q.rate * float64(time.Second)))
+	q.nextReturn = turn.Add(time.Duration(item.Work / rate * float64(time.Second)))
 	return turn.Sub(now)
 }
 
-// Hopeless returns the requests that cannot get their turn before their deadline.
+// rate returns the work released a second, as of the latest release, or false while too little is known.
+func (q *Queue) rate(now time.Time) (float64, bool) {
+	rate := q.released.rate(q.busySince, q.released.at)
+	return rate, now.Sub(q.busySince) >= minRateTime && rate > 0
+}
+
+// overtaking returns the work a second that arrives and is released before an item that arrived earlier: that of more urgent
+// kinds, and for a late item that of all kinds.
+func (q *Queue) overtaking(item *Item, now time.Time) float64 {
+	sum := 0.0
+	for urgency, arrived := range q.arrived {
+		if urgency < item.Urgency || now.After(item.Target) {
+			sum += arrived.rate(q.busySince, now)
+		}
+	}
+	return sum
+}
+
+// Hopeless returns the requests that cannot get their turn before their deadline, among them those that are overtaken by more
+// work than is released.
 func (q *Queue) Hopeless(now time.Time) []*Item {
 	var hopeless []*Item
 	before := 0.0
-	known := now.Sub(q.busySince) >= minRateTime && q.rate > 0
+	rate, known := q.rate(now)
 	for _, item := range q.Ordered(now) {
 		left := item.Deadline.Sub(now).Seconds()
-		if left <= 0 || known && before/q.rate > left {
+		if left <= 0 || known && before > left*(rate-q.overtaking(item, now)) {
 			hopeless = append(hopeless, item)
 			continue
 		}
--- a/core/services/lavwaiting/queue_test.go
+++ b/core/services/lavwaiting/queue_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -91,6 +92,44 @@
 	is.True(q.ReturnAfter(hopeless[0], now) > 6*time.Second)
 }
 
+// TestOvertakenRequestIsRefusedAtOnce answers the pattern of a long overload in which more arrives than engines can take: a
+// request that has become late is overtaken by all that arrive in time, and waits in vain until its caller leaves. It may not
+// be refused while less arrives than is released.
+func TestOvertakenRequestIsRefusedAtOnce(t *testing.T) {
+	for _, test := range []struct {
+		name     string
+		interval time.Duration // between two arrivals; 1,000 units of work a second are released
+		refused  bool
+	}{
+		{"twice what is released", 50 * time.Millisecond, true},
+		{"half of what is released", 200 * time.Millisecond, false},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			q := New()
+			late := newItem("a", 0, 100)
+			late.Target = start.Add(-time.Millisecond)
+			is.True(q.Add(late, start))
+			for range 30 {
+				is.True(q.Add(newItem("a", 0, 100), start)) // waits since the overload began
+			}
+			const step = 10 * time.Millisecond
+			for at := step; at <= 2500*time.Millisecond; at += step {
+				now := start.Add(at)
+				if at%test.interval == 0 {
+					item := newItem("b", 0, 100)
+					item.Target, item.Deadline = now.Add(time.Second), now.Add(10*time.Second)
+					is.True(q.Add(item, now))
+				}
+				if at%(100*time.Millisecond) == 0 {
+					q.Release(q.Ordered(now)[0], now)
+				}
+			}
+			is.Equal(slices.Contains(q.Hopeless(start.Add(2500*time.Millisecond)), late), test.refused)
+		})
+	}
+}
+
 func TestDeadlineEndsTheWait(t *testing.T) {
 	is := is.New(t)
 	q := New()
@@ -166,7 +205,9 @@
 		is.True(q.Add(newItem("a", 0, work), now))
 		q.Release(q.Ordered(now)[0], now)
 	}
-	is.True(q.rate > 0.9*rate && q.rate < 1.1*rate)
+	measured, known := q.rate(now)
+	is.True(known)
+	is.True(measured > 0.9*rate && measured < 1.1*rate)
 	perSecond := make(map[int]int)
 	last := time.Duration(-1)
 	for range callers {
@@ -181,5 +222,5 @@
 			is.True(count > 440 && count < 560)
 		}
 	}
-	is.Equal(q.ReturnAfter(newItem("a", 0, work), now.Add(time.Hour)), time.Duration(work/q.rate*float64(time.Second))) // only the one that waits is before it
+	is.Equal(q.ReturnAfter(newItem("a", 0, work), now.Add(time.Hour)), time.Duration(work/measured*float64(time.Second))) // only the one that waits is before it
 }
