Do not refuse the next request in line; compute the key of an instance once

Cause, found by reading and by an incident in which seven requests were refused with their turn too late 1.5 s after a restart of all hosts: a late request with no work before it was taken to be overtaken for ever while the measured arrivals exceeded what was released, also when none of them waited any more. The first one in line is next, and is refused at its deadline only. TestNextRequestIsNotRefusedAfterABurst failed before.

Besides, the directory computed a hash for each server at each choice.

--- a/core/services/lavdirectory/directory.go
+++ b/core/services/lavdirectory/directory.go
@@ -39,6 +39,8 @@
 	// has asked this host for. All sets them; servers with either are not Usable.
 	Leaving     bool
 	PausedUntil time.Time
+	// instance is the key of the instance, which is computed once for each listing.
+	instance lavserver.InstanceKey
 }
 
 // Cold reports whether the server is in its cold start at now.
@@ -178,7 +180,7 @@
 // update adds or replaces the row of a listed server and returns the change that this makes, if any.
 func (d *Directory) update(server lavserver.Server, now time.Time) (Change, bool) {
 	old, exists := d.rows[server.ID]
-	row := Row{Server: server, Listed: true, LastListed: now, FirstSeen: now}
+	row := Row{Server: server, Listed: true, LastListed: now, FirstSeen: now, instance: server.Instance()}
 	if exists && old.SameInstance(server) {
 		row.FirstSeen, row.Displaced = old.FirstSeen, old.Displaced
 	}
@@ -218,7 +220,7 @@
 	var usable []Row
 	for _, row := range d.rows {
 		if row.Service == service && d.isUsable(row, now) && !d.isPaused(row, now) {
-			row.Relieve = now.Before(d.notices.AdvisedUntil(row.Instance()))
+			row.Relieve = now.Before(d.notices.AdvisedUntil(row.instance))
 			usable = append(usable, row)
 		}
 	}
@@ -229,12 +231,12 @@
 // isUsable reports whether a server may take new work, unless it has asked for a pause; the caller holds the lock.
 func (d *Directory) isUsable(row Row, now time.Time) bool {
 	return (row.Listed || d.mayHaveExpired(row, now)) && !row.Draining && !row.Displaced && !d.evacuated[row.DataCentre] &&
-		!d.notices.Leaving(row.Instance())
+		!d.notices.Leaving(row.instance)
 }
 
 // isPaused reports whether a server has asked this host for a pause that has not ended.
 func (d *Directory) isPaused(row Row, now time.Time) bool {
-	return now.Before(d.notices.PausedUntil(row.Instance()))
+	return now.Before(d.notices.PausedUntil(row.instance))
 }
 
 // MayTake reports whether an instance of a server may take a request that is about to be sent to it.
@@ -255,7 +257,7 @@
 		if row.Service != service || !d.isUsable(row, now) {
 			continue
 		}
-		pause := d.notices.PausedUntil(row.Instance()).Sub(now)
+		pause := d.notices.PausedUntil(row.instance).Sub(now)
 		if pause <= 0 {
 			return 0
 		}
@@ -282,7 +284,7 @@
 	defer d.mu.Unlock()
 	for _, row := range d.rows {
 		if row.Address == other.Address && !row.SameInstance(other) && !row.Displaced {
-			d.notices.RecordLeaving(row.Instance(), now)
+			d.notices.RecordLeaving(row.instance, now)
 		}
 	}
 }
@@ -310,7 +312,7 @@
 	defer d.mu.Unlock()
 	all := make([]Row, 0, len(d.rows))
 	for _, row := range d.rows {
-		row.Leaving, row.PausedUntil = d.notices.Leaving(row.Instance()), d.notices.PausedUntil(row.Instance())
+		row.Leaving, row.PausedUntil = d.notices.Leaving(row.instance), d.notices.PausedUntil(row.instance)
 		all = append(all, row)
 	}
 	slices.SortFunc(all, func(a, b Row) int { return cmp.Compare(a.ID, b.ID) })
--- a/core/services/lavwaiting/queue.go
+++ b/core/services/lavwaiting/queue.go
@@ -198,7 +198,8 @@
 	rate, known := q.rate(now)
 	for _, item := range q.Ordered(now) {
 		left := item.Deadline.Sub(now).Seconds()
-		if left <= 0 || known && before > left*(rate-q.overtaking(item, now)) {
+		// The first one is next, however much overtook those before it.
+		if left <= 0 || known && before > 0 && before > left*(rate-q.overtaking(item, now)) {
 			hopeless = append(hopeless, item)
 			continue
 		}
--- a/core/services/lavwaiting/queue_test.go
+++ b/core/services/lavwaiting/queue_test.go
@@ -130,6 +130,31 @@
 	}
 }
 
+// TestNextRequestIsNotRefusedAfterABurst guards against the refusal of a late request whose turn has come, because more arrived
+// than was released until a moment ago.
+func TestNextRequestIsNotRefusedAfterABurst(t *testing.T) {
+	is := is.New(t)
+	q := New()
+	late := newItem("a", 0, 100)
+	late.Target = start.Add(-time.Millisecond)
+	is.True(q.Add(late, start))
+	var others []*Item
+	for i := range 40 { // 2,000 units of work a second arrive, and half of them are released
+		now := start.Add(time.Duration(i) * 50 * time.Millisecond)
+		others = append(others, newItem("b", 0, 100))
+		is.True(q.Add(others[i], now))
+		if i%2 == 1 {
+			q.Release(others[i/2], now)
+		}
+	}
+	end := start.Add(2 * time.Second)
+	is.True(slices.Contains(q.Hopeless(end), late))
+	for _, item := range others[20:] {
+		q.Remove(item)
+	}
+	is.Equal(q.Hopeless(end), nil)
+}
+
 func TestDeadlineEndsTheWait(t *testing.T) {
 	is := is.New(t)
 	q := New()
