--- a/ctl/cmd/calls.go
+++ b/ctl/cmd/calls.go
@@ -32,7 +32,7 @@
 			{Name: "list", Usage: "list calls in doubt, including calls that are still running", Action: listCalls},
 			{
 				Name: "settle", Usage: "record whether the backend server ran a call", Action: settleCall,
-				Description: "Find out from the backend server whether it ran the call before settling it. Repeats of the\ncall are answered with the recorded outcome.\n\nExample:\n   lavenderctl calls settle --account donativa --request claim-17 --attempt 5f0c… --not-run",
+				Description: "Find out from the backend server whether it ran the call before settling it. Repeats of the\ncall are answered with the recorded outcome.\n\nExample:\n   lavenderctl calls settle --account demo --request claim-17 --attempt 5f0c… --not-run",
 				Flags: []cli.Flag{
 					&cli.StringFlag{Name: flagAccount, Usage: "client account", Required: true},
 					&cli.StringFlag{Name: flagRequest, Usage: "request id", Required: true},
--- a/tests/modules/lavcluster/topology.go
+++ b/tests/modules/lavcluster/topology.go
@@ -21,8 +21,8 @@
 	Version2 lavid.VersionID = "small-2"
 
 	// AccountBothVersions may use Version1 and Version2, AccountOneVersion only Version2.
-	AccountBothVersions lavid.AccountID = "donativa"
-	AccountOneVersion   lavid.AccountID = "tavares"
+	AccountBothVersions lavid.AccountID = "both-versions"
+	AccountOneVersion   lavid.AccountID = "one-version"
 
 	nameRelay    = "relay"
 	namePlatform = "platform"
