Log the parts of a prompt and the progress of an answer that broke off

The logs could not show whether answers that ended with their servers had something in common, which the hypotheses on requests that end servers need. Lines about a broken stream and a lost send name the parts of the prompt, and a broken stream the events that its server had delivered.

--- a/entry/services/lavforward/delivery.go
+++ b/entry/services/lavforward/delivery.go
@@ -34,6 +34,14 @@
 	reported     bool
 }
 
+// events returns the number of events that the current server has delivered.
+func (s streamState) events() int {
+	if s.firstEventAt.IsZero() {
+		return 0
+	}
+	return s.laterEvents + 1
+}
+
 // minPaceEvents is the number of events after the first from which the mean pause of a stream is computed.
 const minPaceEvents = 8
 
@@ -259,7 +267,8 @@
 	e.excluded[chosen.ID] = true
 	e.health.recordFailure(chosen.ID, e.Clock())
 	e.Metrics.countSend(chosen, sendBrokeOff)
-	e.logDecision("stream broke off", chosen.ID, logrus.Fields{"after": e.lastEventID, "reason": err.Error(), "stalled": watchdog.hasFired()})
+	fields := logrus.Fields{"after": e.lastEventID, "reason": err.Error(), "stalled": watchdog.hasFired(), "server_events": e.stream.events()}
+	e.logDecision("stream broke off", chosen.ID, e.progressFields(fields))
 	return e.repeatOrFail("stream broke off")
 }
 
--- a/entry/services/lavforward/execution.go
+++ b/entry/services/lavforward/execution.go
@@ -225,7 +225,7 @@
 	if !requestEnded {
 		e.health.recordFailure(chosen.ID, now)
 		e.Metrics.countSend(chosen, sendLost)
-		e.logDecision("send failed", chosen.ID, logrus.Fields{"sent": sent, "reason": err.Error()})
+		e.logDecision("send failed", chosen.ID, e.progressFields(logrus.Fields{"sent": sent, "reason": err.Error()}))
 	}
 	switch {
 	case requestEnded:
--- a/entry/services/lavforward/send_log.go
+++ b/entry/services/lavforward/send_log.go
@@ -99,6 +99,23 @@
 	}).Info(decision)
 }
 
+// maxLoggedParts is the number of parts of a prompt that a log line names. The parts that requests share come first.
+const maxLoggedParts = 8
+
+// progressFields adds the parts of the prompt to the fields of a send that got no whole answer, so that sends that ended with
+// their servers can be compared.
+func (e *execution) progressFields(fields logrus.Fields) logrus.Fields {
+	if len(e.request.Prompt.Parts) == 0 {
+		return fields
+	}
+	var parts []string
+	for _, part := range e.request.Prompt.Parts[:min(len(e.request.Prompt.Parts), maxLoggedParts)] {
+		parts = append(parts, part.ID)
+	}
+	fields["prompt_parts"] = parts
+	return fields
+}
+
 // reportEnd logs and counts how the request ended.
 func (e *execution) reportEnd(ctx context.Context, result Result) {
 	now := e.Clock()
