Decide which parts of prompts to keep from backend servers

Nothing on a host connects the end of a server with what the requests in work there have in common. lavquarantine counts, for each part of a prompt, the servers that ended while they began to answer it, since a server last survived such an answer. Two ends are enough for a part that no server has survived in a minute, five in a row for one that is in use; simultaneous ends, as of a rack, count once, prompts that only waited count half, or not at all beside one that had begun, and a part that was present at all ends of another one explains them. A part that is kept from servers is tried again after pauses that grow, by one host at a time. The package has no network and is not used yet.

--- /dev/null
+++ b/core/services/lavquarantine/report.go
@@ -0,0 +1,113 @@
+package lavquarantine
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"lavenderswitch/core/models/lavserver"
+)
+
+const (
+	// maxReports is the number of parts in one report; those with the latest changes come first.
+	maxReports = 64
+	// tellTime is how long after a change hosts tell each other of a part that is not kept from servers.
+	tellTime = 30 * time.Second
+	// reportDelay is about how long a report is on its way. An answer that is later by less than this may be one that is known
+	// already, since its time is computed from its age.
+	reportDelay = 200 * time.Millisecond
+)
+
+// ReportedEnding is an ending as hosts tell it each other.
+type ReportedEnding struct {
+	Instance lavserver.InstanceKey
+	Age      time.Duration
+	Begun    bool
+}
+
+// Report tells other hosts what is known of a part.
+type Report struct {
+	Part    PartKey
+	Endings []ReportedEnding
+	// Answered states that the part was last answered AnsweredFor ago.
+	Answered    bool
+	AnsweredFor time.Duration
+}
+
+// dated is a report with the time of the latest change.
+type dated struct {
+	Report
+	changedAt time.Time
+}
+
+// Reports returns what other hosts are to be told, including what they have told this one.
+func (t *Table) Reports(now time.Time) []Report {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var found []dated
+	for part := range t.suspects {
+		known := t.current(part, now)
+		if len(known.endings) == 0 {
+			t.put(part, known) // the endings are too old
+			continue
+		}
+		if t.score(known) == 0 {
+			continue
+		}
+		if now.Sub(known.lastEnding()) < tellTime || t.isQuarantined(part, known, now) {
+			found = append(found, dated{known.report(part, now), known.lastEnding()})
+		}
+	}
+	for part := range t.cleared {
+		known := t.current(part, now)
+		if now.Sub(known.clearedAt) >= tellTime {
+			delete(t.cleared, part)
+			continue
+		}
+		if len(known.endings) == 0 {
+			found = append(found, dated{known.report(part, now), known.clearedAt})
+		}
+	}
+	slices.SortFunc(found, func(a, b dated) int {
+		return cmp.Or(b.changedAt.Compare(a.changedAt), cmp.Compare(a.Part, b.Part))
+	})
+	reports := make([]Report, 0, min(len(found), maxReports))
+	for _, entry := range found[:min(len(found), maxReports)] {
+		reports = append(reports, entry.Report)
+	}
+	return reports
+}
+
+// report returns the report of a part with this record.
+func (r record) report(part PartKey, now time.Time) Report {
+	report := Report{Part: part}
+	for _, ending := range r.endings {
+		report.Endings = append(report.Endings, ReportedEnding{Instance: ending.Instance, Age: max(now.Sub(ending.At), 0), Begun: ending.Begun})
+	}
+	if !r.answeredAt.IsZero() {
+		report.Answered, report.AnsweredFor = true, max(now.Sub(r.answeredAt), 0)
+	}
+	return report
+}
+
+// Apply records what another host reports.
+func (t *Table) Apply(reports []Report, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, report := range reports {
+		known := t.current(report.Part, now)
+		for _, ending := range report.Endings {
+			if ending.Begun {
+				t.begun.Add(ending.Instance, struct{}{})
+			}
+			if ending.Age < lifetime {
+				known.endings = with(known.endings, Ending{Instance: ending.Instance, At: now.Add(-ending.Age), Begun: ending.Begun})
+			}
+		}
+		answeredAt := known.answeredAt
+		if reported := now.Add(-report.AnsweredFor); report.Answered && reported.Sub(answeredAt) > reportDelay {
+			answeredAt = reported
+		}
+		t.answer(report.Part, known, answeredAt, now)
+	}
+}
--- /dev/null
+++ b/core/services/lavquarantine/table.go
@@ -0,0 +1,204 @@
+package lavquarantine
+
+import (
+	"math"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	lru "github.com/hashicorp/golang-lru/v2"
+
+	"lavenderswitch/core/models/lavserver"
+)
+
+const (
+	// maxParts bounds the parts on record; the one that was used least recently is removed first. maxInstances bounds the
+	// servers that are known to have ended with an answer that had begun, and maxEndings the endings of a part.
+	maxParts     = 8192
+	maxInstances = 1024
+	maxEndings   = 8
+	// lifetime is how long an ending counts.
+	lifetime = 10 * time.Minute
+	// begunWeight and waitingWeight are what an ending adds to the score of a part if the server had begun to answer, or not.
+	// A server that ends takes the requests that wait there with it.
+	begunWeight   = 1.0
+	waitingWeight = 0.5
+	// unansweredScore is the score from which a part is kept from servers, and answeredScore the one for a part that was
+	// answered within answerMemory before its first ending. The score begins anew with each answer.
+	unansweredScore = 2.0
+	answeredScore   = 5.0
+	answerMemory    = time.Minute
+	// simultaneous is the time within which several endings count as one, such as those of a rack that loses power.
+	simultaneous = 100 * time.Millisecond
+	// firstTrialPause is how long after the latest ending a part is first tried again. Each further ending multiplies the
+	// pause by trialPauseFactor, up to maxTrialPause.
+	firstTrialPause  = 5 * time.Second
+	trialPauseFactor = 3
+	maxTrialPause    = 5 * time.Minute
+	// minReturnAfter is the shortest time after which a caller is asked to come back.
+	minReturnAfter = time.Second
+)
+
+// Table holds which servers ended with which parts of prompts. It is safe for concurrent use.
+type Table struct {
+	// suspectCount is the number of suspects, so that most prompts are admitted without a look at their parts.
+	suspectCount atomic.Int64
+
+	mu      sync.Mutex
+	records *lru.Cache[PartKey, record]
+	// suspects are the parts on record that have endings, and cleared those whose endings were removed lately.
+	suspects map[PartKey]struct{}
+	cleared  map[PartKey]struct{}
+	// begun holds the instances that ended with an answer that had begun.
+	begun *lru.Cache[lavserver.InstanceKey, struct{}]
+}
+
+// New returns an empty table.
+func New() *Table {
+	t := &Table{suspects: make(map[PartKey]struct{}), cleared: make(map[PartKey]struct{})}
+	records, err := lru.NewWithEvict(maxParts, func(part PartKey, _ record) {
+		delete(t.suspects, part)
+		delete(t.cleared, part)
+	})
+	if err != nil {
+		panic(err) // only for a size that is not positive
+	}
+	begun, err := lru.New[lavserver.InstanceKey, struct{}](maxInstances)
+	if err != nil {
+		panic(err)
+	}
+	t.records, t.begun = records, begun
+	return t
+}
+
+// put stores the record of a part; the caller holds the lock.
+func (t *Table) put(part PartKey, changed record) {
+	t.records.Add(part, changed)
+	if len(changed.endings) > 0 {
+		t.suspects[part] = struct{}{}
+	} else {
+		delete(t.suspects, part)
+	}
+	t.suspectCount.Store(int64(len(t.suspects)))
+}
+
+// current returns the record of a part without endings that are too old; the caller holds the lock.
+func (t *Table) current(part PartKey, now time.Time) record {
+	found, _ := t.records.Peek(part)
+	found.endings = after(found.endings, now.Add(-lifetime))
+	return found
+}
+
+// RecordEnding records that a server ended while it had a prompt with the given parts in work.
+func (t *Table) RecordEnding(parts []PartKey, instance lavserver.InstanceKey, begun bool, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if begun {
+		t.begun.Add(instance, struct{}{})
+	}
+	for _, part := range parts {
+		changed := t.current(part, now)
+		changed.endings = with(changed.endings, Ending{Instance: instance, At: now, Begun: begun})
+		t.put(part, changed)
+	}
+}
+
+// RecordAnswer records that a server survived an answer to a prompt with the given parts. Their endings do not count any more.
+func (t *Table) RecordAnswer(parts []PartKey, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, part := range parts {
+		t.answer(part, t.current(part, now), now, now)
+	}
+}
+
+// answer stores that a part was answered at a time; the caller holds the lock.
+func (t *Table) answer(part PartKey, changed record, answeredAt, now time.Time) {
+	if answeredAt.After(changed.answeredAt) {
+		changed.answeredAt = answeredAt
+	}
+	if remaining := after(changed.endings, changed.answeredAt); len(remaining) < len(changed.endings) {
+		changed.endings, changed.clearedAt = remaining, now
+		t.cleared[part] = struct{}{}
+	}
+	t.put(part, changed)
+}
+
+// score returns how much speaks against a part; the caller holds the lock. Of simultaneous endings, the one with the largest
+// weight counts. An ending at which another answer had begun says nothing about prompts that waited.
+func (t *Table) score(of record) float64 {
+	score, weight := 0.0, 0.0
+	var began time.Time
+	for i, ending := range of.endings {
+		if i == 0 || ending.At.Sub(began) >= simultaneous {
+			score, weight, began = score+weight, 0, ending.At
+		}
+		weight = math.Max(weight, t.weight(ending))
+	}
+	return score + weight
+}
+
+func (t *Table) weight(ending Ending) float64 {
+	switch {
+	case ending.Begun:
+		return begunWeight
+	case t.begun.Contains(ending.Instance):
+		return 0
+	default:
+		return waitingWeight
+	}
+}
+
+// isQuarantined reports whether a part with the given record is kept from servers; the caller holds the lock.
+func (t *Table) isQuarantined(part PartKey, of record, now time.Time) bool {
+	if len(of.endings) == 0 {
+		return false
+	}
+	score := t.score(of)
+	return score >= of.requiredScore() && !t.isExplained(part, of, score, now)
+}
+
+// isExplained reports whether another part explains all endings of this one: it was there each time, and at further ones.
+func (t *Table) isExplained(part PartKey, of record, score float64, now time.Time) bool {
+	for other := range t.suspects {
+		if other == part {
+			continue
+		}
+		found := t.current(other, now)
+		if len(found.endings) > len(of.endings) && found.containsInstances(of) && t.score(found) > score && t.score(found) >= found.requiredScore() {
+			return true
+		}
+	}
+	return false
+}
+
+// Suspects reports whether any part is under suspicion.
+func (t *Table) Suspects() bool { return t.suspectCount.Load() > 0 }
+
+// Quarantined reports whether prompts with the given parts are kept from servers now.
+func (t *Table) Quarantined(parts []PartKey, now time.Time) bool {
+	if !t.Suspects() {
+		return false
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, part := range parts {
+		if t.isQuarantined(part, t.current(part, now), now) {
+			return true
+		}
+	}
+	return false
+}
+
+// Count returns the number of parts that are kept from servers.
+func (t *Table) Count(now time.Time) int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	count := 0
+	for part := range t.suspects {
+		if t.isQuarantined(part, t.current(part, now), now) {
+			count++
+		}
+	}
+	return count
+}
--- /dev/null
+++ b/core/services/lavquarantine/table_test.go
@@ -0,0 +1,199 @@
+package lavquarantine
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"lavenderswitch/core/models/lavserver"
+)
+
+var start = time.Unix(1_000_000, 0)
+
+// parts returns the keys of the parts of a prompt.
+func parts(ids ...string) []PartKey {
+	keys := make([]PartKey, 0, len(ids))
+	for _, id := range ids {
+		keys = append(keys, KeyOf(id))
+	}
+	return keys
+}
+
+// first is the rank of the host that tries each part first.
+func first(PartKey) int { return 0 }
+
+// fleet records endings of servers, each of another instance and half a second after the one before.
+type fleet struct {
+	*Table
+	now   time.Time
+	count lavserver.InstanceKey
+}
+
+func newFleet() *fleet { return &fleet{Table: New(), now: start} }
+
+func (f *fleet) end(begun bool, ids ...string) {
+	f.count++
+	f.now = f.now.Add(500 * time.Millisecond)
+	f.RecordEnding(parts(ids...), f.count, begun, f.now)
+}
+
+func (f *fleet) answer(ids ...string) {
+	f.now = f.now.Add(500 * time.Millisecond)
+	f.RecordAnswer(parts(ids...), f.now)
+}
+
+func (f *fleet) quarantined(ids ...string) bool { return f.Quarantined(parts(ids...), f.now) }
+
+func TestPartIsKeptFromServersAfterTwoEndings(t *testing.T) {
+	is := is.New(t)
+	f := newFleet()
+	f.end(true, "shared", "deadly", "own-1")
+	f.answer("shared", "other", "own-2")
+	is.True(!f.quarantined("shared", "deadly", "own-3")) // a single ending may be a coincidence
+	f.end(true, "shared", "deadly", "own-3")
+	is.True(f.quarantined("shared", "deadly", "own-4"))
+	is.True(!f.quarantined("shared", "other", "own-5")) // parts that were answered go on
+	is.Equal(f.Count(f.now), 1)
+}
+
+// TestWaitingPromptsAreNotSuspectedBesideOneThatHadBegun guards against sound prompts that are kept from servers because they
+// waited at servers that ended.
+func TestWaitingPromptsAreNotSuspectedBesideOneThatHadBegun(t *testing.T) {
+	is := is.New(t)
+	f := newFleet()
+	for i := range 10 {
+		f.RecordEnding(parts("waiting"), f.count+1, false, f.now.Add(500*time.Millisecond))
+		f.end(true, "deadly", fmt.Sprint("own-", i))
+	}
+	is.True(f.quarantined("deadly"))
+	is.True(!f.quarantined("waiting"))
+}
+
+// TestPartIsSuspectedThoughServersEndBeforeTheirAnswers guards against a part that ends servers before the head of an answer
+// reaches a host, so that no prompt has begun.
+func TestPartIsSuspectedThoughServersEndBeforeTheirAnswers(t *testing.T) {
+	is := is.New(t)
+	f := newFleet()
+	for range 4 {
+		is.True(!f.quarantined("deadly"))
+		f.end(false, "deadly")
+	}
+	is.True(f.quarantined("deadly"))
+}
+
+// TestUsedPartIsNotSuspectedAfterAFewEndings guards against an outage of all prompts with a part that a caller combines with
+// deadly ones, or that many requests share.
+func TestUsedPartIsNotSuspectedAfterAFewEndings(t *testing.T) {
+	is := is.New(t)
+	f := newFleet()
+	f.answer("used")
+	for i := range 4 {
+		f.end(true, "used", fmt.Sprint("deadly-", i))
+	}
+	is.True(!f.quarantined("used"))
+	f.answer("used")
+	for i := range 4 {
+		f.end(true, "used", fmt.Sprint("deadly-again-", i))
+	}
+	is.True(!f.quarantined("used"))
+	f.end(true, "used", "deadly-last")
+	is.True(f.quarantined("used")) // five in a row without an answer
+}
+
+func TestEndingsAtTheSameTimeCountOnce(t *testing.T) {
+	is := is.New(t)
+	f := newFleet()
+	for instance := range lavserver.InstanceKey(8) {
+		f.RecordEnding(parts("part"), instance, true, f.now.Add(time.Duration(instance)*10*time.Millisecond))
+	}
+	f.now = f.now.Add(time.Second)
+	is.True(!f.quarantined("part")) // a rack lost power
+}
+
+func TestPartThatExplainsTheEndingsOfOthersClearsThem(t *testing.T) {
+	is := is.New(t)
+	f := newFleet()
+	f.end(true, "deadly", "sound")
+	f.end(true, "deadly", "sound")
+	is.True(f.quarantined("deadly"))
+	is.True(f.quarantined("sound"))
+	f.end(true, "deadly", "other")
+	is.True(f.quarantined("deadly"))
+	is.True(!f.quarantined("sound"))
+}
+
+func TestPartIsTriedAgainAfterGrowingPauses(t *testing.T) {
+	is := is.New(t)
+	f := newFleet()
+	f.end(true, "deadly")
+	f.end(true, "deadly")
+	pause := firstTrialPause
+	for range 5 {
+		refused := f.Admit(parts("deadly"), first, f.now)
+		is.True(refused.Refused)
+		is.Equal(refused.Part, KeyOf("deadly"))
+		is.Equal(refused.ReturnAfter, pause)
+		f.now = f.now.Add(pause)
+		later := f.Admit(parts("deadly"), func(PartKey) int { return 1 }, f.now)
+		is.True(later.Refused) // another host is first
+		is.True(f.Admit(parts("deadly"), first, f.now).Trial)
+		is.True(f.Admit(parts("deadly"), first, f.now.Add(time.Second)).Refused) // one trial at a time
+		f.now = f.now.Add(-500 * time.Millisecond)
+		f.end(true, "deadly")
+		pause = min(trialPauseFactor*pause, maxTrialPause)
+	}
+	f.answer("deadly")
+	is.Equal(f.Admit(parts("deadly"), first, f.now), Admission{}) // a trial that was answered ends the quarantine
+}
+
+func TestEndingsAreForgotten(t *testing.T) {
+	is := is.New(t)
+	f := newFleet()
+	f.end(true, "deadly")
+	f.end(true, "deadly")
+	is.True(f.quarantined("deadly"))
+	f.now = f.now.Add(lifetime)
+	is.True(!f.quarantined("deadly"))
+	is.Equal(len(f.Reports(f.now)), 0)
+}
+
+func TestHostsLearnFromReports(t *testing.T) {
+	is := is.New(t)
+	one, other := newFleet(), newFleet()
+	other.count = 100
+	one.end(true, "deadly")
+	other.now = one.now
+	other.end(true, "deadly")
+	one.now = other.now.Add(time.Second)
+	other.now = one.now
+	one.Apply(other.Reports(one.now), one.now)
+	other.Apply(one.Reports(one.now), one.now)
+	other.Apply(one.Reports(one.now), one.now) // a report that comes twice counts once
+	is.True(one.quarantined("deadly"))
+	is.True(other.quarantined("deadly"))
+	is.Equal(other.Admit(parts("deadly"), first, other.now).Endings, 2)
+	one.answer("deadly")
+	other.now = one.now
+	other.Apply(one.Reports(one.now), one.now)
+	is.True(!other.quarantined("deadly"))
+	one.Apply(other.Reports(one.now), one.now)
+	is.True(!one.quarantined("deadly"))
+}
+
+// TestReportsStaySmall guards against messages that grow with each request that ended with a server.
+func TestReportsStaySmall(t *testing.T) {
+	is := is.New(t)
+	f := newFleet()
+	for i := range 500 {
+		f.end(true, fmt.Sprint("own-", i))
+	}
+	is.Equal(len(f.Reports(f.now)), int(tellTime/(500*time.Millisecond))) // one a step
+	f.now = f.now.Add(tellTime)
+	is.Equal(len(f.Reports(f.now)), 0)
+	f.end(true, "own-1")
+	f.end(true, "own-1")
+	f.now = f.now.Add(tellTime)
+	is.Equal(len(f.Reports(f.now)), 1) // what is kept from servers is told as long as it is
+}
