Tell other hosts which parts of prompts servers ended with

Requests with a part that ends servers come through any host, and each host alone would need two ends of its own: 58 at 29 hosts. Reports, exchanges and totals carry what a host has seen and was told, at most 64 parts, each as the instances that ended and the age of the last answer, so that a report that comes twice counts once. In the simulated network with 4, 29 and 68 hosts and 3 in 100 messages lost, all hosts know of two ends at different hosts within 1.2 s, also a host that has just started. Earlier builds ignore the field and send none.

--- a/core/services/lavreport/message.go
+++ b/core/services/lavreport/message.go
@@ -12,6 +12,7 @@
 	"lavenderswitch/core/services/lavload"
 	"lavenderswitch/core/services/lavnews"
 	"lavenderswitch/core/services/lavnotice"
+	"lavenderswitch/core/services/lavquarantine"
 )
 
 // HostKey identifies a host in sums. It is a hash of the host's ID.
@@ -69,6 +70,8 @@
 	News *lavnews.News
 	// Notices holds what backend servers have stated about new work, in every message with loads.
 	Notices []lavnotice.Report
+	// PromptParts holds which parts of prompts backend servers ended with, in every message with loads.
+	PromptParts []lavquarantine.Report
 	// ForwardTo are addresses to which the receiver forwards the message, without this list.
 	ForwardTo []string
 }
--- a/core/services/lavreport/node.go
+++ b/core/services/lavreport/node.go
@@ -11,6 +11,7 @@
 	"lavenderswitch/core/services/lavload"
 	"lavenderswitch/core/services/lavnews"
 	"lavenderswitch/core/services/lavnotice"
+	"lavenderswitch/core/services/lavquarantine"
 )
 
 const (
@@ -81,6 +82,12 @@
 	Apply(reports []lavnotice.Report, now time.Time)
 }
 
+// Quarantine holds which parts of prompts backend servers ended with.
+type Quarantine interface {
+	Reports(now time.Time) []lavquarantine.Report
+	Apply(reports []lavquarantine.Report, now time.Time)
+}
+
 // NewsSource returns what this host knows of the store.
 type NewsSource func(now time.Time) *lavnews.News
 
@@ -96,6 +103,7 @@
 	observe  AgeObserver
 	news     NewsSource
 	notices  Notices
+	parts    Quarantine
 
 	mu       sync.Mutex
 	sequence Sequence
@@ -155,6 +163,10 @@
 // ShareNotices makes the node tell other hosts of the notices and apply theirs. It is to be called before the first Tick.
 func (n *Node) ShareNotices(notices Notices) { n.notices = notices }
 
+// ShareQuarantine makes the node tell other hosts of the parts of prompts and apply theirs. It is to be called before the first
+// Tick.
+func (n *Node) ShareQuarantine(parts Quarantine) { n.parts = parts }
+
 // Rank returns the place of this host among the relays of its data centre, which are the readers of the store.
 func (n *Node) Rank() lavnews.Rank {
 	for rank, relay := range n.Relays() {
@@ -223,7 +235,8 @@
 	}
 	message := n.message(KindReport)
 	last := n.sent[n.sequence%sentReports]
-	message.Loads, message.Speeds, message.Cutovers, message.Notices = last.loads, last.speeds, last.cutovers, n.currentNotices(now)
+	message.Loads, message.Speeds, message.Cutovers = last.loads, last.speeds, last.cutovers
+	n.addFindings(message, now)
 	return []Envelope{{To: addressesOf(others), Message: message}}
 }
 
@@ -240,12 +253,24 @@
 	return n.news(now)
 }
 
-// currentNotices returns the notices of backend servers to tell other hosts, or nil.
-func (n *Node) currentNotices(now time.Time) []lavnotice.Report {
-	if n.notices == nil {
-		return nil
+// addFindings adds to a message what other hosts are to be told of the notices of backend servers and the parts of prompts.
+func (n *Node) addFindings(message *Message, now time.Time) {
+	if n.notices != nil {
+		message.Notices = n.notices.Reports(now)
+	}
+	if n.parts != nil {
+		message.PromptParts = n.parts.Reports(now)
+	}
+}
+
+// applyFindings takes over the notices and the parts of prompts in a message.
+func (n *Node) applyFindings(message *Message, now time.Time) {
+	if n.notices != nil {
+		n.notices.Apply(message.Notices, now)
+	}
+	if n.parts != nil {
+		n.parts.Apply(message.PromptParts, now)
 	}
-	return n.notices.Reports(now)
 }
 
 func (n *Node) others(members []lavring.Member) []lavring.Member {
@@ -328,7 +353,8 @@
 		return nil
 	}
 	message := n.message(KindReport)
-	message.Loads, message.Speeds, message.Cutovers, message.Notices = report.loads, report.speeds, report.cutovers, n.currentNotices(now)
+	message.Loads, message.Speeds, message.Cutovers = report.loads, report.speeds, report.cutovers
+	n.addFindings(message, now)
 	if message.IsRelay = n.isRelay(); message.IsRelay {
 		message.Exchanged = n.exchangedSums(now)
 		message.News = n.currentNews(now)
--- a/core/services/lavreport/node_test.go
+++ b/core/services/lavreport/node_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"slices"
+	"strconv"
 	"testing"
 	"time"
 
@@ -18,6 +19,7 @@
 	"lavenderswitch/core/services/lavforecast"
 	"lavenderswitch/core/services/lavload"
 	"lavenderswitch/core/services/lavnotice"
+	"lavenderswitch/core/services/lavquarantine"
 )
 
 // The stated bounds of the reports, at any size.
@@ -347,6 +349,43 @@
 	}
 }
 
+// TestHostsLearnWhichPartsEndServers guards against hosts that each send prompts with a part that ends servers until they have
+// seen enough of it themselves, also such as have just started.
+func TestHostsLearnWhichPartsEndServers(t *testing.T) {
+	for _, size := range []struct{ hosts, dataCentres int }{{4, 3}, {29, 3}, {68, 4}} {
+		t.Run(strconv.Itoa(size.hosts), func(t *testing.T) {
+			is := is.New(t)
+			network := newSimNetwork(9, size.hosts, size.dataCentres)
+			network.loss = 0.03
+			tables := make(map[*simHost]*lavquarantine.Table)
+			for _, host := range network.hosts {
+				tables[host] = lavquarantine.New()
+				host.node.ShareQuarantine(tables[host])
+			}
+			network.run(2*time.Second, nil)
+			deadly := []lavquarantine.PartKey{lavquarantine.KeyOf("deadly")}
+			tables[network.hosts[0]].RecordEnding(deadly, 1, true, network.now)
+			network.run(200*time.Millisecond, nil)
+			tables[network.hosts[size.hosts-1]].RecordEnding(deadly, 2, true, network.now)
+			network.run(maxP99Age, nil)
+			for _, host := range network.hosts {
+				is.True(tables[host].Quarantined(deadly, network.now))
+			}
+			restarted := network.hosts[size.hosts/2]
+			network.restart(restarted)
+			tables[restarted] = lavquarantine.New()
+			restarted.node.ShareQuarantine(tables[restarted])
+			network.run(maxP99Age, nil)
+			is.True(tables[restarted].Quarantined(deadly, network.now))
+			tables[restarted].RecordAnswer(deadly, network.now)
+			network.run(maxP99Age, nil)
+			for _, host := range network.hosts {
+				is.True(!tables[host].Quarantined(deadly, network.now))
+			}
+		})
+	}
+}
+
 // TestHostsLearnWhichSessionsOlderReleasesServe guards against a session that changes its release because its next request
 // comes through another host.
 func TestHostsLearnWhichSessionsOlderReleasesServe(t *testing.T) {
--- a/core/services/lavreport/receive.go
+++ b/core/services/lavreport/receive.go
@@ -35,9 +35,7 @@
 	if receipt.NewPeer && message.Kind != KindHello && !n.leaving {
 		receipt.Replies = append(receipt.Replies, Envelope{To: []string{message.From.Address}, Message: n.message(KindHello)})
 	}
-	if n.notices != nil {
-		n.notices.Apply(message.Notices, now)
-	}
+	n.applyFindings(message, now)
 	cutovers := message.Cutovers
 	switch message.Kind {
 	case KindHello:
--- a/core/services/lavreport/relay.go
+++ b/core/services/lavreport/relay.go
@@ -76,7 +76,7 @@
 	message.Sum = n.centreSum(now)
 	message.Members = n.peers.introduce(n.round, now)
 	message.News = n.currentNews(now)
-	message.Notices = n.currentNotices(now)
+	n.addFindings(message, now)
 	return []Envelope{{To: addressesOf(targets), Message: message}}
 }
 
@@ -139,7 +139,8 @@
 	}
 	members := n.peers.introduce(n.round, now)
 	message := n.message(KindTotal)
-	message.Sum, message.Members, message.News, message.Notices = total, members, n.currentNews(now), n.currentNotices(now)
+	message.Sum, message.Members, message.News = total, members, n.currentNews(now)
+	n.addFindings(message, now)
 	receivers := addressesOf(reporters)
 	if len(n.relays) > 0 && n.relays[0].ID != n.peers.Self().ID {
 		slices.Reverse(receivers) // other hosts forward the totals of the other relay
--- a/entry/services/lavbroadcast/broadcaster_test.go
+++ b/entry/services/lavbroadcast/broadcaster_test.go
@@ -20,6 +20,7 @@
 	"lavenderswitch/core/services/lavload"
 	"lavenderswitch/core/services/lavnews"
 	"lavenderswitch/core/services/lavnotice"
+	"lavenderswitch/core/services/lavquarantine"
 	"lavenderswitch/core/services/lavreport"
 	"lavenderswitch/core/services/lavrollout"
 	"lavenderswitch/wire/lavwire"
@@ -185,6 +186,10 @@
 		Exchanged: []lavreport.CentreSum{{DataCentre: "centre-b", Sum: sum}}, Members: []lavring.Member{member}, ForwardTo: []string{"127.0.0.1:2"},
 		News:    &lavnews.News{Servers: &lavnews.Edition{Version: 7, Digest: 1 << 63, Age: time.Second}, CutoversRead: true, Address: "127.0.0.1:3"},
 		Notices: []lavnotice.Report{{Instance: 1 << 63, Leaving: true, LeavingFor: time.Second, Pause: 2 * time.Second}},
+		PromptParts: []lavquarantine.Report{{
+			Part: 1 << 63, Answered: true, AnsweredFor: time.Minute,
+			Endings: []lavquarantine.ReportedEnding{{Instance: 5, Age: 2 * time.Second, Begun: true}, {Instance: 6, Age: time.Second}},
+		}},
 	}
 	data, err := proto.Marshal(encode(message))
 	is.NoErr(err)
@@ -193,6 +198,10 @@
 	decoded, err := decode(&state)
 	is.NoErr(err)
 	is.Equal(decoded, message)
+	state.PromptParts[0].Begun = nil
+	_, err = decode(&state)
+	is.True(err != nil) // lists of unequal lengths
+	state.PromptParts = nil
 	state.Sum.Requests = nil
 	_, err = decode(&state)
 	is.True(err != nil) // lists of unequal lengths
--- a/entry/services/lavbroadcast/decode.go
+++ b/entry/services/lavbroadcast/decode.go
@@ -14,6 +14,7 @@
 	"lavenderswitch/core/services/lavload"
 	"lavenderswitch/core/services/lavnews"
 	"lavenderswitch/core/services/lavnotice"
+	"lavenderswitch/core/services/lavquarantine"
 	"lavenderswitch/core/services/lavreport"
 	"lavenderswitch/core/services/lavrollout"
 	"lavenderswitch/wire/lavwire"
@@ -79,6 +80,9 @@
 			Pause:      time.Duration(notice.GetPauseMillis()) * time.Millisecond,
 		})
 	}
+	if message.PromptParts, err = decodeParts(state.GetPromptParts()); err != nil {
+		return nil, err
+	}
 	for _, member := range state.GetMembers() {
 		message.Members = append(message.Members, lavring.Member{
 			ID: lavid.HostID(member.GetHostId()), DataCentre: lavid.DataCentreID(member.GetDataCentreId()), Address: member.GetAddress(),
@@ -87,6 +91,29 @@
 	return message, nil
 }
 
+// decodeParts returns the reports of parts of prompts. It fails if the lists of one have unequal lengths.
+func decodeParts(encoded []*lavwire.PromptPart) ([]lavquarantine.Report, error) {
+	var reports []lavquarantine.Report
+	for _, part := range encoded {
+		instances, ages, begun := part.GetInstances(), part.GetAgesMillis(), part.GetBegun()
+		if len(ages) != len(instances) || len(begun) != len(instances) {
+			return nil, errors.Errorf("prompt part with %d backend servers has %d ages and %d states", len(instances), len(ages), len(begun))
+		}
+		report := lavquarantine.Report{
+			Part:        lavquarantine.PartKey(part.GetKey()),
+			Answered:    part.GetAnswered(),
+			AnsweredFor: time.Duration(part.GetAnsweredMillis()) * time.Millisecond,
+		}
+		for i, instance := range instances {
+			report.Endings = append(report.Endings, lavquarantine.ReportedEnding{
+				Instance: lavserver.InstanceKey(instance), Age: time.Duration(ages[i]) * time.Millisecond, Begun: begun[i],
+			})
+		}
+		reports = append(reports, report)
+	}
+	return reports, nil
+}
+
 func decodeEdition(edition *lavwire.StoreEdition) *lavnews.Edition {
 	if edition == nil {
 		return nil
--- a/entry/services/lavbroadcast/encode.go
+++ b/entry/services/lavbroadcast/encode.go
@@ -14,6 +14,7 @@
 	"lavenderswitch/core/services/lavforecast"
 	"lavenderswitch/core/services/lavload"
 	"lavenderswitch/core/services/lavnews"
+	"lavenderswitch/core/services/lavquarantine"
 	"lavenderswitch/core/services/lavreport"
 	"lavenderswitch/wire/lavwire"
 )
@@ -119,12 +120,25 @@
 			PauseMillis:   uint32(notice.Pause.Milliseconds()),
 		})
 	}
+	for _, part := range message.PromptParts {
+		state.PromptParts = append(state.PromptParts, encodePart(part))
+	}
 	for _, member := range message.Members {
 		state.Members = append(state.Members, encodeMember(member))
 	}
 	return state
 }
 
+func encodePart(part lavquarantine.Report) *lavwire.PromptPart {
+	encoded := &lavwire.PromptPart{Key: uint64(part.Part), Answered: part.Answered, AnsweredMillis: uint32(part.AnsweredFor.Milliseconds())}
+	for _, ending := range part.Endings {
+		encoded.Instances = append(encoded.Instances, uint64(ending.Instance))
+		encoded.AgesMillis = append(encoded.AgesMillis, uint32(ending.Age.Milliseconds()))
+		encoded.Begun = append(encoded.Begun, ending.Begun)
+	}
+	return encoded
+}
+
 func encodeEdition(edition *lavnews.Edition) *lavwire.StoreEdition {
 	if edition == nil {
 		return nil
