Keep prompts with a part that ends servers from the servers

Cause: the end of a server was held against the server alone. A request that ended one went to the next until its attempts were used up, and no request knew of the one before. Class of fault: evidence is kept about the thing that failed and not about what it was given.

Evidence: with the parts of prompts in the log, all ends share one part beside the shared first one; its request had the head of its answer and no event. Some ends had no such request: their hosts had given up the answer for a larger model's some 50 ms before.

Change: each send passes lavquarantine, first ones, repeats, resumed streams, second runs, waiting requests and those that wait for a connection. A request with a part that is kept from servers is refused at once as not run, with the time of the next trial; a send whose server has not survived the prompt yet is cancelled once its part is found. A request at which two servers ended when they began to answer it is not repeated. Answers that a host gave up shortly before the end of a server count too. Of two parts that explain the same ends, prompts with only one of them tell which it is.

--- a/core/modules/lavexchange/error.go
+++ b/core/modules/lavexchange/error.go
@@ -1,6 +1,12 @@
 package lavexchange
 
-import "github.com/pkg/errors"
+import (
+	"context"
+	"net"
+	"syscall"
+
+	"github.com/pkg/errors"
+)
 
 // ErrExchange reports that a request received no complete response.
 type ErrExchange struct {
@@ -28,6 +34,15 @@
 	return errors.As(err, &typed)
 }
 
+// IsTimeout reports whether an exchange failed because nothing arrived in time, while the peer did not end the connection.
+func IsTimeout(err error) bool {
+	var network net.Error
+	return errors.Is(err, syscall.ETIMEDOUT) || errors.Is(err, context.Canceled) || errors.As(err, &network) && network.Timeout()
+}
+
+// IsRefused reports whether nothing listens at the peer's address.
+func IsRefused(err error) bool { return errors.Is(err, syscall.ECONNREFUSED) }
+
 // WasSent reports whether the peer may have received the request. Any error other than ErrExchange counts as sent.
 func WasSent(err error) bool {
 	var typed ErrExchange
--- a/core/services/lavquarantine/admission.go
+++ b/core/services/lavquarantine/admission.go
@@ -1,6 +1,9 @@
 package lavquarantine
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // Admission is the decision on a prompt.
 type Admission struct {
@@ -19,6 +22,7 @@
 
 // Admit decides whether a prompt with the given parts may be sent. A part that is kept from servers is tried again after a
 // pause by the host that is first in order, and after one more pause by each next one, as a trial may not reach the first.
+// Where a part that the prompt does not have explains the same endings, a trial tells which of both it is, and is not delayed.
 func (t *Table) Admit(parts []PartKey, rank Rank, now time.Time) Admission {
 	if !t.Suspects() {
 		return Admission{}
@@ -34,10 +38,14 @@
 		}
 		held = append(held, part)
 		pause := found.trialPause()
-		if now.Before(found.lastEnding().Add(pause*time.Duration(1+rank(part)))) || now.Before(found.trialAt.Add(pause)) {
+		due := found.lastEnding().Add(pause * time.Duration(1+rank(part)))
+		if t.isAmbiguous(parts, found, now) {
+			pause = ambiguousTrialPause
+			due = found.lastEnding().Add(pause * time.Duration(rank(part)))
+		}
+		if now.Before(due) || now.Before(found.trialAt.Add(pause)) {
 			decision.Refused, decision.Part, decision.Endings = true, part, len(found.endings)
-			returnAfter := max(found.lastEnding().Add(pause).Sub(now), minReturnAfter)
-			decision.ReturnAfter = max(decision.ReturnAfter, returnAfter)
+			decision.ReturnAfter = max(decision.ReturnAfter, found.lastEnding().Add(pause).Sub(now), minReturnAfter)
 		}
 	}
 	if decision.Refused || len(held) == 0 {
@@ -50,3 +58,17 @@
 	}
 	return Admission{Trial: true}
 }
+
+// isAmbiguous reports whether a part outside of a prompt was present at all endings of one in it; the caller holds the lock.
+func (t *Table) isAmbiguous(parts []PartKey, of record, now time.Time) bool {
+	for other := range t.suspects {
+		if slices.Contains(parts, other) {
+			continue
+		}
+		found := t.current(other, now)
+		if len(found.endings) > 0 && found.containsInstances(of) && t.isQuarantined(other, found, now) {
+			return true
+		}
+	}
+	return false
+}
--- a/core/services/lavquarantine/part.go
+++ b/core/services/lavquarantine/part.go
@@ -18,7 +18,7 @@
 type Ending struct {
 	Instance lavserver.InstanceKey
 	At       time.Time
-	// Begun states that the server had begun to answer the prompt.
+	// Begun states that the server had begun to answer the prompt and had not delivered anything of the answer yet.
 	Begun bool
 }
 
--- a/core/services/lavquarantine/report.go
+++ b/core/services/lavquarantine/report.go
@@ -94,15 +94,18 @@
 func (t *Table) Apply(reports []Report, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	ended := make(map[lavserver.InstanceKey]time.Time)
 	for _, report := range reports {
 		known := t.current(report.Part, now)
 		for _, ending := range report.Endings {
+			if ending.Age >= lifetime {
+				continue
+			}
 			if ending.Begun {
 				t.begun.Add(ending.Instance, struct{}{})
 			}
-			if ending.Age < lifetime {
-				known.endings = with(known.endings, Ending{Instance: ending.Instance, At: now.Add(-ending.Age), Begun: ending.Begun})
-			}
+			known.endings = with(known.endings, Ending{Instance: ending.Instance, At: now.Add(-ending.Age), Begun: ending.Begun})
+			ended[ending.Instance] = now.Add(-ending.Age)
 		}
 		answeredAt := known.answeredAt
 		if reported := now.Add(-report.AnsweredFor); report.Answered && reported.Sub(answeredAt) > reportDelay {
@@ -110,4 +113,9 @@
 		}
 		t.answer(report.Part, known, answeredAt, now)
 	}
+	if len(t.drops) > 0 {
+		for instance, at := range ended {
+			t.endDropped(instance, at, now)
+		}
+	}
 }
--- a/core/services/lavquarantine/table.go
+++ b/core/services/lavquarantine/table.go
@@ -19,10 +19,10 @@
 	maxEndings   = 8
 	// lifetime is how long an ending counts.
 	lifetime = 10 * time.Minute
-	// begunWeight and waitingWeight are what an ending adds to the score of a part if the server had begun to answer, or not.
-	// A server that ends takes the requests that wait there with it.
-	begunWeight   = 1.0
-	waitingWeight = 0.5
+	// begunWeight is what an ending adds to the score of a part if the server had just begun to answer, and besideWeight what it
+	// adds if the prompt waited, or part of the answer had been delivered. A server that ends takes all requests with it.
+	begunWeight  = 1.0
+	besideWeight = 0.5
 	// unansweredScore is the score from which a part is kept from servers, and answeredScore the one for a part that was
 	// answered within answerMemory before its first ending. The score begins anew with each answer.
 	unansweredScore = 2.0
@@ -35,8 +35,15 @@
 	firstTrialPause  = 5 * time.Second
 	trialPauseFactor = 3
 	maxTrialPause    = 5 * time.Minute
+	// ambiguousTrialPause is the time between trials of a part, by one host after the other, while another part explains its
+	// endings as well.
+	ambiguousTrialPause = time.Second
 	// minReturnAfter is the shortest time after which a caller is asked to come back.
 	minReturnAfter = time.Second
+	// dropTime is how long after a send was dropped a server that ends may have ended with its prompt, and maxDrops the number
+	// of such sends on record.
+	dropTime = time.Second
+	maxDrops = 256
 )
 
 // Table holds which servers ended with which parts of prompts. It is safe for concurrent use.
@@ -51,6 +58,16 @@
 	cleared  map[PartKey]struct{}
 	// begun holds the instances that ended with an answer that had begun.
 	begun *lru.Cache[lavserver.InstanceKey, struct{}]
+	// drops holds the latest dropped sends.
+	drops []drop
+}
+
+// drop is a send that this host gave up before the server had survived its prompt.
+type drop struct {
+	parts    []PartKey
+	instance lavserver.InstanceKey
+	begun    bool
+	at       time.Time
 }
 
 // New returns an empty table.
@@ -89,20 +106,49 @@
 	return found
 }
 
-// RecordEnding records that a server ended while it had a prompt with the given parts in work.
+// RecordEnding records that a server ended while it had a prompt with the given parts in work, or just that it ended if there
+// are none. The prompts that were dropped there shortly before are recorded too.
 func (t *Table) RecordEnding(parts []PartKey, instance lavserver.InstanceKey, begun bool, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if begun {
-		t.begun.Add(instance, struct{}{})
+	t.end(parts, Ending{Instance: instance, At: now, Begun: begun}, now)
+	t.endDropped(instance, now, now)
+}
+
+// end stores an ending with the given parts; the caller holds the lock.
+func (t *Table) end(parts []PartKey, ending Ending, now time.Time) {
+	if ending.Begun {
+		t.begun.Add(ending.Instance, struct{}{})
 	}
 	for _, part := range parts {
 		changed := t.current(part, now)
-		changed.endings = with(changed.endings, Ending{Instance: instance, At: now, Begun: begun})
+		changed.endings = with(changed.endings, ending)
 		t.put(part, changed)
 	}
 }
 
+// RecordDropped records that this host gave up a send of a prompt with the given parts. Its server may still work on it for a
+// moment, and end.
+func (t *Table) RecordDropped(parts []PartKey, instance lavserver.InstanceKey, begun bool, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.drops = append(t.drops[max(0, len(t.drops)+1-maxDrops):], drop{parts: parts, instance: instance, begun: begun, at: now})
+}
+
+// endDropped records the prompts that were dropped at a server that ended at a time; the caller holds the lock.
+func (t *Table) endDropped(instance lavserver.InstanceKey, endedAt, now time.Time) {
+	var remaining []drop
+	for _, dropped := range t.drops {
+		switch {
+		case dropped.instance == instance && endedAt.Sub(dropped.at) <= dropTime:
+			t.end(dropped.parts, Ending{Instance: instance, At: endedAt, Begun: dropped.begun}, now)
+		case now.Sub(dropped.at) <= 2*dropTime:
+			remaining = append(remaining, dropped)
+		}
+	}
+	t.drops = remaining
+}
+
 // RecordAnswer records that a server survived an answer to a prompt with the given parts. Their endings do not count any more.
 func (t *Table) RecordAnswer(parts []PartKey, now time.Time) {
 	t.mu.Lock()
@@ -125,7 +171,7 @@
 }
 
 // score returns how much speaks against a part; the caller holds the lock. Of simultaneous endings, the one with the largest
-// weight counts. An ending at which another answer had begun says nothing about prompts that waited.
+// weight counts. An ending at which the answer to another prompt had just begun says nothing about the prompts beside it.
 func (t *Table) score(of record) float64 {
 	score, weight := 0.0, 0.0
 	var began time.Time
@@ -145,7 +191,7 @@
 	case t.begun.Contains(ending.Instance):
 		return 0
 	default:
-		return waitingWeight
+		return besideWeight
 	}
 }
 
--- a/core/services/lavquarantine/table_test.go
+++ b/core/services/lavquarantine/table_test.go
@@ -83,6 +83,34 @@
 	is.True(f.quarantined("deadly"))
 }
 
+// TestPromptThatWasDroppedIsSuspected guards against a part that ends servers after a host has given its answer up for that of a
+// larger model, also when only another host sees the server end.
+func TestPromptThatWasDroppedIsSuspected(t *testing.T) {
+	is := is.New(t)
+	f, other := newFleet(), newFleet()
+	for instance := range lavserver.InstanceKey(2) {
+		f.now = f.now.Add(time.Second)
+		f.RecordDropped(parts("deadly"), instance, true, f.now)
+		f.RecordDropped(parts("elsewhere"), 100, true, f.now)
+		f.now = f.now.Add(50 * time.Millisecond)
+		if instance == 0 {
+			f.RecordEnding(parts("waiting"), instance, false, f.now)
+			continue
+		}
+		other.RecordEnding(parts("waiting"), instance, false, f.now)
+		f.now = f.now.Add(400 * time.Millisecond)
+		f.Apply(other.Reports(f.now), f.now)
+	}
+	is.True(f.quarantined("deadly"))
+	is.True(!f.quarantined("elsewhere"))
+	is.True(!f.quarantined("waiting"))
+	f.RecordDropped(parts("early"), 3, true, f.now)
+	f.now = f.now.Add(2 * dropTime)
+	f.RecordEnding(nil, 3, false, f.now)
+	is.True(f.Suspects())
+	is.Equal(len(f.current(KeyOf("early"), f.now).endings), 0) // the server had survived it
+}
+
 // TestUsedPartIsNotSuspectedAfterAFewEndings guards against an outage of all prompts with a part that a caller combines with
 // deadly ones, or that many requests share.
 func TestUsedPartIsNotSuspectedAfterAFewEndings(t *testing.T) {
@@ -124,6 +152,23 @@
 	is.True(!f.quarantined("sound"))
 }
 
+// TestPartThatSharesAllEndingsIsTriedAtOnce guards against sound requests that wait for a pause because the only prompts with
+// their part so far had a deadly one beside it.
+func TestPartThatSharesAllEndingsIsTriedAtOnce(t *testing.T) {
+	is := is.New(t)
+	f := newFleet()
+	f.end(true, "sound", "deadly")
+	f.end(true, "sound", "deadly")
+	is.True(f.Admit(parts("sound", "deadly"), first, f.now).Refused)
+	second := func(PartKey) int { return 1 }
+	is.True(f.Admit(parts("sound"), second, f.now).Refused) // the first host in order has its turn
+	is.True(f.Admit(parts("sound"), first, f.now).Trial)
+	is.True(f.Admit(parts("sound"), first, f.now).Refused) // one trial at a time
+	f.answer("sound")
+	is.Equal(f.Admit(parts("sound"), first, f.now), Admission{})
+	is.True(f.Admit(parts("sound", "deadly"), first, f.now).Refused)
+}
+
 func TestPartIsTriedAgainAfterGrowingPauses(t *testing.T) {
 	is := is.New(t)
 	f := newFleet()
--- a/entry/services/lavforward/delivery.go
+++ b/entry/services/lavforward/delivery.go
@@ -60,6 +60,7 @@
 // delivers the error answer.
 func (e *execution) handleServerError(ctx context.Context, chosen choice, reply *Reply) (step, Result) {
 	now := e.Clock()
+	e.flight.settled = true
 	e.excluded[chosen.ID] = true
 	e.health.recordErrorAnswer(chosen.ID)
 	e.lastFailure = "server failed with " + http.StatusText(reply.Status)
@@ -97,6 +98,9 @@
 func (e *execution) deliverBuffered(ctx context.Context, chosen choice, watchdog *watchdog, reply *Reply) (step, Result) {
 	body, err := readBuffered(reply.Body)
 	now := e.Clock()
+	if err == nil {
+		e.recordSurvival(now)
+	}
 	if err != nil || !reply.Signed && reply.Status < http.StatusMultipleChoices {
 		reason := "answer has no server signature"
 		if err != nil {
@@ -107,6 +111,9 @@
 			return stepDone, e.fail("answer was not complete in time")
 		}
 		e.excluded[chosen.ID] = true
+		if err != nil && !watchdog.hasFired() {
+			e.recordEnding(chosen, true, err, now)
+		}
 		e.health.recordFailure(chosen.ID, now)
 		e.Metrics.countSend(chosen, sendDamaged)
 		e.logDecision("answer was damaged", chosen.ID, logrus.Fields{"reason": reason})
@@ -159,6 +166,7 @@
 	e.confidence = reply.Confidence
 	e.stream = streamState{}
 	buffer := make([]byte, streamReadBytes)
+	headAt := e.Clock()
 	for {
 		count, err := reply.Body.Read(buffer)
 		if count > 0 {
@@ -166,6 +174,10 @@
 			if deliverErr := e.deliverEvents(chosen, reply, buffer[:count]); deliverErr != nil {
 				return stepDone, Result{Broken: true}
 			}
+			e.flight.begun = e.stream.events() == 0
+			if now := e.Clock(); e.stream.events() > 0 && now.Sub(headAt) >= answerSurvivalTime {
+				e.recordSurvival(now)
+			}
 			if e.mayResume() {
 				watchdog.reset(e.pauseTimeout())
 			}
@@ -244,6 +256,7 @@
 	if e.stream.splitter.Partial() {
 		return e.handleBrokenStream(context.Background(), chosen, &watchdog{}, errors.New("stream ended within an event"))
 	}
+	e.recordSurvival(e.Clock())
 	e.health.recordSuccess(chosen.ID, e.Clock())
 	e.Metrics.countSend(chosen, sendAnswered)
 	if !e.stream.reported {
@@ -261,11 +274,18 @@
 // that the caller recognises as incomplete.
 func (e *execution) handleBrokenStream(ctx context.Context, chosen choice, watchdog *watchdog, err error) (step, Result) {
 	e.lastFailure = err.Error()
+	now := e.Clock()
 	if ctx.Err() != nil && !watchdog.hasFired() {
+		if e.isQuarantined(now) {
+			return stepDone, e.failQuarantined(e.admit(now))
+		}
 		return stepDone, e.fail("stream was not complete in time")
 	}
+	if !e.flight.survived && !watchdog.hasFired() {
+		e.recordEnding(chosen, e.stream.events() == 0, err, now)
+	}
 	e.excluded[chosen.ID] = true
-	e.health.recordFailure(chosen.ID, e.Clock())
+	e.health.recordFailure(chosen.ID, now)
 	e.Metrics.countSend(chosen, sendBrokeOff)
 	fields := logrus.Fields{"after": e.lastEventID, "reason": err.Error(), "stalled": watchdog.hasFired(), "server_events": e.stream.events()}
 	e.logDecision("stream broke off", chosen.ID, e.progressFields(fields))
--- a/entry/services/lavforward/execution.go
+++ b/entry/services/lavforward/execution.go
@@ -14,6 +14,7 @@
 	"lavenderswitch/core/modules/lavexchange"
 	"lavenderswitch/core/services/lavcutover"
 	"lavenderswitch/core/services/lavload"
+	"lavenderswitch/core/services/lavquarantine"
 )
 
 const (
@@ -30,6 +31,13 @@
 	request  *Request
 	answer   AnswerWriter
 	excluded map[lavid.BackendServerID]bool
+	// parts are the keys of the parts of the prompt that other requests may share. trial states that the prompt may be sent
+	// although servers ended with one of them. endings counts the servers that ended when they began to answer the request.
+	parts   []lavquarantine.PartKey
+	trial   bool
+	endings int
+	// flight is the current send.
+	flight *flight
 	// runs counts the sends that a server may have run, and sends counts all of them.
 	runs  int
 	sends int
@@ -81,10 +89,16 @@
 		if e.request.Deadline.Sub(now) < minRemaining {
 			return e.fail("deadline has passed")
 		}
+		if admission := e.admit(now); admission.Refused {
+			return e.failQuarantined(admission)
+		}
 		model := e.chooseModel()
 		if e.mayWait() {
 			entry := e.waiting.wait(ctx, e, model)
-			if entry.refused != "" {
+			switch {
+			case entry.quarantined:
+				return e.failQuarantined(e.admit(e.Clock()))
+			case entry.refused != "":
 				return e.refuse(entry.refused, entry.retryAfter)
 			}
 			next, result := e.send(ctx, entry.chosen, model, entry.job, e.Clock())
@@ -137,6 +151,11 @@
 	remaining := e.request.Deadline.Sub(now)
 	ctx, cancel := context.WithTimeout(ctx, remaining)
 	defer cancel()
+	e.flight = &flight{parts: e.parts, cancel: cancel}
+	if !e.trial {
+		e.flights.add(e.flight)
+	}
+	defer e.endFlight(chosen)
 	rank := e.rank()
 	var awaitingHead atomic.Bool
 	awaitingHead.Store(true)
@@ -163,7 +182,9 @@
 		ResumeAfter: e.resumeAfter(),
 		Timeout:     remaining,
 		Rank:        rank,
-		MaySend:     func() bool { return e.Directory.MayTake(chosen.Server, e.Clock()) },
+		MaySend: func() bool {
+			return e.Directory.MayTake(chosen.Server, e.Clock()) && !e.isQuarantined(e.Clock())
+		},
 	})
 	if err != nil {
 		return e.handleSendError(ctx, chosen, watchdog, err)
@@ -173,9 +194,11 @@
 	e.health.recordActivity(chosen.ID, e.Clock())
 	e.recordNotices(chosen, reply)
 	if reply.NotRun {
+		e.flight.settled = true
 		return e.handleRefusal(chosen, reply)
 	}
 	awaitingHead.Store(false)
+	e.flight.begun = true
 	e.health.recordAnswer(chosen.ID, now, rank)
 	e.runs++
 	return e.deliver(ctx, chosen, model, job, watchdog, reply, now)
@@ -216,13 +239,24 @@
 	sent := lavexchange.WasSent(err)
 	if sent {
 		e.runs++
+	} else {
+		e.flight.settled = true
 	}
 	requestEnded := ctx.Err() != nil && !watchdog.hasFired()
 	if errors.Is(err, lavexchange.ErrWithheld) {
 		e.logDecision("send withheld", chosen.ID, nil)
 		return stepRepeat, Result{}
 	}
+	if requestEnded && e.isQuarantined(now) {
+		return stepDone, e.failQuarantined(e.admit(now))
+	}
 	if !requestEnded {
+		switch {
+		case sent && !watchdog.hasFired():
+			e.recordEnding(chosen, false, err, now)
+		case lavexchange.IsRefused(err):
+			e.Quarantine.RecordEnding(nil, chosen.Instance(), false, now)
+		}
 		e.health.recordFailure(chosen.ID, now)
 		e.Metrics.countSend(chosen, sendLost)
 		e.logDecision("send failed", chosen.ID, e.progressFields(logrus.Fields{"sent": sent, "reason": err.Error()}))
@@ -244,6 +278,8 @@
 	case !route.Repeatable():
 	case e.runs >= route.Attempts:
 	case e.sends >= route.Attempts+maxRefusedSends:
+	case e.endings >= maxEndings || e.isQuarantined(e.Clock()):
+		reason = reasonQuarantined
 	case !e.takeRepeat():
 	default:
 		return stepRepeat, Result{}
--- a/entry/services/lavforward/fixture_test.go
+++ b/entry/services/lavforward/fixture_test.go
@@ -22,6 +22,7 @@
 	"lavenderswitch/core/services/lavdirectory"
 	"lavenderswitch/core/services/lavforecast"
 	"lavenderswitch/core/services/lavload"
+	"lavenderswitch/core/services/lavquarantine"
 )
 
 const (
@@ -57,6 +58,8 @@
 		Loads:      lavload.New(),
 		Forecasts:  lavforecast.New(),
 		Cold:       lavcold.New(self.ID),
+		Quarantine: lavquarantine.New(),
+		HostID:     self.ID,
 		Releases:   lavcutover.New(lavcutover.Settings{}),
 		Hosts:      hosts{self},
 		Sender:     f,
--- a/entry/services/lavforward/forwarder.go
+++ b/entry/services/lavforward/forwarder.go
@@ -15,6 +15,7 @@
 	"lavenderswitch/core/services/lavdirectory"
 	"lavenderswitch/core/services/lavforecast"
 	"lavenderswitch/core/services/lavload"
+	"lavenderswitch/core/services/lavquarantine"
 )
 
 // Settings holds the limits of forwarding.
@@ -51,10 +52,13 @@
 	Loads     *lavload.Table
 	Forecasts *lavforecast.Forecaster
 	Cold      *lavcold.Limiter
-	Releases  Releases
-	Hosts     Hosts
-	Sender    Sender
-	// DataCentre is the data centre of this host.
+	// Quarantine decides which prompts are kept from servers.
+	Quarantine *lavquarantine.Table
+	Releases   Releases
+	Hosts      Hosts
+	Sender     Sender
+	// HostID is this host, and DataCentre its data centre.
+	HostID     lavid.HostID
 	DataCentre lavid.DataCentreID
 	// Regions maps each data centre to its region; a data centre without an entry has the empty region.
 	Regions map[lavid.DataCentreID]lavid.Region
@@ -72,6 +76,7 @@
 	prompts  *promptCache
 	speeds   *speedEstimates
 	waiting  *waitingRoom
+	flights  *flights
 	random   func() float64
 }
 
@@ -85,6 +90,7 @@
 		prompts:      newPromptCache(),
 		speeds:       newSpeedEstimates(),
 		waiting:      newWaitingRoom(dependencies.Metrics, dependencies.Clock),
+		flights:      newFlights(),
 		random:       rand.Float64,
 	}
 }
@@ -92,7 +98,7 @@
 // Serve forwards the request, writes the answer and returns how the request ended; it stops when ctx ends.
 func (f *Forwarder) Serve(ctx context.Context, request *Request, answer AnswerWriter) Result {
 	f.repeats.countRequest(request.Service.ID, f.Clock())
-	e := &execution{Forwarder: f, request: request, answer: answer, excluded: make(map[lavid.BackendServerID]bool)}
+	e := &execution{Forwarder: f, request: request, answer: answer, parts: sharedPartKeys(request.Prompt), excluded: make(map[lavid.BackendServerID]bool)}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	f.Metrics.inProgress.Inc()
--- a/entry/services/lavforward/metrics.go
+++ b/entry/services/lavforward/metrics.go
@@ -38,6 +38,12 @@
 	noticePause   = "pause"
 )
 
+// The values of the result label of a decision about a prompt.
+const (
+	quarantineRefused = "refused"
+	quarantineTrial   = "trial"
+)
+
 // latencyBuckets holds the upper bounds of the histograms in seconds, from a short call of a plain service to the longest
 // stream.
 var latencyBuckets = []float64{0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2, 4, 8, 16, 32}
@@ -50,6 +56,7 @@
 	repeats           *prometheus.CounterVec
 	escalations       *prometheus.CounterVec
 	notices           *prometheus.CounterVec
+	quarantine        *prometheus.CounterVec
 	inProgress        prometheus.Gauge
 	duration          *prometheus.HistogramVec
 	firstEvent        *prometheus.HistogramVec
@@ -88,6 +95,7 @@
 		repeats:           counter("repeats_total", "Requests to the repeat budget for a further send; the result refused means that it was used up.", labelService, labelResult),
 		escalations:       counter("escalations_total", "Answers of smaller models that were dropped in favour of a larger model.", labelService),
 		notices:           counter("server_notices_total", "Answers in which a backend server first stated that it leaves, or asked for a pause.", labelService, labelResult),
+		quarantine:        counter("quarantine_decisions_total", "Requests with a prompt part that backend servers ended with: refused, or sent as a trial.", labelService, labelResult),
 		inProgress:        factory.NewGauge(prometheus.GaugeOpts{Name: "lavenderswitch_requests_in_progress", Help: "Requests that are being forwarded."}),
 		duration:          histogram("request_duration_seconds", "Time from a request's arrival to its end.", labelKind, labelOutcome),
 		firstEvent:        histogram("first_event_seconds", "Time from a streamed request's arrival to its first event.", labelKind),
--- a/entry/services/lavforward/waiting.go
+++ b/entry/services/lavforward/waiting.go
@@ -44,6 +44,8 @@
 	// chosen and job are set if the request goes to an engine.
 	chosen choice
 	job    *lavload.Job
+	// quarantined is set if a part of the prompt has been found to end servers meanwhile.
+	quarantined bool
 	// refused is the reason for which the request is refused; empty if it is not. retryAfter is when its turn would come.
 	refused    string
 	retryAfter time.Duration
@@ -166,6 +168,7 @@
 			entry.refused, entry.retryAfter = "its turn would come after the deadline", turn
 		})
 	}
+	w.refuseQuarantined(service, now)
 	missed := 0
 	for _, item := range service.queue.Ordered(now) {
 		if missed == maxLookedAt {
@@ -188,6 +191,16 @@
 	w.metrics.waiting.WithLabelValues(string(id)).Set(float64(service.queue.Len()))
 }
 
+// refuseQuarantined ends the wait of the requests with a part that has been found to end servers; the caller holds the mutex.
+func (w *waitingRoom) refuseQuarantined(service *waitingService, now time.Time) {
+	for item, entry := range service.waiters {
+		if entry.execution.isQuarantined(now) {
+			service.queue.Remove(item)
+			w.finish(service, item, func(entry *waiter) { entry.quarantined = true })
+		}
+	}
+}
+
 // finish ends the wait of a request.
 func (w *waitingRoom) finish(service *waitingService, item *lavwaiting.Item, set func(*waiter)) {
 	entry := service.waiters[item]
