Keep to the limits that backend servers state

What callers and operators saw: a server in need that stated a limit of 1 to 1.2 requests a second got 12 to 15 requests in 4 s, of 11 and 12 allowed.

Cause: no code read the statement. Class of fault: a rate for all hosts together that has to be known and divided while hosts come, go and have unequal traffic.

Evidence: the rate at both servers of the incident does not change when they state the limit, and no log line mentions it.

Change: an answer of any kind states the limit, or ends it by stating none; hosts tell each other, and the newest statement wins. The hosts that rank first for the server share the rate by token buckets of one token (lavrate), so that no message is needed for a request: two hosts and two for each request a second, which bounds what comes at one time. Every send passes it when it reserves its server: first ones, repeats, second runs, resumed streams, requests that waited.

Ruled out: the whole limit at each host (their sum exceeds it); equal parts for all hosts (at 68 hosts, one request each is more than a limit of 1 allows).

--- a/core/services/lavdirectory/directory.go
+++ b/core/services/lavdirectory/directory.go
@@ -39,6 +39,8 @@
 	// has asked this host for. All sets them; servers with either are not Usable.
 	Leaving     bool
 	PausedUntil time.Time
+	// Limit is what the server takes from all hosts together.
+	Limit lavnotice.Limit
 	// instance is the key of the instance, which is computed once for each listing.
 	instance lavserver.InstanceKey
 }
@@ -221,6 +223,7 @@
 	for _, row := range d.rows {
 		if row.Service == service && d.isUsable(row, now) && !d.isPaused(row, now) {
 			row.Relieve = now.Before(d.notices.AdvisedUntil(row.instance))
+			row.Limit = d.notices.Limit(row.instance)
 			usable = append(usable, row)
 		}
 	}
@@ -294,6 +297,12 @@
 	d.notices.RecordPause(server.Instance(), pause, now)
 }
 
+// Limit records the limit that an instance of a server states in an answer, or that it states none, and reports whether that is
+// new.
+func (d *Directory) Limit(server lavserver.Server, limit lavnotice.Limit, now time.Time) bool {
+	return d.notices.RecordLimit(server.Instance(), limit, now)
+}
+
 // Displace records that another server answered at a server's address; this instance of the server takes no more
 // work. It does nothing when the directory holds another instance.
 func (d *Directory) Displace(server lavserver.Server) {
@@ -313,6 +322,7 @@
 	all := make([]Row, 0, len(d.rows))
 	for _, row := range d.rows {
 		row.Leaving, row.PausedUntil = d.notices.Leaving(row.instance), d.notices.PausedUntil(row.instance)
+		row.Limit = d.notices.Limit(row.instance)
 		all = append(all, row)
 	}
 	slices.SortFunc(all, func(a, b Row) int { return cmp.Compare(a.ID, b.ID) })
--- a/core/services/lavnotice/table.go
+++ b/core/services/lavnotice/table.go
@@ -10,6 +10,7 @@
 	lru "github.com/hashicorp/golang-lru/v2"
 
 	"lavenderswitch/core/models/lavserver"
+	"lavenderswitch/core/services/lavrate"
 )
 
 const (
@@ -20,6 +21,11 @@
 	maxInstances = 4096
 	// tellTime is how long after a server has stated that it leaves hosts tell each other. By then, listings show it.
 	tellTime = 30 * time.Second
+	// limitTellTime is how long after a server has stated a limit hosts tell each other.
+	limitTellTime = 10 * time.Minute
+	// reportDelay is about how long a report is on its way. A statement that is later by less than this may be one that is known
+	// already, since its time is computed from its age.
+	reportDelay = 200 * time.Millisecond
 	// maxReports is the number of instances in one report; the latest ones come first.
 	maxReports = 256
 )
@@ -32,6 +38,16 @@
 	// it has asked other hosts for.
 	pausedUntil  time.Time
 	advisedUntil time.Time
+	// limit is what the instance last stated, at limitAt, of the rate that it takes from all hosts together.
+	limit   Limit
+	limitAt time.Time
+}
+
+// Limit is the rate of requests that an instance takes from all hosts together.
+type Limit struct {
+	// Stated is false if the instance states no limit.
+	Stated bool
+	Rate   lavrate.Rate
 }
 
 // Report tells other hosts of the notices of one instance.
@@ -42,6 +58,10 @@
 	LeavingFor time.Duration
 	// Pause is what is left of the longest pause that the instance has asked any host for.
 	Pause time.Duration
+	// LimitKnown states that the instance stated Limit, or that it has none any more, LimitFor ago.
+	LimitKnown bool
+	Limit      Limit
+	LimitFor   time.Duration
 }
 
 // Table holds the notices of backend servers; it is safe for concurrent use.
@@ -87,6 +107,26 @@
 	t.update(instance, func(row *notice) { row.pausedUntil = latest(row.pausedUntil, until) })
 }
 
+// RecordLimit records the limit that an instance states in an answer, or that it states none, and reports whether that is new.
+func (t *Table) RecordLimit(instance lavserver.InstanceKey, limit Limit, now time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	row, _ := t.notices.Peek(instance)
+	if !limit.Stated && !row.limit.Stated {
+		return false
+	}
+	t.update(instance, func(row *notice) { row.limit, row.limitAt = limit, now })
+	return limit != row.limit
+}
+
+// Limit returns the limit of an instance.
+func (t *Table) Limit(instance lavserver.InstanceKey) Limit {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	row, _ := t.notices.Peek(instance)
+	return row.limit
+}
+
 // Leaving reports whether an instance has stated that it leaves.
 func (t *Table) Leaving(instance lavserver.InstanceKey) bool {
 	t.mu.Lock()
@@ -123,7 +163,10 @@
 		if leavingFor := now.Sub(row.leavingSince); !row.leavingSince.IsZero() && leavingFor < tellTime {
 			report.Leaving, report.LeavingFor = true, leavingFor
 		}
-		if report.Leaving || report.Pause > 0 {
+		if limitFor := now.Sub(row.limitAt); !row.limitAt.IsZero() && (limitFor < tellTime || row.limit.Stated && limitFor < limitTellTime) {
+			report.LimitKnown, report.Limit, report.LimitFor = true, row.limit, max(limitFor, 0)
+		}
+		if report.Leaving || report.Pause > 0 || report.LimitKnown {
 			reports = append(reports, report)
 		}
 		if len(reports) == maxReports {
@@ -148,6 +191,9 @@
 		if until := now.Add(min(report.Pause, MaxPause)); report.Pause > 0 && until.After(row.pausedUntil) {
 			row.advisedUntil = latest(row.advisedUntil, until)
 		}
+		if statedAt := now.Add(-report.LimitFor); report.LimitKnown && statedAt.Sub(row.limitAt) > reportDelay {
+			row.limit, row.limitAt = report.Limit, statedAt
+		}
 		if row != before {
 			t.notices.Add(report.Instance, row)
 		}
@@ -162,6 +208,14 @@
 	return time.Duration(min(seconds, MaxPause.Seconds()) * float64(time.Second)), true
 }
 
+// ParseLimit returns the limit that a server states in requests a second, or false if it is not a number of at least zero.
+func ParseLimit(rate float64) (Limit, bool) {
+	if math.IsNaN(rate) || math.IsInf(rate, 0) || rate < 0 {
+		return Limit{}, false
+	}
+	return Limit{Stated: true, Rate: lavrate.Rate(rate)}, true
+}
+
 func latest(a, b time.Time) time.Time {
 	if a.After(b) {
 		return a
--- a/core/services/lavnotice/table_test.go
+++ b/core/services/lavnotice/table_test.go
@@ -96,3 +96,50 @@
 		is.Equal(ok, test.ok)
 	}
 }
+
+// TestNewestStatementOfALimitWins guards against hosts that bring back a limit, or its end, by telling each other of an earlier
+// statement for ever.
+func TestNewestStatementOfALimitWins(t *testing.T) {
+	is := is.New(t)
+	limit := Limit{Stated: true, Rate: 1.2}
+	hosts := []*Table{New(), New(), New()}
+	now := start
+	exchange := func() {
+		for range 10 {
+			for _, from := range hosts {
+				reports := from.Reports(now)
+				now = now.Add(20 * time.Millisecond)
+				for _, to := range hosts {
+					if to != from {
+						to.Apply(reports, now)
+					}
+				}
+			}
+		}
+	}
+	is.True(hosts[0].RecordLimit(instance, limit, now))
+	is.True(!hosts[0].RecordLimit(instance, limit, now.Add(time.Millisecond)))
+	exchange()
+	is.Equal(hosts[2].Limit(instance), limit)
+	is.True(hosts[1].RecordLimit(instance, Limit{}, now)) // another host gets an answer without a limit
+	exchange()
+	for _, host := range hosts {
+		is.Equal(host.Limit(instance), Limit{})
+	}
+	is.True(!hosts[1].RecordLimit(instance, Limit{}, now))
+	later := now.Add(limitTellTime)
+	for _, host := range hosts {
+		is.Equal(len(host.Reports(later)), 0)
+	}
+}
+
+func TestLimitIsANumberOfAtLeastZero(t *testing.T) {
+	is := is.New(t)
+	for _, rate := range []float64{math.NaN(), math.Inf(1), -0.1} {
+		_, ok := ParseLimit(rate)
+		is.True(!ok)
+	}
+	limit, ok := ParseLimit(0)
+	is.True(ok)
+	is.Equal(limit, Limit{Stated: true})
+}
--- a/entry/services/lavbroadcast/broadcaster_test.go
+++ b/entry/services/lavbroadcast/broadcaster_test.go
@@ -185,7 +185,7 @@
 		Loads: map[lavid.BackendServerID]lavload.Load{"server": load}, Speeds: sum.Speeds, Cutovers: sum.Cutovers,
 		Exchanged: []lavreport.CentreSum{{DataCentre: "centre-b", Sum: sum}}, Members: []lavring.Member{member}, ForwardTo: []string{"127.0.0.1:2"},
 		News:    &lavnews.News{Servers: &lavnews.Edition{Version: 7, Digest: 1 << 63, Age: time.Second}, CutoversRead: true, Address: "127.0.0.1:3"},
-		Notices: []lavnotice.Report{{Instance: 1 << 63, Leaving: true, LeavingFor: time.Second, Pause: 2 * time.Second}},
+		Notices: []lavnotice.Report{{Instance: 1 << 63, Leaving: true, LeavingFor: time.Second, Pause: 2 * time.Second, LimitKnown: true, Limit: lavnotice.Limit{Stated: true, Rate: 1.2}, LimitFor: time.Minute}},
 		PromptParts: []lavquarantine.Report{{
 			Part: 1 << 63, Answered: true, AnsweredFor: time.Minute,
 			Endings: []lavquarantine.ReportedEnding{{Instance: 5, Age: 2 * time.Second, Begun: true}, {Instance: 6, Age: time.Second}},
@@ -198,6 +198,10 @@
 	decoded, err := decode(&state)
 	is.NoErr(err)
 	is.Equal(decoded, message)
+	state.Notices[0].Limit = -1
+	_, err = decode(&state)
+	is.True(err != nil) // no rate
+	state.Notices = nil
 	state.PromptParts[0].Begun = nil
 	_, err = decode(&state)
 	is.True(err != nil) // lists of unequal lengths
--- a/entry/services/lavbroadcast/decode.go
+++ b/entry/services/lavbroadcast/decode.go
@@ -73,11 +73,19 @@
 		}
 	}
 	for _, notice := range state.GetNotices() {
+		limit, valid := lavnotice.ParseLimit(notice.GetLimit())
+		if !valid {
+			return nil, errors.Errorf("backend server has the limit %v, which is no rate", notice.GetLimit())
+		}
+		limit.Stated = notice.GetLimited()
 		message.Notices = append(message.Notices, lavnotice.Report{
 			Instance:   lavserver.InstanceKey(notice.GetInstance()),
 			Leaving:    notice.GetLeaving(),
 			LeavingFor: time.Duration(notice.GetLeavingMillis()) * time.Millisecond,
 			Pause:      time.Duration(notice.GetPauseMillis()) * time.Millisecond,
+			LimitKnown: notice.GetLimitKnown(),
+			Limit:      limit,
+			LimitFor:   time.Duration(notice.GetLimitMillis()) * time.Millisecond,
 		})
 	}
 	if message.PromptParts, err = decodeParts(state.GetPromptParts()); err != nil {
--- a/entry/services/lavbroadcast/encode.go
+++ b/entry/services/lavbroadcast/encode.go
@@ -118,6 +118,10 @@
 			Leaving:       notice.Leaving,
 			LeavingMillis: uint32(notice.LeavingFor.Milliseconds()),
 			PauseMillis:   uint32(notice.Pause.Milliseconds()),
+			LimitKnown:    notice.LimitKnown,
+			LimitMillis:   uint32(notice.LimitFor.Milliseconds()),
+			Limited:       notice.Limit.Stated,
+			Limit:         float64(notice.Limit.Rate),
 		})
 	}
 	for _, part := range message.PromptParts {
--- a/entry/services/lavforward/choose.go
+++ b/entry/services/lavforward/choose.go
@@ -69,6 +69,9 @@
 		if e.isRateLimited(row, now) && !e.Cold.WouldAllow(row.ID, e.coldRateLimit(), hosts, now) {
 			continue
 		}
+		if row.Limit.Stated && !e.Limits.WouldAllow(row.Instance(), row.Limit.Rate, hosts, now) {
+			continue
+		}
 		rank := 0
 		if preference == lavcutover.Fallback {
 			rank = 2
@@ -246,11 +249,14 @@
 }
 
 // reserve adds the send to the load of the server and records it for the server's release and the prompt cache. It returns
-// false when the rate limit of a cold server is used up. release has to follow.
+// false when this host's part of the rate of a cold server, or of a limit that the server states, is used up. release has to follow.
 func (e *execution) reserve(chosen choice, model lavid.ModelID, now time.Time) (*lavload.Job, bool) {
 	if e.isRateLimited(chosen.Row, now) && !e.Cold.Allow(chosen.ID, e.coldRateLimit(), e.Hosts.Hosts(now), now) {
 		return nil, false
 	}
+	if chosen.Limit.Stated && !e.Limits.Allow(chosen.Instance(), chosen.Limit.Rate, e.Hosts.Hosts(now), now) {
+		return nil, false
+	}
 	e.Releases.RecordSend(chosen.Server, e.sessionKey(), now)
 	e.prompts.add(chosen.ID, model, e.request.Prompt, now)
 	return e.Loads.Start(chosen.ID, lavload.Load{Unread: chosen.unreadTokens, Memory: e.memoryTokens()}), true
--- a/entry/services/lavforward/fixture_test.go
+++ b/entry/services/lavforward/fixture_test.go
@@ -23,6 +23,7 @@
 	"lavenderswitch/core/services/lavforecast"
 	"lavenderswitch/core/services/lavload"
 	"lavenderswitch/core/services/lavquarantine"
+	"lavenderswitch/core/services/lavrate"
 )
 
 const (
@@ -58,6 +59,7 @@
 		Loads:      lavload.New(),
 		Forecasts:  lavforecast.New(),
 		Cold:       lavcold.New(self.ID),
+		Limits:     lavrate.New(self.ID),
 		Quarantine: lavquarantine.New(),
 		HostID:     self.ID,
 		Releases:   lavcutover.New(lavcutover.Settings{}),
--- a/entry/services/lavforward/forwarder.go
+++ b/entry/services/lavforward/forwarder.go
@@ -16,6 +16,7 @@
 	"lavenderswitch/core/services/lavforecast"
 	"lavenderswitch/core/services/lavload"
 	"lavenderswitch/core/services/lavquarantine"
+	"lavenderswitch/core/services/lavrate"
 )
 
 // Settings holds the limits of forwarding.
@@ -52,6 +53,7 @@
 	Loads     *lavload.Table
 	Forecasts *lavforecast.Forecaster
 	Cold      *lavcold.Limiter
+	Limits    *lavrate.Limiter
 	// Quarantine decides which prompts are kept from servers.
 	Quarantine *lavquarantine.Table
 	Releases   Releases
--- a/entry/services/lavforward/metrics.go
+++ b/entry/services/lavforward/metrics.go
@@ -36,6 +36,7 @@
 const (
 	noticeLeaving = "leaving"
 	noticePause   = "pause"
+	noticeLimit   = "limit"
 )
 
 // The values of the result label of a decision about a prompt.
@@ -94,7 +95,7 @@
 		sends:             counter("sends_total", "Sends to each backend server, by result.", labelService, labelServer, labelResult),
 		repeats:           counter("repeats_total", "Requests to the repeat budget for a further send; the result refused means that it was used up.", labelService, labelResult),
 		escalations:       counter("escalations_total", "Answers of smaller models that were dropped in favour of a larger model.", labelService),
-		notices:           counter("server_notices_total", "Answers in which a backend server first stated that it leaves, or asked for a pause.", labelService, labelResult),
+		notices:           counter("server_notices_total", "Answers in which a backend server first stated that it leaves, asked for a pause, or stated another limit.", labelService, labelResult),
 		quarantine:        counter("quarantine_decisions_total", "Requests with a prompt part that backend servers ended with: refused, or sent as a trial.", labelService, labelResult),
 		inProgress:        factory.NewGauge(prometheus.GaugeOpts{Name: "lavenderswitch_requests_in_progress", Help: "Requests that are being forwarded."}),
 		duration:          histogram("request_duration_seconds", "Time from a request's arrival to its end.", labelKind, labelOutcome),
--- a/entry/services/lavforward/notice.go
+++ b/entry/services/lavforward/notice.go
@@ -16,6 +16,7 @@
 		e.Metrics.countNotice(chosen, noticeLeaving)
 		e.logDecision("server leaves", chosen.ID, logrus.Fields{"status": reply.Status})
 	}
+	e.recordLimit(chosen, reply)
 	if reply.BadPause != "" {
 		e.logDecision("server asked for a pause that is not a positive number", chosen.ID, logrus.Fields{"value": reply.BadPause})
 	}
@@ -25,3 +26,19 @@
 		e.logDecision("server asked for a pause", chosen.ID, logrus.Fields{"pause_ms": reply.Pause.Milliseconds()})
 	}
 }
+
+// recordLimit records the limit that an answer states, or that it states none. The server of a refusal as another one is not the
+// chosen one. A limit that cannot be read changes nothing.
+func (e *execution) recordLimit(chosen choice, reply *Reply) {
+	switch {
+	case reply.OtherServer:
+	case reply.BadLimit != "":
+		e.logDecision("server stated a limit that is no rate", chosen.ID, logrus.Fields{"value": reply.BadLimit})
+	case !e.Directory.Limit(chosen.Server, reply.Limit, e.Clock()):
+	case reply.Limit.Stated:
+		e.Metrics.countNotice(chosen, noticeLimit)
+		e.logDecision("server stated a limit", chosen.ID, logrus.Fields{"requests_per_second": float64(reply.Limit.Rate)})
+	default:
+		e.logDecision("server states no limit any more", chosen.ID, nil)
+	}
+}
--- a/entry/services/lavforward/notice_test.go
+++ b/entry/services/lavforward/notice_test.go
@@ -24,7 +24,9 @@
 	"lavenderswitch/core/services/lavdirectory"
 	"lavenderswitch/core/services/lavforecast"
 	"lavenderswitch/core/services/lavload"
+	"lavenderswitch/core/services/lavnotice"
 	"lavenderswitch/core/services/lavquarantine"
+	"lavenderswitch/core/services/lavrate"
 )
 
 // leaving changes a reply so that its server states that it leaves.
@@ -231,7 +233,7 @@
 				directory := lavdirectory.New(lavdirectory.Settings{})
 				directory.ApplyListing(listing, start)
 				forwarders[i] = New(Settings{RepeatShare: 0.7, RepeatSlack: 54, RepeatWindow: 10 * time.Second}, Dependencies{
-					Directory: directory, Loads: lavload.New(), Forecasts: lavforecast.New(), Cold: lavcold.New(members[i].ID), Quarantine: lavquarantine.New(), HostID: members[i].ID,
+					Directory: directory, Loads: lavload.New(), Forecasts: lavforecast.New(), Cold: lavcold.New(members[i].ID), Limits: lavrate.New(members[i].ID), Quarantine: lavquarantine.New(), HostID: members[i].ID,
 					Releases: lavcutover.New(lavcutover.Settings{}), Hosts: hosts(members), Sender: simHost{sim, members[i].ID}, DataCentre: "centre-a",
 					Metrics: NewMetrics(prometheus.NewRegistry()), Log: log, Clock: func() time.Time { return sim.now },
 				})
@@ -287,3 +289,113 @@
 		})
 	}
 }
+
+// limitedServers replies for servers of which one states a limit.
+type limitedServers struct {
+	limited  lavid.BackendServerID
+	clock    func() time.Time
+	arrivals []time.Time
+	reply    func(dispatch Dispatch, limited bool) (*Reply, error)
+}
+
+func (s *limitedServers) Send(_ context.Context, dispatch Dispatch) (*Reply, error) {
+	isLimited := dispatch.Server.ID == s.limited
+	if isLimited {
+		s.arrivals = append(s.arrivals, s.clock())
+	}
+	reply, err := s.reply(dispatch, isLimited)
+	if reply != nil && isLimited {
+		reply.Limit = lavnotice.Limit{Stated: true, Rate: 1}
+	}
+	return reply, err
+}
+
+// TestEverySendCountsAgainstAStatedLimit guards against a server in need that gets repeats, second runs and resumed streams
+// beyond the limit that first sends keep to.
+func TestEverySendCountsAgainstAStatedLimit(t *testing.T) {
+	whole, broken := replyWith(http.StatusOK, "id: 1\ndata: 1\n\n"), breakAfter("id: 1\ndata: 1\n\n")
+	for name, test := range map[string]struct {
+		request func() *Request
+		reply   func(dispatch Dispatch, limited bool) (*Reply, error)
+	}{
+		"first sends": {
+			func() *Request { return newRequest(lavroute.Idempotent) },
+			func(dispatch Dispatch, _ bool) (*Reply, error) { return whole(dispatch) },
+		},
+		"repeats": {
+			func() *Request { return newRequest(lavroute.Idempotent) },
+			func(dispatch Dispatch, limited bool) (*Reply, error) {
+				if limited {
+					return whole(dispatch)
+				}
+				return replyWith(http.StatusInternalServerError, "failed")(dispatch)
+			},
+		},
+		"resumed streams": {
+			func() *Request { return newRequest(lavroute.Streaming) },
+			func(dispatch Dispatch, limited bool) (*Reply, error) {
+				if limited {
+					return whole(dispatch)
+				}
+				return broken(dispatch)
+			},
+		},
+		"second runs": {
+			newCascadeRequest,
+			func(dispatch Dispatch, _ bool) (*Reply, error) {
+				return replyWithConfidence(1, "id: 1\ndata: 1\n\n")(dispatch)
+			},
+		},
+		"refusals": {
+			func() *Request { return newRequest(lavroute.OnceOnly) },
+			func(dispatch Dispatch, _ bool) (*Reply, error) {
+				return refuseWith(http.StatusServiceUnavailable)(dispatch)
+			},
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			clock := &manualClock{now: time.Now()}
+			f := newFixture(4)
+			servers := &limitedServers{limited: "a", clock: clock.Now, reply: test.reply}
+			f.Forwarder.Sender, f.Forwarder.Clock, f.Forwarder.waiting.clock = servers, clock.Now, clock.Now
+			for range 100 {
+				request := test.request()
+				request.Arrived = clock.Now()
+				request.Deadline = request.Arrived.Add(5 * time.Second)
+				f.serve(request)
+				clock.advance(40 * time.Millisecond)
+			}
+			is.True(len(servers.arrivals) <= 11) // one and a half times what the limit allows in 4 s, and 5 requests
+			is.True(len(servers.arrivals) >= 3)
+		})
+	}
+}
+
+// TestLimitEndsWithAnAnswerThatStatesNone guards against a server that gets few requests for good, once it was in need.
+func TestLimitEndsWithAnAnswerThatStatesNone(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(1)
+	limit := lavnotice.Limit{Stated: true, Rate: 0.5}
+	f.replies = append(f.replies, func(dispatch Dispatch) (*Reply, error) {
+		reply, err := replyWith(http.StatusOK, "whole")(dispatch)
+		reply.Limit = limit
+		return reply, err
+	})
+	f.serve(newRequest(lavroute.Idempotent))
+	is.Equal(f.directory.All()[0].Limit, limit)
+	f.replies = append(f.replies, func(dispatch Dispatch) (*Reply, error) {
+		reply, err := replyWith(http.StatusOK, "whole")(dispatch)
+		reply.BadLimit = "many"
+		return reply, err
+	})
+	f.serve(newRequest(lavroute.Idempotent))    // the server has one token at the start
+	is.Equal(f.directory.All()[0].Limit, limit) // what cannot be read changes nothing
+	_, result := f.serve(newRequest(lavroute.Idempotent))
+	is.Equal(result.Refusal.Status, http.StatusServiceUnavailable)
+	is.Equal(len(f.sends), 2)
+	f.directory.Limit(f.sends[0].Server, lavnotice.Limit{}, time.Now())
+	f.replies = append(f.replies, replyWith(http.StatusOK, "whole"))
+	answer, _ := f.serve(newRequest(lavroute.Idempotent))
+	is.Equal(answer.status, http.StatusOK)
+}
--- a/entry/services/lavforward/request.go
+++ b/entry/services/lavforward/request.go
@@ -9,6 +9,7 @@
 	"lavenderswitch/core/models/lavid"
 	"lavenderswitch/core/models/lavroute"
 	"lavenderswitch/core/models/lavserver"
+	"lavenderswitch/core/services/lavnotice"
 )
 
 // Part is one part of a prompt, identified so that requests with the same part can share its cache.
@@ -102,6 +103,9 @@
 	Pause time.Duration
 	// BadPause is the text of a pause that cannot be read.
 	BadPause string
+	// Limit is what the server takes from all hosts together, and BadLimit the text of a limit that cannot be read.
+	Limit    lavnotice.Limit
+	BadLimit string
 	// ColdFor is how long the server reports that it will stay cold.
 	ColdFor time.Duration
 	// Confidence is the model's self-reported confidence in its answer, from 0 to 100; it is valid only if HasConfidence is
