Judge a backend server that started again anew

A server that ends and starts again under its ID holds nothing of before, but a host went on with the failures that it had seen and with the prompts that it took to be cached there: a server paid for the requests that had ended it, with pauses that double and a failure rate that only answers lower. Health and the cache of prompts are kept for an instance (ID, address and start), as notices and limits are. TestServerThatStartedAgainIsJudgedAnew does not build before the change, as both were kept by ID.

--- a/core/services/lavdirectory/directory.go
+++ b/core/services/lavdirectory/directory.go
@@ -45,6 +45,14 @@
 	instance lavserver.InstanceKey
 }
 
+// Instance returns the key of the instance.
+func (r Row) Instance() lavserver.InstanceKey {
+	if r.instance == 0 {
+		return r.Server.Instance()
+	}
+	return r.instance
+}
+
 // Cold reports whether the server is in its cold start at now.
 func (r Row) Cold(now time.Time) bool {
 	return now.Before(r.ColdUntil)
--- a/entry/services/lavforward/choose.go
+++ b/entry/services/lavforward/choose.go
@@ -76,7 +76,7 @@
 		if preference == lavcutover.Fallback {
 			rank = 2
 		}
-		if usable, _ := e.health.usable(row.ID, now); !usable || row.Relieve {
+		if usable, _ := e.health.usable(row.Instance(), now); !usable || row.Relieve {
 			rank++
 		}
 		ranked[rank] = append(ranked[rank], row)
@@ -132,7 +132,7 @@
 			WholeWork:         float64(e.request.Prompt.Input) * e.readFactor(model),
 			Memory:            load.Memory + e.memoryTokens(),
 			Capacity:          engine.Capacity,
-			ExcessFailureRate: e.excessFailureRate(row.ID, meanRate, now),
+			ExcessFailureRate: e.excessFailureRate(row, meanRate, now),
 			Cold:              row.Cold(now),
 			Far:               row.DataCentre != e.DataCentre,
 		})
@@ -172,7 +172,7 @@
 // smallest model.
 func (e *execution) promptWork(row lavdirectory.Row, model lavid.ModelID, isHome bool, now time.Time) float64 {
 	prompt := e.request.Prompt
-	cached := float64(e.prompts.cachedTokens(row.ID, model, prompt, now))
+	cached := float64(e.prompts.cachedTokens(row.Instance(), model, prompt, now))
 	if isHome && cached == 0 {
 		shared := lavid.Tokens(0)
 		for _, part := range prompt.Parts[:max(len(prompt.Parts)-1, 0)] {
@@ -216,7 +216,7 @@
 			ID:                row.ID,
 			Requests:          load.Requests,
 			Slots:             row.Slots,
-			ExcessFailureRate: e.excessFailureRate(row.ID, meanRate, now),
+			ExcessFailureRate: e.excessFailureRate(row, meanRate, now),
 			Cold:              row.Cold(now),
 			Far:               row.DataCentre != e.DataCentre,
 		})
@@ -235,7 +235,7 @@
 	}
 	sum := 0.0
 	for _, row := range rows {
-		_, rate := e.health.usable(row.ID, now)
+		_, rate := e.health.usable(row.Instance(), now)
 		sum += rate
 	}
 	return sum / float64(len(rows))
@@ -243,8 +243,8 @@
 
 // excessFailureRate returns how far the server's recent failure rate exceeds the mean rate plus half of
 // suspectFailureRate; it is never negative.
-func (e *execution) excessFailureRate(id lavid.BackendServerID, meanRate float64, now time.Time) lavid.Share {
-	_, rate := e.health.usable(id, now)
+func (e *execution) excessFailureRate(row lavdirectory.Row, meanRate float64, now time.Time) lavid.Share {
+	_, rate := e.health.usable(row.Instance(), now)
 	return lavid.Share(max(0, rate-meanRate-suspectFailureRate/2))
 }
 
@@ -258,7 +258,7 @@
 		return nil, false
 	}
 	e.Releases.RecordSend(chosen.Server, e.sessionKey(), now)
-	e.prompts.add(chosen.ID, model, e.request.Prompt, now)
+	e.prompts.add(chosen.Instance(), model, e.request.Prompt, now)
 	return e.Loads.Start(chosen.ID, lavload.Load{Unread: chosen.unreadTokens, Memory: e.memoryTokens()}), true
 }
 
--- a/entry/services/lavforward/delivery.go
+++ b/entry/services/lavforward/delivery.go
@@ -62,7 +62,7 @@
 	now := e.Clock()
 	e.flight.settled = true
 	e.excluded[chosen.ID] = true
-	e.health.recordErrorAnswer(chosen.ID)
+	e.health.recordErrorAnswer(chosen.Instance())
 	e.lastFailure = "server failed with " + http.StatusText(reply.Status)
 	e.Releases.Observe(chosen.Server, lavcutover.Outcome{Kind: e.outcomeKind(chosen), Failed: true})
 	e.Metrics.countSend(chosen, sendFailed)
@@ -73,7 +73,7 @@
 			serverError.Body = io.NopCloser(bytes.NewReader(body))
 			e.serverError = &serverError
 		} else if err != nil && ctx.Err() == nil {
-			e.health.recordFailure(chosen.ID, now)
+			e.health.recordFailure(chosen.Instance(), now)
 		}
 	}
 	return e.repeatOrFail("server failed")
@@ -114,12 +114,12 @@
 		if err != nil && !watchdog.hasFired() {
 			e.recordEnding(chosen, true, err, now)
 		}
-		e.health.recordFailure(chosen.ID, now)
+		e.health.recordFailure(chosen.Instance(), now)
 		e.Metrics.countSend(chosen, sendDamaged)
 		e.logDecision("answer was damaged", chosen.ID, logrus.Fields{"reason": reason})
 		return e.repeatOrFail("answer was damaged")
 	}
-	e.health.recordSuccess(chosen.ID, now)
+	e.health.recordSuccess(chosen.Instance(), now)
 	e.Metrics.countSend(chosen, sendAnswered)
 	e.Releases.Observe(chosen.Server, lavcutover.Outcome{Kind: e.outcomeKind(chosen)})
 	e.timing.Answered(now)
@@ -170,7 +170,7 @@
 	for {
 		count, err := reply.Body.Read(buffer)
 		if count > 0 {
-			e.health.recordActivity(chosen.ID, e.Clock())
+			e.health.recordActivity(chosen.Instance(), e.Clock())
 			if deliverErr := e.deliverEvents(chosen, reply, buffer[:count]); deliverErr != nil {
 				return stepDone, Result{Broken: true}
 			}
@@ -257,7 +257,7 @@
 		return e.handleBrokenStream(context.Background(), chosen, &watchdog{}, errors.New("stream ended within an event"))
 	}
 	e.recordSurvival(e.Clock())
-	e.health.recordSuccess(chosen.ID, e.Clock())
+	e.health.recordSuccess(chosen.Instance(), e.Clock())
 	e.Metrics.countSend(chosen, sendAnswered)
 	if !e.stream.reported {
 		e.reportStream(chosen, e.Clock())
@@ -285,7 +285,7 @@
 		e.recordEnding(chosen, e.stream.events() == 0, err, now)
 	}
 	e.excluded[chosen.ID] = true
-	e.health.recordFailure(chosen.ID, now)
+	e.health.recordFailure(chosen.Instance(), now)
 	e.Metrics.countSend(chosen, sendBrokeOff)
 	fields := logrus.Fields{"after": e.lastEventID, "reason": err.Error(), "stalled": watchdog.hasFired(), "server_events": e.stream.events()}
 	e.logDecision("stream broke off", chosen.ID, e.progressFields(fields))
--- a/entry/services/lavforward/execution.go
+++ b/entry/services/lavforward/execution.go
@@ -162,7 +162,7 @@
 	others := maps.Clone(e.excluded)
 	others[chosen.ID] = true
 	watchdog := newWatchdog(cancel, func(since time.Time) bool {
-		lost := e.health.silentSince(chosen.ID, since)
+		lost := e.health.silentSince(chosen.Instance(), since)
 		if awaitingHead.Load() {
 			lost = e.isLost(chosen, rank, now, e.Clock())
 		}
@@ -191,7 +191,7 @@
 	}
 	defer reply.Body.Close()
 	e.Metrics.serverFirstAnswer.WithLabelValues(string(chosen.Service)).Observe(e.Clock().Sub(now).Seconds())
-	e.health.recordActivity(chosen.ID, e.Clock())
+	e.health.recordActivity(chosen.Instance(), e.Clock())
 	e.recordNotices(chosen, reply)
 	if reply.NotRun {
 		e.flight.settled = true
@@ -199,7 +199,7 @@
 	}
 	awaitingHead.Store(false)
 	e.flight.begun = true
-	e.health.recordAnswer(chosen.ID, now, rank)
+	e.health.recordAnswer(chosen.Instance(), now, rank)
 	e.runs++
 	return e.deliver(ctx, chosen, model, job, watchdog, reply, now)
 }
@@ -257,7 +257,7 @@
 		case lavexchange.IsRefused(err):
 			e.Quarantine.RecordEnding(nil, chosen.Instance(), false, now)
 		}
-		e.health.recordFailure(chosen.ID, now)
+		e.health.recordFailure(chosen.Instance(), now)
 		e.Metrics.countSend(chosen, sendLost)
 		e.logDecision("send failed", chosen.ID, e.progressFields(logrus.Fields{"sent": sent, "reason": err.Error()}))
 	}
@@ -305,7 +305,7 @@
 	case reply.OtherServer:
 		e.Directory.Displace(chosen.Server)
 	case reply.Pause == 0 && !reply.Leaving:
-		e.health.recordErrorAnswer(chosen.ID)
+		e.health.recordErrorAnswer(chosen.Instance())
 	}
 	e.logDecision("server refused", chosen.ID, logrus.Fields{"status": reply.Status, "other_server": reply.OtherServer})
 	if e.sends >= e.request.Route.Attempts+maxRefusedSends {
--- a/entry/services/lavforward/forwarder_test.go
+++ b/entry/services/lavforward/forwarder_test.go
@@ -12,6 +12,7 @@
 
 	"lavenderswitch/core/models/lavid"
 	"lavenderswitch/core/models/lavroute"
+	"lavenderswitch/core/models/lavserver"
 	"lavenderswitch/core/services/lavforecast"
 )
 
@@ -253,7 +254,7 @@
 	is := is.New(t)
 	table := newHealthTable()
 	now := time.Unix(1000, 0)
-	id := lavid.BackendServerID("a")
+	const id = lavserver.InstanceKey(1)
 	table.recordFailure(id, now)
 	usable, _ := table.usable(id, now)
 	is.True(!usable)
@@ -284,12 +285,12 @@
 	e.request.Route.LatencyTarget = 2 * time.Second
 	chosen, sentAt := choice{Row: e.Directory.All()[0]}, now
 	for range overtakenThreshold - 1 {
-		e.health.recordAnswer(chosen.ID, sentAt.Add(time.Millisecond), e.rank())
+		e.health.recordAnswer(chosen.Instance(), sentAt.Add(time.Millisecond), e.rank())
 	}
 	now = sentAt.Add(1500 * time.Millisecond)
-	e.health.recordActivity(chosen.ID, now)
+	e.health.recordActivity(chosen.Instance(), now)
 	is.True(!e.isLost(chosen, e.rank(), sentAt, now)) // a few answers may arrive out of order
-	e.health.recordAnswer(chosen.ID, sentAt.Add(time.Millisecond), e.rank())
+	e.health.recordAnswer(chosen.Instance(), sentAt.Add(time.Millisecond), e.rank())
 	is.True(e.isLost(chosen, e.rank(), sentAt, now))
 	now = sentAt.Add(900 * time.Millisecond)
 	is.True(!e.isLost(chosen, e.rank(), sentAt, now)) // the answer may still arrive
@@ -305,11 +306,11 @@
 	e.request.Deadline = sentAt.Add(3 * time.Second)
 	chosen := choice{Row: e.Directory.All()[0]}
 	after := func(waited time.Duration) bool {
-		e.health.recordActivity(chosen.ID, sentAt.Add(waited)) // another request's events
+		e.health.recordActivity(chosen.Instance(), sentAt.Add(waited)) // another request's events
 		return e.isLost(chosen, e.rank(), sentAt, sentAt.Add(waited))
 	}
 	is.True(!after(2900 * time.Millisecond)) // the server may be busy with earlier requests
-	e.health.recordAnswer(chosen.ID, sentAt.Add(time.Millisecond), e.rank())
+	e.health.recordAnswer(chosen.Instance(), sentAt.Add(time.Millisecond), e.rank())
 	is.True(!after(1400 * time.Millisecond))
 	is.True(after(1500 * time.Millisecond))
 }
@@ -327,9 +328,9 @@
 		e.Forecasts.Observe(lavforecast.Query{Service: service, Server: chosen.ID, Own: 10_000, Before: 1e6}, time.Minute, sentAt)
 	}
 	is.True(e.expectedFirst(chosen, sentAt) > 600*time.Millisecond)
-	e.health.recordActivity(chosen.ID, sentAt.Add(time.Second))
+	e.health.recordActivity(chosen.Instance(), sentAt.Add(time.Second))
 	for range overtakenThreshold {
-		e.health.recordAnswer(chosen.ID, sentAt.Add(time.Millisecond), e.rank())
+		e.health.recordAnswer(chosen.Instance(), sentAt.Add(time.Millisecond), e.rank())
 	}
 	is.True(e.isLost(chosen, e.rank(), sentAt, sentAt.Add(time.Second)))
 }
@@ -421,12 +422,12 @@
 	is := is.New(t)
 	h, sentAt := newHealthTable(), time.Unix(1000, 0)
 	for i := range overtakenThreshold {
-		h.recordAnswer("a", sentAt.Add(time.Duration(i+1)*time.Second), 3)
+		h.recordAnswer(1, sentAt.Add(time.Duration(i+1)*time.Second), 3)
 	}
-	is.Equal(h.overtaking("a", sentAt, 3), overtakenThreshold)
-	is.Equal(h.overtaking("a", sentAt, 5), 0) // the answered sends were more urgent
-	is.Equal(h.overtaking("a", sentAt.Add(2*time.Second), 3), overtakenThreshold-2)
-	is.Equal(h.overtaking("b", sentAt, 3), 0)
+	is.Equal(h.overtaking(1, sentAt, 3), overtakenThreshold)
+	is.Equal(h.overtaking(1, sentAt, 5), 0) // the answered sends were more urgent
+	is.Equal(h.overtaking(1, sentAt.Add(2*time.Second), 3), overtakenThreshold-2)
+	is.Equal(h.overtaking(2, sentAt, 3), 0)
 }
 
 func TestServerWithReusedAddressIsExcludedForAllRequests(t *testing.T) {
@@ -460,3 +461,30 @@
 	is.True(taken <= 88)
 	is.True(taken >= 60)
 }
+
+// TestServerThatStartedAgainIsJudgedAnew guards against a server that gets little work, or is taken to have prompts in its cache,
+// because of what an earlier instance under the same ID did before it ended.
+func TestServerThatStartedAgainIsJudgedAnew(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(1)
+	clock := time.Now()
+	instance := func(born time.Time) lavserver.InstanceKey {
+		f.directory.ApplyListing([]lavserver.Server{{ID: "a", Service: service, Address: "127.0.0.1:1", Release: "v1", Slots: 8, Born: born}}, clock)
+		return f.directory.All()[0].Instance()
+	}
+	prompt := Prompt{Parts: []Part{{ID: "shared", Tokens: 100}, {ID: "own", Tokens: 10}}, Input: 110}
+	earlier := instance(clock.Add(-time.Hour))
+	for range 10 {
+		f.health.recordFailure(earlier, clock)
+	}
+	f.prompts.add(earlier, small, prompt, clock)
+	usable, rate := f.health.usable(earlier, clock)
+	is.True(!usable)
+	is.True(rate > suspectFailureRate)
+	is.Equal(f.prompts.cachedTokens(earlier, small, prompt, clock), lavid.Tokens(110))
+	later := instance(clock)
+	usable, rate = f.health.usable(later, clock)
+	is.True(usable)
+	is.Equal(rate, 0.0)
+	is.Equal(f.prompts.cachedTokens(later, small, prompt, clock), lavid.Tokens(0))
+}
--- a/entry/services/lavforward/health.go
+++ b/entry/services/lavforward/health.go
@@ -7,7 +7,7 @@
 
 	lru "github.com/hashicorp/golang-lru/v2"
 
-	"lavenderswitch/core/models/lavid"
+	"lavenderswitch/core/models/lavserver"
 	"lavenderswitch/core/services/lavbalance"
 )
 
@@ -19,7 +19,8 @@
 	suspectFailureRate = 0.25
 )
 
-// health is the health of one backend server as observed by this host's own sends.
+// health is the health of one instance of a backend server as observed by this host's own sends. An instance that starts again
+// under the same ID has a health of its own.
 type health struct {
 	lavbalance.Health
 	failureRate float64
@@ -46,14 +47,14 @@
 // healthTable holds the health of the backend servers that this host sends to; it is safe for concurrent use.
 type healthTable struct {
 	mu   sync.Mutex
-	rows *lru.Cache[lavid.BackendServerID, health]
+	rows *lru.Cache[lavserver.InstanceKey, health]
 }
 
 // maxHealthRows is the number of backend servers whose health is kept.
 const maxHealthRows = 4096
 
 func newHealthTable() *healthTable {
-	rows, err := lru.New[lavid.BackendServerID, health](maxHealthRows)
+	rows, err := lru.New[lavserver.InstanceKey, health](maxHealthRows)
 	if err != nil {
 		// New fails only for a size that is not positive.
 		panic(err)
@@ -61,13 +62,13 @@
 	return &healthTable{rows: rows}
 }
 
-func (h *healthTable) row(server lavid.BackendServerID) health {
+func (h *healthTable) row(server lavserver.InstanceKey) health {
 	row, _ := h.rows.Get(server)
 	return row
 }
 
 // recordFailure records a send without a complete answer. It makes the server unusable for a while.
-func (h *healthTable) recordFailure(server lavid.BackendServerID, now time.Time) {
+func (h *healthTable) recordFailure(server lavserver.InstanceKey, now time.Time) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	row := h.row(server)
@@ -77,7 +78,7 @@
 }
 
 // recordErrorAnswer records a refusal or an error answer. It raises the failure rate and leaves the server usable.
-func (h *healthTable) recordErrorAnswer(server lavid.BackendServerID) {
+func (h *healthTable) recordErrorAnswer(server lavserver.InstanceKey) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	row := h.row(server)
@@ -86,7 +87,7 @@
 }
 
 // recordSuccess records a complete answer.
-func (h *healthTable) recordSuccess(server lavid.BackendServerID, now time.Time) {
+func (h *healthTable) recordSuccess(server lavserver.InstanceKey, now time.Time) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	row := h.row(server)
@@ -96,7 +97,7 @@
 }
 
 // recordActivity records that the server sent something at the given time.
-func (h *healthTable) recordActivity(server lavid.BackendServerID, now time.Time) {
+func (h *healthTable) recordActivity(server lavserver.InstanceKey, now time.Time) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	row := h.row(server)
@@ -105,7 +106,7 @@
 }
 
 // recordAnswer records that the server answered the send that was sent at sentAt.
-func (h *healthTable) recordAnswer(server lavid.BackendServerID, sentAt time.Time, rank int) {
+func (h *healthTable) recordAnswer(server lavserver.InstanceKey, sentAt time.Time, rank int) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	row := h.row(server)
@@ -114,7 +115,7 @@
 }
 
 // overtaking returns how many later sends the server has answered that were no more urgent than the waiting one.
-func (h *healthTable) overtaking(server lavid.BackendServerID, sentAt time.Time, rank int) int {
+func (h *healthTable) overtaking(server lavserver.InstanceKey, sentAt time.Time, rank int) int {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	count := 0
@@ -127,14 +128,14 @@
 }
 
 // silentSince reports whether the server has sent nothing to this host since the given time.
-func (h *healthTable) silentSince(server lavid.BackendServerID, since time.Time) bool {
+func (h *healthTable) silentSince(server lavserver.InstanceKey, since time.Time) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	return h.row(server).lastActivity.Before(since)
 }
 
 // usable reports whether the server may be chosen, and returns its recent failure rate.
-func (h *healthTable) usable(server lavid.BackendServerID, now time.Time) (bool, float64) {
+func (h *healthTable) usable(server lavserver.InstanceKey, now time.Time) (bool, float64) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	row := h.row(server)
--- a/entry/services/lavforward/notice_test.go
+++ b/entry/services/lavforward/notice_test.go
@@ -156,7 +156,7 @@
 	f := newFixture(2, withhold, replyWith(http.StatusOK, "whole"))
 	answer, _ := f.serve(newRequest(lavroute.OnceOnly))
 	is.Equal(answer.status, http.StatusOK)
-	usable, _ := f.health.usable(f.sends[0].Server.ID, time.Now())
+	usable, _ := f.health.usable(f.sends[0].Server.Instance(), time.Now())
 	is.True(usable)
 	is.True(f.sends[0].MaySend())
 	f.directory.Leave(f.sends[0].Server, time.Now())
--- a/entry/services/lavforward/prompt_cache.go
+++ b/entry/services/lavforward/prompt_cache.go
@@ -6,6 +6,7 @@
 	lru "github.com/hashicorp/golang-lru/v2"
 
 	"lavenderswitch/core/models/lavid"
+	"lavenderswitch/core/models/lavserver"
 )
 
 const (
@@ -17,7 +18,7 @@
 
 // promptKey identifies a prompt part in the cache of one engine.
 type promptKey struct {
-	server lavid.BackendServerID
+	server lavserver.InstanceKey
 	model  lavid.ModelID
 	part   string
 }
@@ -37,14 +38,14 @@
 }
 
 // add records that the prompt was sent to an engine.
-func (p *promptCache) add(server lavid.BackendServerID, model lavid.ModelID, prompt Prompt, now time.Time) {
+func (p *promptCache) add(server lavserver.InstanceKey, model lavid.ModelID, prompt Prompt, now time.Time) {
 	for _, part := range prompt.Parts {
 		p.lastUsed.Add(promptKey{server, model, part.ID}, now)
 	}
 }
 
 // cachedTokens returns the tokens of the leading prompt parts that the engine is assumed to have cached.
-func (p *promptCache) cachedTokens(server lavid.BackendServerID, model lavid.ModelID, prompt Prompt, now time.Time) lavid.Tokens {
+func (p *promptCache) cachedTokens(server lavserver.InstanceKey, model lavid.ModelID, prompt Prompt, now time.Time) lavid.Tokens {
 	sum := lavid.Tokens(0)
 	for _, part := range prompt.Parts {
 		used, found := p.lastUsed.Peek(promptKey{server, model, part.ID})
--- a/entry/services/lavforward/timeouts.go
+++ b/entry/services/lavforward/timeouts.go
@@ -48,11 +48,11 @@
 func (e *execution) isLost(chosen choice, rank int, sentAt, now time.Time) bool {
 	waited := now.Sub(sentAt)
 	silence := e.silenceTimeout(chosen, sentAt)
-	if waited >= silence && e.health.silentSince(chosen.ID, now.Add(-silence)) {
+	if waited >= silence && e.health.silentSince(chosen.Instance(), now.Add(-silence)) {
 		return true
 	}
 	expected := overtakenFactor * e.usualFirst(chosen, sentAt)
-	overtaking := e.health.overtaking(chosen.ID, sentAt, rank)
+	overtaking := e.health.overtaking(chosen.Instance(), sentAt, rank)
 	overtakenTimeout := max(time.Duration(overtakenTimeoutShare*float64(e.firstEventTimeout())), expected)
 	if waited >= overtakenTimeout && overtaking >= overtakenThreshold {
 		return true
