Count only ended connections as the end of a server

A send that is damaged by its server was held against the parts of its prompt as if the server had ended. Found while reading for bytes that are no answer: a server that damages answers would have had prompts refused. Only an ended or reset connection counts, also the end of a stream within an event. The stand-ins of the tests fail as connections do. TestFailuresThatDoNotEndServersKeepNoPromptFromThem failed before (damaged).

--- a/core/modules/lavexchange/error.go
+++ b/core/modules/lavexchange/error.go
@@ -1,8 +1,7 @@
 package lavexchange
 
 import (
-	"context"
-	"net"
+	"io"
 	"syscall"
 
 	"github.com/pkg/errors"
@@ -34,10 +33,9 @@
 	return errors.As(err, &typed)
 }
 
-// IsTimeout reports whether an exchange failed because nothing arrived in time, while the peer did not end the connection.
-func IsTimeout(err error) bool {
-	var network net.Error
-	return errors.Is(err, syscall.ETIMEDOUT) || errors.Is(err, context.Canceled) || errors.As(err, &network) && network.Timeout()
+// IsPeerEnd reports whether an exchange, or the reading of its answer, failed because the peer ended the connection.
+func IsPeerEnd(err error) bool {
+	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)
 }
 
 // IsRefused reports whether nothing listens at the peer's address.
--- a/entry/services/lavforward/delivery.go
+++ b/entry/services/lavforward/delivery.go
@@ -254,7 +254,7 @@
 // finishStream ends a stream whose body was read to its end. A body that ends within an event counts as broken.
 func (e *execution) finishStream(chosen choice, reply *Reply) (step, Result) {
 	if e.stream.splitter.Partial() {
-		return e.handleBrokenStream(context.Background(), chosen, &watchdog{}, errors.New("stream ended within an event"))
+		return e.handleBrokenStream(context.Background(), chosen, &watchdog{}, errors.Wrap(io.ErrUnexpectedEOF, "stream ended within an event"))
 	}
 	e.recordSurvival(e.Clock())
 	e.health.recordSuccess(chosen.Instance(), e.Clock())
--- a/entry/services/lavforward/quarantine.go
+++ b/entry/services/lavforward/quarantine.go
@@ -129,9 +129,10 @@
 }
 
 // recordEnding records that the connection to a server broke before the server had survived the prompt. begun states that the
-// answer had begun and nothing of it had been delivered. A send that only timed out says nothing about its server.
+// answer had begun and nothing of it had been delivered. A send that timed out, or whose answer was damaged, says nothing about
+// the end of its server.
 func (e *execution) recordEnding(chosen choice, begun bool, err error, now time.Time) {
-	if lavexchange.IsTimeout(err) {
+	if !lavexchange.IsPeerEnd(err) {
 		return
 	}
 	e.flight.settled, e.trial = true, false
--- a/entry/services/lavforward/quarantine_test.go
+++ b/entry/services/lavforward/quarantine_test.go
@@ -1,17 +1,18 @@
 package lavforward
 
 import (
-	"bytes"
 	"context"
 	"fmt"
 	"io"
 	"net/http"
 	"slices"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
+	"github.com/pkg/errors"
 
 	"lavenderswitch/core/models/lavid"
 	"lavenderswitch/core/models/lavroute"
@@ -63,11 +64,16 @@
 	s.deadlySends = append(s.deadlySends, s.clock())
 	s.endedAt[dispatch.Server.ID] = s.clock()
 	if s.endsBeforeHead {
-		return nil, lavexchange.ErrExchange{Sent: true, Reason: "unexpected EOF"}
+		return nil, errors.Wrap(io.ErrUnexpectedEOF, "connection ended")
 	}
-	return &Reply{Status: http.StatusOK, Header: http.Header{}, Signed: true, Body: io.NopCloser(io.MultiReader(&bytes.Buffer{}, failingReader{}))}, nil
+	return &Reply{Status: http.StatusOK, Header: http.Header{}, Signed: true, Body: io.NopCloser(endedReader{})}, nil
 }
 
+// endedReader is the body of an answer whose server has ended.
+type endedReader struct{}
+
+func (endedReader) Read([]byte) (int, error) { return 0, io.ErrUnexpectedEOF }
+
 // sentAfter returns the number of prompts with the part that were sent later than a time after the given number of ends.
 func (s *fragileServers) sentAfter(ends int, delay time.Duration) int {
 	if len(s.deadlySends) < ends {
@@ -106,6 +112,32 @@
 	return request
 }
 
+// failingServers fail every send in one way.
+type failingServers struct{ err error }
+
+func (s failingServers) Send(context.Context, Dispatch) (*Reply, error) { return nil, s.err }
+
+// TestFailuresThatDoNotEndServersKeepNoPromptFromThem guards against prompts that are kept from servers because answers were
+// damaged, refused or late.
+func TestFailuresThatDoNotEndServersKeepNoPromptFromThem(t *testing.T) {
+	for name, err := range map[string]error{
+		"damaged": errors.Wrap(lavexchange.ErrExchange{Sent: true, Reason: "malformed response"}, "read response"),
+		"late":    errors.Wrap(syscall.ETIMEDOUT, "read response"),
+		"refused": lavexchange.ErrExchange{Reason: "connection refused"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			f, _, clock := newFragileFixture(4)
+			f.Forwarder.Sender = failingServers{err}
+			for range 20 {
+				f.serve(newPromptRequest(clock, "shared", "own"))
+				clock.advance(time.Second)
+			}
+			is.True(!f.Quarantine.Suspects())
+		})
+	}
+}
+
 // TestPartOfAPromptThatEndsServersIsSentToFewOfThem guards against requests with a part in common that end one server after
 // the other, new ones and repeats, while sound requests of the same account with the same first part are to be answered.
 func TestPartOfAPromptThatEndsServersIsSentToFewOfThem(t *testing.T) {
