Give up a server that sends bytes without end before an answer

A server in trouble may send bytes that are no answer until its caller closes. A line, a header, interim responses or responses to other requests without end were read until the deadline of the request, lines and headers into memory, which ends the host's process. Cause: reading had a limit of time, but none of size, before the body. At most 256 KiB are read before the body of an answer; the send then fails as sent, and goes elsewhere where that is allowed.

--- a/core/modules/lavexchange/conn.go
+++ b/core/modules/lavexchange/conn.go
@@ -24,9 +24,33 @@
 	unackedTimeout = 800 * time.Millisecond
 )
 
+// errTooManyBytes reports that a peer has sent more than it may before an answer begins.
+var errTooManyBytes = errors.New("server sent too many bytes that are no answer")
+
+// limitedReader reads from a connection until its limit is used up, if it has one.
+type limitedReader struct {
+	net.Conn
+	limited bool
+	left    int
+}
+
+// Read returns errTooManyBytes once the limit is used up.
+func (r *limitedReader) Read(buffer []byte) (int, error) {
+	if !r.limited {
+		return r.Conn.Read(buffer)
+	}
+	if r.left <= 0 {
+		return 0, errTooManyBytes
+	}
+	count, err := r.Conn.Read(buffer[:min(len(buffer), r.left)])
+	r.left -= count
+	return count, err
+}
+
 // conn is one connection to a server.
 type conn struct {
 	net.Conn
+	limit  *limitedReader
 	reader *bufio.Reader
 	// idleDeadline is the time from which the idle connection is not used, as the peer may close it.
 	idleDeadline time.Time
@@ -61,7 +85,8 @@
 	if err != nil {
 		return nil, err
 	}
-	return &conn{Conn: opened, reader: bufio.NewReaderSize(opened, readBufferBytes)}, nil
+	limit := &limitedReader{Conn: opened}
+	return &conn{Conn: opened, limit: limit, reader: bufio.NewReaderSize(limit, readBufferBytes)}, nil
 }
 
 // limitUnacked sets TCP_USER_TIMEOUT, the maximum time that sent data may remain unacknowledged.
--- a/core/modules/lavexchange/response.go
+++ b/core/modules/lavexchange/response.go
@@ -59,8 +59,14 @@
 	r.sendResult <- err
 }
 
+// maxHeadBytes is the number of bytes that are read before the body of the answer, with interim responses and responses to other
+// requests.
+const maxHeadBytes = 256 << 10
+
 // readHead reads the status and headers. It skips interim responses and responses to other requests.
 func (r *Response) readHead(request Request) error {
+	r.conn.limit.limited, r.conn.limit.left = true, maxHeadBytes
+	defer func() { r.conn.limit.limited = false }()
 	for strayCount := 0; strayCount <= maxStrayResponses; {
 		response, err := http.ReadResponse(r.conn.reader, &http.Request{Method: request.Method}) //nolint:bodyclose // Response.Close closes or pools the connection
 		if err != nil {
