Compare the answers of a release with what their work and load let expect

Cause: times were compared with those of the old release whatever the load of the servers. The new servers have little load, so that a release that takes eight times as long still answers most kinds sooner than loaded servers do, and the kinds in which it does not are outweighed: with the small model 2 of 46 first events of the new release were slow and 479 of 1,478 of the old one, with the large one 14 of 16 and 69 of 471; the evidence was 0.27 at the end. Class of fault: a comparison of two groups that differ in more than what is judged.

Change: the time to a first event is also compared relative to what the forecast says for its prompt and the work before it, with a baseline of the older releases in the same measure; and the evidence of that is the mean over all kinds together and over each kind alone. Both are means of likelihood ratios, so that a good release is stopped no more often than before.

Ruled out: the mean over kinds for absolute times, as cold caches make some kinds of a good release longer.

Times of earlier builds are counted as before; the new counts are new fields.

--- a/core/services/lavcutover/cutover_test.go
+++ b/core/services/lavcutover/cutover_test.go
@@ -293,11 +293,11 @@
 	is := is.New(t)
 	c := runningCutovers()
 	for range 20 {
-		c.StartTiming(serverOf("v1"), "chat", false, start).Answered(start.Add(100 * time.Millisecond))
+		c.StartTiming(serverOf("v1"), Awaited{Kind: "chat"}, start).Answered(start.Add(100 * time.Millisecond))
 	}
 	pending := make([]*Timing, 0, 10)
 	for range 10 {
-		pending = append(pending, c.StartTiming(serverOf("v2"), "chat", false, start))
+		pending = append(pending, c.StartTiming(serverOf("v2"), Awaited{Kind: "chat"}, start))
 	}
 	is.Equal(len(c.Tick(firstRank, busy, start.Add(200*time.Millisecond))), 0)
 	is.Equal(c.Tick(firstRank, busy, start.Add(300*time.Millisecond))[0].Progress.State, Stopped)
@@ -312,9 +312,9 @@
 func observeFirstEvents(c *Cutovers, factor float64) {
 	for i := range 200 {
 		took := time.Duration(100*math.Pow(2, float64(i*37%100)/100)) * time.Millisecond
-		c.StartTiming(serverOf("v1"), "chat", true, start).Answered(start.Add(took))
+		c.StartTiming(serverOf("v1"), Awaited{Kind: "chat", Varied: true}, start).Answered(start.Add(took))
 		if i%5 == 0 {
-			c.StartTiming(serverOf("v2"), "chat", true, start).Answered(start.Add(time.Duration(factor * float64(took))))
+			c.StartTiming(serverOf("v2"), Awaited{Kind: "chat", Varied: true}, start).Answered(start.Add(time.Duration(factor * float64(took))))
 		}
 	}
 }
@@ -343,8 +343,8 @@
 	is := is.New(t)
 	c := runningCutovers()
 	for range 60 {
-		c.StartTiming(serverOf("v1"), "lookup", false, start).Answered(start.Add(100 * time.Millisecond))
-		c.StartTiming(serverOf("v2"), "lookup", false, start).Answered(start.Add(110 * time.Millisecond))
+		c.StartTiming(serverOf("v1"), Awaited{Kind: "lookup"}, start).Answered(start.Add(100 * time.Millisecond))
+		c.StartTiming(serverOf("v2"), Awaited{Kind: "lookup"}, start).Answered(start.Add(110 * time.Millisecond))
 	}
 	is.True(c.Statuses()[0].Evidence <= 1) // 1 means no evidence
 }
@@ -353,10 +353,10 @@
 	is := is.New(t)
 	c := runningCutovers()
 	for range 20 {
-		c.StartTiming(serverOf("v1"), "chat", false, start).Answered(start.Add(100 * time.Millisecond))
+		c.StartTiming(serverOf("v1"), Awaited{Kind: "chat"}, start).Answered(start.Add(100 * time.Millisecond))
 	}
 	for range 10 {
-		c.StartTiming(serverOf("v2"), "chat", false, start).Dropped()
+		c.StartTiming(serverOf("v2"), Awaited{Kind: "chat"}, start).Dropped()
 	}
 	is.Equal(len(c.Tick(firstRank, busy, start.Add(time.Second))), 0)
 }
@@ -372,3 +372,39 @@
 	observeAnswers(c, 300, 0) // one failure in 320 is no evidence
 	is.Equal(c.Tick(firstRank, busy, start.Add(23500*time.Millisecond))[0].Progress.State, Complete)
 }
+
+// observeLoadedAndIdle times first events of old servers with a long queue and new ones without, in two kinds. The new ones take
+// the given multiple of what is expected for their load.
+func observeLoadedAndIdle(c *Cutovers, factor float64) {
+	for i := range 200 {
+		spread := math.Pow(2, float64(i*37%100)/100)
+		for kind, idle := range map[string]time.Duration{"small": 30 * time.Millisecond, "large": 100 * time.Millisecond} {
+			loaded := time.Duration(float64(idle) * 12 * spread)
+			c.StartTiming(serverOf("v1"), Awaited{Kind: kind, Varied: true, Expected: 12 * idle}, start).Answered(start.Add(loaded))
+			if i%5 == 0 {
+				took := time.Duration(float64(idle) * factor * spread)
+				c.StartTiming(serverOf("v2"), Awaited{Kind: kind, Varied: true, Expected: idle}, start).Answered(start.Add(took))
+			}
+		}
+	}
+}
+
+// TestSlowReleaseWithoutLoadIsStopped guards against a slow release that is completed since its servers have no load, so that
+// they answer sooner than the loaded servers of the old release.
+func TestSlowReleaseWithoutLoadIsStopped(t *testing.T) {
+	is := is.New(t)
+	c := runningCutovers()
+	observeLoadedAndIdle(c, 8)
+	is.Equal(c.Tick(firstRank, busy, start.Add(12*time.Second))[0].Progress.State, Stopped)
+}
+
+func TestReleaseWithoutLoadCompletes(t *testing.T) {
+	for _, factor := range []float64{0.7, 1, 1.2} {
+		is := is.New(t)
+		c := runningCutovers()
+		observeLoadedAndIdle(c, factor)
+		recordSends(c, 22*time.Second)
+		c.Tick(firstRank, busy, start.Add(22*time.Second))
+		is.Equal(c.Tick(firstRank, busy, start.Add(23*time.Second))[0].Progress.State, Complete)
+	}
+}
--- a/core/services/lavcutover/cutovers.go
+++ b/core/services/lavcutover/cutovers.go
@@ -310,10 +310,10 @@
 
 // StartTiming starts timing an answer, which is compared with others of its kind.
 //
-// The times of a varied kind depend on the request and the load more than on the server. For such a kind, it also counts
-// against a release if its times exceed the baseline too often, by however little.
-func (c *Cutovers) StartTiming(server lavserver.Server, kind string, varied bool, now time.Time) *Timing {
-	return c.statistics.startTiming(server, kind, varied, c.isOld(server), now)
+// For a varied kind, it also counts against a release if its times exceed the baseline too often, by however little. Where the
+// expected time is known, it counts against a release if its times exceed that by more than those of the older ones.
+func (c *Cutovers) StartTiming(server lavserver.Server, awaited Awaited, now time.Time) *Timing {
+	return c.statistics.startTiming(server, awaited, c.isOld(server), now)
 }
 
 // isOld reports whether a server runs a release other than the one that its service moves to.
--- a/core/services/lavcutover/statistics.go
+++ b/core/services/lavcutover/statistics.go
@@ -33,6 +33,8 @@
 	Slow lavrollout.Sample
 	// Longer counts times above the baseline as bad, by however little they exceed it.
 	Longer lavrollout.Sample
+	// Delayed counts times as bad that are slow for their work and the load of their server.
+	Delayed lavrollout.Sample
 	// Sends counts sends when they start, whatever their result.
 	Sends float64
 }
@@ -43,6 +45,7 @@
 		Failures: addSamples(c.Failures, other.Failures),
 		Slow:     addSamples(c.Slow, other.Slow),
 		Longer:   addSamples(c.Longer, other.Longer),
+		Delayed:  addSamples(c.Delayed, other.Delayed),
 		Sends:    c.Sends + other.Sends,
 	}
 }
@@ -56,6 +59,7 @@
 		Failures: subtract(c.Failures, other.Failures),
 		Slow:     subtract(c.Slow, other.Slow),
 		Longer:   subtract(c.Longer, other.Longer),
+		Delayed:  subtract(c.Delayed, other.Delayed),
 		Sends:    max(c.Sends-other.Sends, 0),
 	}
 }
@@ -72,6 +76,7 @@
 		Failures: larger(c.Failures, other.Failures),
 		Slow:     larger(c.Slow, other.Slow),
 		Longer:   larger(c.Longer, other.Longer),
+		Delayed:  larger(c.Delayed, other.Delayed),
 		Sends:    max(c.Sends, other.Sends),
 	}
 }
@@ -214,12 +219,12 @@
 type samples map[lavrollout.Stratum]lavrollout.Sample
 
 // evidence returns the evidence against a release from the answers of all hosts: the highest of the likelihood
-// ratios for failures, slow times and longer times. It is 1 without answers.
+// ratios for failures, slow times, longer times and delayed ones. It is 1 without answers.
 func (s *statistics) evidence(progress Progress, settings lavrollout.Settings) float64 {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	tested := [3]samples{{}, {}, {}}
-	control := [3]samples{{}, {}, {}}
+	tested := [4]samples{{}, {}, {}, {}}
+	control := [4]samples{{}, {}, {}, {}}
 	visit := func(rows map[Key]Counts) {
 		for key, counts := range rows {
 			if key.Service != progress.Service {
@@ -233,6 +238,7 @@
 			target[0][stratum] = addSamples(target[0][stratum], counts.Failures)
 			target[1][stratum] = addSamples(target[1][stratum], counts.Slow)
 			target[2][stratum] = addSamples(target[2][stratum], counts.Longer)
+			target[3][stratum] = addSamples(target[3][stratum], counts.Delayed)
 		}
 	}
 	visit(s.own)
@@ -240,5 +246,6 @@
 	failures := lavrollout.ExcessLikelihoodRatio(tested[0], control[0], settings.Failures)
 	slow := lavrollout.ExcessLikelihoodRatio(tested[1], control[1], settings.Failures)
 	longer := lavrollout.ExcessLikelihoodRatio(tested[2], control[2], longerSettings)
-	return max(failures, slow, longer)
+	delayed := lavrollout.MixedLikelihoodRatio(tested[3], control[3], settings.Failures)
+	return max(failures, slow, longer, delayed)
 }
--- a/core/services/lavcutover/timing.go
+++ b/core/services/lavcutover/timing.go
@@ -11,25 +11,38 @@
 // Timing measures the time to one answer. A pending answer is counted as slow, or as longer than the baseline, as soon as
 // its time exceeds slowFactor or longerFactor times the baseline, even if it never arrives.
 type Timing struct {
+	Awaited
 	statistics  *statistics
 	key         Key
 	baselineKey string
 	oldRelease  bool
-	varied      bool
 	started     time.Time
-	// slow and longer report whether the time has been counted as slow, or as longer, before the answer arrived.
-	slow   bool
-	longer bool
+	// slow, longer and delayed report whether the time has been counted as slow, as longer, or as delayed, before the answer
+	// arrived.
+	slow    bool
+	longer  bool
+	delayed bool
+}
+
+// Awaited describes an answer that is timed.
+type Awaited struct {
+	// Kind groups the answers whose times may be compared with each other.
+	Kind string
+	// Varied states that the times depend on the request and the load more than on the server.
+	Varied bool
+	// Expected is the time that an answer usually takes for its work and with the load of its server, or zero if that is not
+	// known.
+	Expected time.Duration
 }
 
 // startTiming starts timing an answer, which is compared with others of its kind.
-func (s *statistics) startTiming(server lavserver.Server, kind string, varied, oldRelease bool, now time.Time) *Timing {
+func (s *statistics) startTiming(server lavserver.Server, awaited Awaited, oldRelease bool, now time.Time) *Timing {
 	timing := &Timing{
+		Awaited:     awaited,
 		statistics:  s,
-		key:         Key{Service: server.Service, Release: server.Release, Kind: kind},
-		baselineKey: string(server.Service) + "\x00" + kind,
+		key:         Key{Service: server.Service, Release: server.Release, Kind: awaited.Kind},
+		baselineKey: string(server.Service) + "\x00" + awaited.Kind,
 		oldRelease:  oldRelease,
-		varied:      varied,
 		started:     now,
 	}
 	s.mu.Lock()
@@ -50,11 +63,17 @@
 	if !t.slow {
 		t.statistics.countSlow(t.key, t.baselineKey, took)
 	}
-	if t.varied && !t.longer {
+	if t.Varied && !t.longer {
 		t.statistics.countLonger(t.key, t.baselineKey, took)
 	}
+	if !t.delayed {
+		t.countDelayed(took)
+	}
 	if t.oldRelease {
 		t.statistics.updateBaseline(t.baselineKey, took)
+		if t.Expected > 0 {
+			t.statistics.updateBaseline(t.relativeKey(), t.relative(took))
+		}
 	}
 }
 
@@ -75,11 +94,35 @@
 			timing.slow = true
 			s.countSlow(timing.key, timing.baselineKey, took)
 		}
-		if timing.varied && !timing.longer && s.exceeds(timing.baselineKey, took, longerFactor) {
+		if timing.Varied && !timing.longer && s.exceeds(timing.baselineKey, took, longerFactor) {
 			timing.longer = true
 			s.countLonger(timing.key, timing.baselineKey, took)
 		}
+		if timing.Expected > 0 && !timing.delayed && s.exceeds(timing.relativeKey(), timing.relative(took), slowFactor) {
+			timing.delayed = true
+			timing.countDelayed(took)
+		}
+	}
+}
+
+// relativeKey returns the key of the baseline of times relative to the expected ones.
+func (t *Timing) relativeKey() string { return t.baselineKey + "\x00relative" }
+
+// relative returns a time relative to the expected one, as what a time of one second would have been.
+func (t *Timing) relative(took time.Duration) time.Duration {
+	return time.Duration(float64(took) / float64(t.Expected) * float64(time.Second))
+}
+
+// countDelayed counts a time as slow or not for its work and the load of its server, once that baseline has enough times; the
+// caller holds the lock. A new release has little load at first, so that its times are short however slow it is.
+func (t *Timing) countDelayed(took time.Duration) {
+	s := t.statistics
+	if t.Expected <= 0 || s.baselines[t.relativeKey()].count < minBaselineTimes {
+		return
 	}
+	counts := s.own[t.key]
+	counts.Delayed = withTrial(counts.Delayed, s.exceeds(t.relativeKey(), t.relative(took), slowFactor))
+	s.own[t.key] = counts
 }
 
 // countSlow counts a time as slow or not, once its baseline has enough times.
--- a/core/services/lavrollout/excess.go
+++ b/core/services/lavrollout/excess.go
@@ -31,5 +31,23 @@
 	return sum / float64(len(settings.EffectSizes))
 }
 
+// MixedLikelihoodRatio returns the mean of ExcessLikelihoodRatio over all strata together and over each one alone. It also shows
+// an excess in one stratum while the tested samples of others are better than the control's.
+func MixedLikelihoodRatio(tested, control map[Stratum]Sample, settings TestSettings) float64 {
+	alone, count := 0.0, 0.0
+	for stratum, sample := range tested {
+		if sample.Trials == 0 {
+			continue
+		}
+		count++
+		alone += ExcessLikelihoodRatio(map[Stratum]Sample{stratum: sample}, control, settings)
+	}
+	together := ExcessLikelihoodRatio(tested, control, settings)
+	if count == 0 {
+		return together
+	}
+	return (together + alone/count) / 2
+}
+
 // maxLogRatio bounds a log likelihood ratio, so that the mean stays finite.
 const maxLogRatio = 50
--- a/entry/services/lavbroadcast/broadcaster_test.go
+++ b/entry/services/lavbroadcast/broadcaster_test.go
@@ -168,7 +168,7 @@
 func TestMessageSurvivesTheWire(t *testing.T) {
 	is := is.New(t)
 	load := lavload.Load{Requests: 3, Unread: 1200, Memory: 7000}
-	counts := lavcutover.Counts{Failures: lavrollout.Sample{Trials: 5, Bad: 1}, Slow: lavrollout.Sample{Trials: 4, Bad: 2}, Longer: lavrollout.Sample{Trials: 3, Bad: 3}, Sends: 9}
+	counts := lavcutover.Counts{Failures: lavrollout.Sample{Trials: 5, Bad: 1}, Slow: lavrollout.Sample{Trials: 4, Bad: 2}, Longer: lavrollout.Sample{Trials: 3, Bad: 3}, Delayed: lavrollout.Sample{Trials: 2, Bad: 1}, Sends: 9}
 	sum := lavreport.Sum{
 		Entries: []lavreport.Entry{{Host: 7, Sequence: 65_535, Age: 300 * time.Millisecond, Leaving: true}, {Host: 8, Sequence: 1}},
 		Loads:   map[lavload.ServerKey]lavload.Load{11: load},
--- a/entry/services/lavbroadcast/decode.go
+++ b/entry/services/lavbroadcast/decode.go
@@ -206,6 +206,7 @@
 			Failures: sample(count.GetAnswers(), count.GetFailed()),
 			Slow:     sample(count.GetPaced(), count.GetSlow()),
 			Longer:   sample(count.GetTimed(), count.GetLonger()),
+			Delayed:  sample(count.GetExpected(), count.GetDelayed()),
 			Sends:    count.GetSends(),
 		}
 	}
--- a/entry/services/lavbroadcast/encode.go
+++ b/entry/services/lavbroadcast/encode.go
@@ -217,6 +217,8 @@
 			Slow:      counts.Slow.Bad,
 			Timed:     counts.Longer.Trials,
 			Longer:    counts.Longer.Bad,
+			Expected:  counts.Delayed.Trials,
+			Delayed:   counts.Delayed.Bad,
 			Sends:     counts.Sends,
 		})
 	}
--- a/entry/services/lavforward/execution.go
+++ b/entry/services/lavforward/execution.go
@@ -170,7 +170,7 @@
 		return lost && len(e.candidates(others, e.Clock())) > 0
 	}, e.Clock)
 	defer watchdog.stop()
-	e.timing = e.Releases.StartTiming(chosen.Server, e.outcomeKind(chosen)+"/first", e.request.Service.Engine != nil, now)
+	e.timing = e.startTiming(chosen, now)
 	defer e.timing.Dropped()
 	if e.mayRepeat() {
 		watchdog.reset(e.silenceTimeout(chosen, now) / checksPerTimeout)
--- a/entry/services/lavforward/forwarder.go
+++ b/entry/services/lavforward/forwarder.go
@@ -31,15 +31,14 @@
 }
 
 // Releases decides which releases of a service may serve a session, and records how they answer; lavcutover.Cutovers
-// implements it. A kind groups the sends or durations that may be compared with each other. The durations of a varied kind
-// depend on the request and the load more than on the server.
+// implements it. A kind groups the sends or durations that may be compared with each other.
 type Releases interface {
 	Preferences(service lavid.ServiceID, session string, now time.Time) func(lavid.ReleaseID) lavcutover.Preference
 	RecordSend(server lavserver.Server, session string, now time.Time)
 	RecordEnd(server lavserver.Server, session string, now time.Time)
 	Observe(server lavserver.Server, outcome lavcutover.Outcome)
 	ObserveDuration(server lavserver.Server, kind string, took time.Duration)
-	StartTiming(server lavserver.Server, kind string, varied bool, now time.Time) *lavcutover.Timing
+	StartTiming(server lavserver.Server, awaited lavcutover.Awaited, now time.Time) *lavcutover.Timing
 }
 
 // Hosts lists the entry hosts that may send requests, including this host.
--- a/entry/services/lavforward/outlook.go
+++ b/entry/services/lavforward/outlook.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"lavenderswitch/core/services/lavcutover"
 	"lavenderswitch/core/services/lavforecast"
 )
 
@@ -29,6 +30,15 @@
 	return e.Forecasts.First(query, now).Expected
 }
 
+// startTiming starts timing the answer of a send, or the first event of an engine's answer.
+func (e *execution) startTiming(chosen choice, now time.Time) *lavcutover.Timing {
+	awaited := lavcutover.Awaited{Kind: e.outcomeKind(chosen) + "/first"}
+	if e.request.Service.Engine != nil {
+		awaited.Varied, awaited.Expected = true, e.usualFirst(chosen, now)
+	}
+	return e.Releases.StartTiming(chosen.Server, awaited, now)
+}
+
 // observeFirst records the time to the first event of an engine's answer.
 func (e *execution) observeFirst(chosen choice, took time.Duration, now time.Time) {
 	if ratio := e.Forecasts.Observe(chosen.query(), took, now); ratio > 0 {
