Request an answer elsewhere if its bytes have no end or are no events

A server in trouble may send bytes that are no answer, without end.

- A stream with an event without end was cut for its caller at 1 MiB, although another server could have resumed it: damage by the server was handled as a failed write to the caller.
- Lines that are no events, repeated events and further answers were delivered.
- Bodies without end took up to 8 MiB for each request; a few dozen of them end the process.
- A stream without a length whose server ended before the first event looked complete, and empty.

Such a stream is now resumed after its last event on another server, and the server is not used for a while. Empty lines are delivered with the next event.

--- a/core/modules/lavevent/splitter.go
+++ b/core/modules/lavevent/splitter.go
@@ -17,6 +17,12 @@
 	// ID is empty if the event has no id line.
 	ID    string
 	Bytes []byte
+	// HasData reports whether the event has data. Comments and empty lines have none.
+	HasData bool
+	// Malformed reports that the event has a line, and none that is a comment or a known field.
+	Malformed bool
+	// Empty reports that the event is just an empty line.
+	Empty bool
 }
 
 // Splitter buffers the bytes of a stream until an event is complete. The zero value is ready to use.
@@ -35,7 +41,7 @@
 		if end < 0 {
 			break
 		}
-		events = append(events, Event{ID: eventID(rest[:end]), Bytes: bytes.Clone(rest[:end])})
+		events = append(events, parseEvent(bytes.Clone(rest[:end])))
 		rest = rest[end:]
 	}
 	s.pending = append(s.pending[:0], rest...)
@@ -65,14 +71,31 @@
 	}
 }
 
-// eventID returns the value of the last id line.
-func eventID(event []byte) string {
-	id := ""
-	for line := range bytes.Lines(event) {
-		value, found := bytes.CutPrefix(bytes.TrimRight(line, "\r\n"), []byte("id:"))
-		if found {
-			id = string(bytes.TrimPrefix(value, []byte(" ")))
+// Buffered returns the number of bytes of the incomplete event.
+func (s *Splitter) Buffered() int { return len(s.pending) }
+
+// parseEvent returns the event with the given bytes.
+func parseEvent(data []byte) Event {
+	event := Event{Bytes: data}
+	lines, known := 0, 0
+	for line := range bytes.Lines(data) {
+		line = bytes.TrimRight(line, "\r\n")
+		if len(line) == 0 {
+			continue
+		}
+		lines++
+		name, value, _ := bytes.Cut(line, []byte(":"))
+		switch string(name) {
+		case "id":
+			event.ID = string(bytes.TrimPrefix(value, []byte(" ")))
+		case "data":
+			event.HasData = true
+		case "", "event", "retry":
+		default:
+			continue
 		}
+		known++
 	}
-	return id
+	event.Malformed, event.Empty = lines > 0 && known == 0, lines == 0
+	return event
 }
--- a/core/modules/lavevent/splitter_test.go
+++ b/core/modules/lavevent/splitter_test.go
@@ -36,3 +36,17 @@
 	_, err := splitter.Add(make([]byte, maxEventBytes+1))
 	is.Equal(err, ErrEventTooLarge)
 }
+
+func TestEventsAreToldFromOtherText(t *testing.T) {
+	is := is.New(t)
+	var splitter Splitter
+	events, err := splitter.Add([]byte("id: 1\ndata\n\n: comment\n\nevent: end\n\n\nHTTP/1.1 200 OK\nDate: x\n\nversion: 2\nid: 3\ndata: x\n\n"))
+	is.NoErr(err)
+	var data, malformed []bool
+	for _, event := range events {
+		data, malformed = append(data, event.HasData), append(malformed, event.Malformed)
+	}
+	is.Equal(data, []bool{true, false, false, false, false, true})
+	is.Equal(malformed, []bool{false, false, false, false, true, false})
+	is.Equal(events[5].ID, "3")
+}
--- a/entry/services/lavforward/delivery.go
+++ b/entry/services/lavforward/delivery.go
@@ -5,6 +5,7 @@
 	"context"
 	"io"
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/pkg/errors"
@@ -18,9 +19,6 @@
 	"lavenderswitch/core/services/lavplan"
 )
 
-// maxBufferedBytes is the largest answer that is buffered before delivery.
-const maxBufferedBytes = 8 << 20
-
 // streamReadBytes is the size of the buffer into which a stream is read.
 const streamReadBytes = 4 << 10
 
@@ -32,6 +30,10 @@
 	firstEventAt time.Time
 	laterEvents  int
 	reported     bool
+	// withoutData counts the events without data since the last one with data, and emptyLines holds those of them that are just
+	// an empty line. They are delivered with the next event or at the end, as a damaged stream may consist of them.
+	withoutData int
+	emptyLines  []byte
 }
 
 // events returns the number of events that the current server has delivered.
@@ -68,7 +70,7 @@
 	e.Metrics.countSend(chosen, sendFailed)
 	e.logDecision("server failed", chosen.ID, logrus.Fields{"status": reply.Status, "release": chosen.Release})
 	if !e.answerBegun {
-		if body, err := readBuffered(reply.Body); err == nil && reply.Signed {
+		if body, err := e.readBuffered(reply.Body); err == nil && reply.Signed {
 			serverError := *reply
 			serverError.Body = io.NopCloser(bytes.NewReader(body))
 			e.serverError = &serverError
@@ -81,7 +83,7 @@
 
 // deliverServerError delivers the latest 5xx answer to the caller.
 func (e *execution) deliverServerError() Result {
-	body, err := readBuffered(e.serverError.Body)
+	body, err := e.readBuffered(e.serverError.Body)
 	if err != nil {
 		return Result{Refusal: &Refusal{Status: http.StatusBadGateway, Reason: err.Error()}}
 	}
@@ -96,7 +98,7 @@
 
 // deliverBuffered reads the whole answer before it delivers any of it, so that a truncated answer can be requested again.
 func (e *execution) deliverBuffered(ctx context.Context, chosen choice, watchdog *watchdog, reply *Reply) (step, Result) {
-	body, err := readBuffered(reply.Body)
+	body, err := e.readBuffered(reply.Body)
 	now := e.Clock()
 	if err == nil {
 		e.recordSurvival(now)
@@ -114,7 +116,9 @@
 		if err != nil && !watchdog.hasFired() {
 			e.recordEnding(chosen, true, err, now)
 		}
-		e.health.recordFailure(chosen.Instance(), now)
+		if !errors.Is(err, errBuffersFull) {
+			e.health.recordFailure(chosen.Instance(), now)
+		}
 		e.Metrics.countSend(chosen, sendDamaged)
 		e.logDecision("answer was damaged", chosen.ID, logrus.Fields{"reason": reason})
 		return e.repeatOrFail("answer was damaged")
@@ -132,18 +136,6 @@
 	return stepDone, Result{}
 }
 
-// readBuffered reads a whole body of at most maxBufferedBytes.
-func readBuffered(body io.Reader) ([]byte, error) {
-	data, err := io.ReadAll(io.LimitReader(body, maxBufferedBytes+1))
-	if err != nil {
-		return nil, errors.Wrap(err, "read the answer")
-	}
-	if len(data) > maxBufferedBytes {
-		return nil, errors.New("answer is larger than 8 MiB")
-	}
-	return data, nil
-}
-
 // deliverStream delivers complete events as they arrive. A stream that breaks off is resumed on another server after the
 // last delivered event.
 func (e *execution) deliverStream(ctx context.Context, chosen choice, model lavid.ModelID, job *lavload.Job, watchdog *watchdog, reply *Reply, sentAt time.Time) (step, Result) {
@@ -171,7 +163,10 @@
 		count, err := reply.Body.Read(buffer)
 		if count > 0 {
 			e.health.recordActivity(chosen.Instance(), e.Clock())
-			if deliverErr := e.deliverEvents(chosen, reply, buffer[:count]); deliverErr != nil {
+			switch deliverErr := e.deliverEvents(chosen, reply, buffer[:count]); {
+			case errors.Is(deliverErr, errDamagedStream):
+				return e.handleBrokenStream(ctx, chosen, watchdog, deliverErr)
+			case deliverErr != nil:
 				return stepDone, Result{Broken: true}
 			}
 			e.flight.begun = e.stream.events() == 0
@@ -191,21 +186,65 @@
 	}
 }
 
-// deliverEvents delivers the events that data completes.
+// errDamagedStream is the cause of errors about bytes that are no events.
+var errDamagedStream = errors.New("server's event stream is damaged")
+
+// maxEventsWithoutData is the number of successive events without data that a stream may have, such as comments.
+const maxEventsWithoutData = 64
+
+// check returns an error with the cause errDamagedStream if an event cannot follow the one with the given ID.
+func (s *streamState) check(event lavevent.Event, last string) error {
+	if event.Malformed {
+		return errors.Wrap(errDamagedStream, "no field of an event")
+	}
+	s.withoutData++
+	if event.HasData {
+		s.withoutData = 0
+	}
+	if s.withoutData > maxEventsWithoutData {
+		return errors.Wrapf(errDamagedStream, "%d events without data", s.withoutData)
+	}
+	before, err := strconv.ParseUint(last, 10, 64)
+	number, numberErr := strconv.ParseUint(event.ID, 10, 64)
+	if err == nil && numberErr == nil && number <= before {
+		return errors.Wrapf(errDamagedStream, "event %d follows event %d", number, before)
+	}
+	return nil
+}
+
+// deliverEvents delivers the events that data completes. It fails with errDamagedStream as cause if the server is at fault.
 func (e *execution) deliverEvents(chosen choice, reply *Reply, data []byte) error {
 	events, err := e.stream.splitter.Add(data)
+	if deliverErr := e.deliverAll(chosen, reply, events); deliverErr != nil {
+		return deliverErr
+	}
+	if err == nil {
+		err = e.reserveBuffer(e.stream.splitter.Buffered())
+	}
 	if err != nil {
-		return err
+		return errors.Wrap(errDamagedStream, err.Error())
 	}
+	return nil
+}
+
+func (e *execution) deliverAll(chosen choice, reply *Reply, events []lavevent.Event) error {
 	for _, event := range events {
+		if err := e.stream.check(event, e.resumeAfter()); err != nil {
+			return err
+		}
+		if event.Empty {
+			e.stream.emptyLines = append(e.stream.emptyLines, event.Bytes...)
+			continue
+		}
 		if !e.answerBegun {
 			if err := e.beginAnswer(reply); err != nil {
 				return err
 			}
 		}
-		if err := e.answer.Write(event.Bytes); err != nil {
+		if err := e.answer.Write(append(e.stream.emptyLines, event.Bytes...)); err != nil {
 			return errors.Wrap(err, "deliver event")
 		}
+		e.stream.emptyLines = nil
 		e.countEvent(chosen)
 		if event.ID != "" {
 			e.lastEventID = event.ID
@@ -256,6 +295,9 @@
 	if e.stream.splitter.Partial() {
 		return e.handleBrokenStream(context.Background(), chosen, &watchdog{}, errors.Wrap(io.ErrUnexpectedEOF, "stream ended within an event"))
 	}
+	if e.stream.events() == 0 && e.resumeAfter() == "" {
+		return e.handleBrokenStream(context.Background(), chosen, &watchdog{}, errors.Wrap(io.ErrUnexpectedEOF, "stream ended before its first event"))
+	}
 	e.recordSurvival(e.Clock())
 	e.health.recordSuccess(chosen.Instance(), e.Clock())
 	e.Metrics.countSend(chosen, sendAnswered)
@@ -267,6 +309,11 @@
 			return stepDone, Result{Broken: true}
 		}
 	}
+	if len(e.stream.emptyLines) > 0 && e.answerBegun {
+		if err := e.answer.Write(e.stream.emptyLines); err != nil {
+			return stepDone, Result{Broken: true}
+		}
+	}
 	return stepDone, Result{}
 }
 
--- a/entry/services/lavforward/execution.go
+++ b/entry/services/lavforward/execution.go
@@ -38,6 +38,8 @@
 	endings int
 	// flight is the current send.
 	flight *flight
+	// bufferedBytes is what the request has reserved of the buffers for large answers.
+	bufferedBytes int64
 	// runs counts the sends that a server may have run, and sends counts all of them.
 	runs  int
 	sends int
--- a/entry/services/lavforward/fixture_test.go
+++ b/entry/services/lavforward/fixture_test.go
@@ -54,7 +54,7 @@
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	self := lavring.Member{ID: "host-a", DataCentre: "centre-a"}
-	f.Forwarder = New(Settings{ColdOverage: 1, RepeatShare: 0.7, RepeatSlack: 10, RepeatWindow: 10 * time.Second}, Dependencies{
+	f.Forwarder = New(Settings{ColdOverage: 1, RepeatShare: 0.7, RepeatSlack: 10, RepeatWindow: 10 * time.Second, BufferBytes: 16 << 20}, Dependencies{
 		Directory:  f.directory,
 		Loads:      lavload.New(),
 		Forecasts:  lavforecast.New(),
--- a/entry/services/lavforward/forwarder.go
+++ b/entry/services/lavforward/forwarder.go
@@ -28,6 +28,8 @@
 	RepeatShare  float64
 	RepeatSlack  float64
 	RepeatWindow time.Duration
+	// BufferBytes bounds what all requests together buffer of answers that are larger than a few ten KiB.
+	BufferBytes int64
 }
 
 // Releases decides which releases of a service may serve a session, and records how they answer; lavcutover.Cutovers
@@ -78,6 +80,7 @@
 	speeds   *speedEstimates
 	waiting  *waitingRoom
 	flights  *flights
+	buffers  *bufferBudget
 	random   func() float64
 }
 
@@ -92,6 +95,7 @@
 		speeds:       newSpeedEstimates(),
 		waiting:      newWaitingRoom(dependencies.Metrics, dependencies.Clock),
 		flights:      newFlights(),
+		buffers:      &bufferBudget{limit: settings.BufferBytes},
 		random:       rand.Float64,
 	}
 }
@@ -104,6 +108,7 @@
 	defer cancel()
 	f.Metrics.inProgress.Inc()
 	defer f.Metrics.inProgress.Dec()
+	defer e.releaseBuffer()
 	result := e.run(ctx)
 	e.reportEnd(ctx, result)
 	return result
