A server that answers later has not ended

Cause: two servers broke off answers without ending; what looked like their end was held against the prompts. Evidence: the quarantined parts were answered by the same servers before and after. Change: an answer to a request that was sent to an instance after its supposed end refutes that end, at all hosts; a later end of the same instance counts again.

--- a/core/services/lavquarantine/part.go
+++ b/core/services/lavquarantine/part.go
@@ -1,6 +1,7 @@
 package lavquarantine
 
 import (
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -61,6 +62,13 @@
 	return merged[max(0, len(merged)-maxEndings):]
 }
 
+// without returns the endings without that of an instance before a time.
+func without(endings []Ending, instance lavserver.InstanceKey, before time.Time) []Ending {
+	return slices.DeleteFunc(slices.Clone(endings), func(ending Ending) bool {
+		return ending.Instance == instance && ending.At.Before(before)
+	})
+}
+
 // after returns the endings after a time.
 func after(endings []Ending, at time.Time) []Ending {
 	for i, ending := range endings {
--- a/core/services/lavquarantine/report.go
+++ b/core/services/lavquarantine/report.go
@@ -16,6 +16,8 @@
 	// reportDelay is about how long a report is on its way. An answer that is later by less than this may be one that is known
 	// already, since its time is computed from its age.
 	reportDelay = 200 * time.Millisecond
+	// transitTime is about how long a message is on its way, by which reported times are late.
+	transitTime = 50 * time.Millisecond
 )
 
 // ReportedEnding is an ending as hosts tell it each other.
@@ -25,6 +27,19 @@
 	Begun    bool
 }
 
+// Findings are what hosts tell each other.
+type Findings struct {
+	Parts []Report
+	// Alive are the instances of which endings were refuted.
+	Alive []Alive
+}
+
+// Alive tells that an instance answered a request that was sent to it a time ago.
+type Alive struct {
+	Instance lavserver.InstanceKey
+	Age      time.Duration
+}
+
 // Report tells other hosts what is known of a part.
 type Report struct {
 	Part    PartKey
@@ -40,10 +55,28 @@
 	changedAt time.Time
 }
 
-// Reports returns what other hosts are to be told, including what they have told this one.
-func (t *Table) Reports(now time.Time) []Report {
+// Findings returns what other hosts are to be told, including what they have told this one.
+func (t *Table) Findings(now time.Time) Findings {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	return Findings{Parts: t.reports(now), Alive: t.refutations(now)}
+}
+
+// refutations returns the instances of which endings were refuted lately; the caller holds the lock.
+func (t *Table) refutations(now time.Time) []Alive {
+	var found []Alive
+	for _, instance := range t.alive.Keys() {
+		if known, _ := t.alive.Peek(instance); !known.refutedAt.IsZero() && now.Sub(known.refutedAt) < tellTime {
+			found = append(found, Alive{Instance: instance, Age: max(now.Sub(known.at), 0)})
+		}
+	}
+	slices.SortFunc(found, func(a, b Alive) int { return cmp.Or(cmp.Compare(a.Age, b.Age), cmp.Compare(a.Instance, b.Instance)) })
+	return found[:min(len(found), maxReports)]
+}
+
+// reports returns what is known of the parts; the caller holds the lock.
+func (t *Table) reports(now time.Time) []Report {
+	t.forgetEnded(now)
 	var found []dated
 	for part := range t.suspects {
 		known := t.current(part, now)
@@ -78,6 +111,19 @@
 	return reports
 }
 
+// forgetEnded removes the instances without endings on record once there are too many; the caller holds the lock.
+func (t *Table) forgetEnded(now time.Time) {
+	if len(t.ended) <= maxEnded {
+		return
+	}
+	clear(t.ended)
+	for part := range t.suspects {
+		for _, ending := range t.current(part, now).endings {
+			t.ended[ending.Instance] = struct{}{}
+		}
+	}
+}
+
 // report returns the report of a part with this record.
 func (r record) report(part PartKey, now time.Time) Report {
 	report := Report{Part: part}
@@ -91,21 +137,23 @@
 }
 
 // Apply records what another host reports.
-func (t *Table) Apply(reports []Report, now time.Time) {
+func (t *Table) Apply(findings Findings, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	for _, alive := range findings.Alive {
+		t.refute(alive.Instance, now.Add(-alive.Age-transitTime), now)
+	}
 	ended := make(map[lavserver.InstanceKey]time.Time)
-	for _, report := range reports {
+	for _, report := range findings.Parts {
 		known := t.current(report.Part, now)
 		for _, ending := range report.Endings {
-			if ending.Age >= lifetime {
+			reported := Ending{Instance: ending.Instance, At: now.Add(-ending.Age), Begun: ending.Begun}
+			if alive, _ := t.alive.Peek(ending.Instance); ending.Age >= lifetime || reported.At.Before(alive.at.Add(transitTime)) {
 				continue
 			}
-			if ending.Begun {
-				t.begun.Add(ending.Instance, struct{}{})
-			}
-			known.endings = with(known.endings, Ending{Instance: ending.Instance, At: now.Add(-ending.Age), Begun: ending.Begun})
-			ended[ending.Instance] = now.Add(-ending.Age)
+			t.noteEnding(reported)
+			known.endings = with(known.endings, reported)
+			ended[ending.Instance] = reported.At
 		}
 		answeredAt := known.answeredAt
 		if reported := now.Add(-report.AnsweredFor); report.Answered && reported.Sub(answeredAt) > reportDelay {
--- a/core/services/lavquarantine/table.go
+++ b/core/services/lavquarantine/table.go
@@ -44,6 +44,8 @@
 	// of such sends on record.
 	dropTime = time.Second
 	maxDrops = 256
+	// maxEnded bounds the instances of endings; beyond it, those without endings on record are removed.
+	maxEnded = 4096
 )
 
 // Table holds which servers ended with which parts of prompts. It is safe for concurrent use.
@@ -56,12 +58,22 @@
 	// suspects are the parts on record that have endings, and cleared those whose endings were removed lately.
 	suspects map[PartKey]struct{}
 	cleared  map[PartKey]struct{}
-	// begun holds the instances that ended with an answer that had begun.
+	// ended holds the instances of the endings on record, and begun those that ended with an answer that had just begun.
+	ended map[lavserver.InstanceKey]struct{}
 	begun *lru.Cache[lavserver.InstanceKey, struct{}]
+	// alive holds when a request was sent to each instance that it answered, the latest one.
+	alive *lru.Cache[lavserver.InstanceKey, proof]
 	// drops holds the latest dropped sends.
 	drops []drop
 }
 
+// proof shows that an instance had not ended at a time.
+type proof struct {
+	at time.Time
+	// refutedAt is when it last removed endings of the instance.
+	refutedAt time.Time
+}
+
 // drop is a send that this host gave up before the server had survived its prompt.
 type drop struct {
 	parts    []PartKey
@@ -72,7 +84,9 @@
 
 // New returns an empty table.
 func New() *Table {
-	t := &Table{suspects: make(map[PartKey]struct{}), cleared: make(map[PartKey]struct{})}
+	t := &Table{
+		suspects: make(map[PartKey]struct{}), cleared: make(map[PartKey]struct{}), ended: make(map[lavserver.InstanceKey]struct{}),
+	}
 	records, err := lru.NewWithEvict(maxParts, func(part PartKey, _ record) {
 		delete(t.suspects, part)
 		delete(t.cleared, part)
@@ -84,7 +98,11 @@
 	if err != nil {
 		panic(err)
 	}
-	t.records, t.begun = records, begun
+	alive, err := lru.New[lavserver.InstanceKey, proof](maxInstances)
+	if err != nil {
+		panic(err)
+	}
+	t.records, t.begun, t.alive = records, begun, alive
 	return t
 }
 
@@ -117,9 +135,10 @@
 
 // end stores an ending with the given parts; the caller holds the lock.
 func (t *Table) end(parts []PartKey, ending Ending, now time.Time) {
-	if ending.Begun {
-		t.begun.Add(ending.Instance, struct{}{})
+	if len(parts) == 0 {
+		return
 	}
+	t.noteEnding(ending)
 	for _, part := range parts {
 		changed := t.current(part, now)
 		changed.endings = with(changed.endings, ending)
@@ -127,6 +146,47 @@
 	}
 }
 
+// noteEnding stores the instance of an ending; the caller holds the lock.
+func (t *Table) noteEnding(ending Ending) {
+	t.ended[ending.Instance] = struct{}{}
+	if ending.Begun {
+		t.begun.Add(ending.Instance, struct{}{})
+	}
+}
+
+// RecordAlive records that an instance answered a request that was sent to it at a time. What looked like its end before was a
+// broken connection.
+func (t *Table) RecordAlive(instance lavserver.InstanceKey, sentAt, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.refute(instance, sentAt, now)
+}
+
+// refute removes the endings of an instance before a time; the caller holds the lock.
+func (t *Table) refute(instance lavserver.InstanceKey, before, now time.Time) {
+	known, _ := t.alive.Get(instance)
+	if !before.After(known.at) {
+		return
+	}
+	known.at = before
+	if _, ended := t.ended[instance]; ended {
+		remaining := false
+		for part := range t.suspects {
+			found := t.current(part, now)
+			if kept := without(found.endings, instance, before); len(kept) < len(found.endings) {
+				found.endings, known.refutedAt = kept, now
+				t.put(part, found)
+			}
+			remaining = remaining || found.hasInstance(instance)
+		}
+		if !remaining {
+			delete(t.ended, instance)
+			t.begun.Remove(instance)
+		}
+	}
+	t.alive.Add(instance, known)
+}
+
 // RecordDropped records that this host gave up a send of a prompt with the given parts. Its server may still work on it for a
 // moment, and end.
 func (t *Table) RecordDropped(parts []PartKey, instance lavserver.InstanceKey, begun bool, now time.Time) {
--- a/core/services/lavquarantine/table_test.go
+++ b/core/services/lavquarantine/table_test.go
@@ -99,7 +99,7 @@
 		}
 		other.RecordEnding(parts("waiting"), instance, false, f.now)
 		f.now = f.now.Add(400 * time.Millisecond)
-		f.Apply(other.Reports(f.now), f.now)
+		f.Apply(other.Findings(f.now), f.now)
 	}
 	is.True(f.quarantined("deadly"))
 	is.True(!f.quarantined("elsewhere"))
@@ -201,7 +201,7 @@
 	is.True(f.quarantined("deadly"))
 	f.now = f.now.Add(lifetime)
 	is.True(!f.quarantined("deadly"))
-	is.Equal(len(f.Reports(f.now)), 0)
+	is.Equal(len(f.Findings(f.now).Parts), 0)
 }
 
 func TestHostsLearnFromReports(t *testing.T) {
@@ -213,20 +213,58 @@
 	other.end(true, "deadly")
 	one.now = other.now.Add(time.Second)
 	other.now = one.now
-	one.Apply(other.Reports(one.now), one.now)
-	other.Apply(one.Reports(one.now), one.now)
-	other.Apply(one.Reports(one.now), one.now) // a report that comes twice counts once
+	one.Apply(other.Findings(one.now), one.now)
+	other.Apply(one.Findings(one.now), one.now)
+	other.Apply(one.Findings(one.now), one.now) // a report that comes twice counts once
 	is.True(one.quarantined("deadly"))
 	is.True(other.quarantined("deadly"))
 	is.Equal(other.Admit(parts("deadly"), first, other.now).Endings, 2)
 	one.answer("deadly")
 	other.now = one.now
-	other.Apply(one.Reports(one.now), one.now)
+	other.Apply(one.Findings(one.now), one.now)
 	is.True(!other.quarantined("deadly"))
-	one.Apply(other.Reports(one.now), one.now)
+	one.Apply(other.Findings(one.now), one.now)
 	is.True(!one.quarantined("deadly"))
 }
 
+// TestServerThatAnswersLaterHasNotEnded guards against sound prompts that are kept from servers because some servers break off
+// answers without ending.
+func TestServerThatAnswersLaterHasNotEnded(t *testing.T) {
+	is := is.New(t)
+	one, other := newFleet(), newFleet()
+	exchange := func() {
+		for range 3 {
+			for _, pair := range [][2]*fleet{{one, other}, {other, one}} {
+				findings := pair[0].Findings(one.now)
+				one.now = one.now.Add(20 * time.Millisecond)
+				other.now = one.now
+				pair[1].Apply(findings, one.now)
+			}
+		}
+	}
+	one.end(true, "sound")
+	one.end(true, "sound")
+	exchange()
+	is.True(one.quarantined("sound"))
+	is.True(other.quarantined("sound"))
+	other.RecordAlive(2, one.now.Add(-time.Minute), one.now) // the request was sent before
+	exchange()
+	is.True(one.quarantined("sound"))
+	sentAt := one.now
+	one.now = one.now.Add(time.Second)
+	other.RecordAlive(2, sentAt, one.now)
+	is.True(!other.quarantined("sound"))
+	exchange()
+	is.True(!one.quarantined("sound"))
+	exchange()
+	is.True(!other.quarantined("sound")) // what others told does not come back
+	one.now = one.now.Add(time.Second)
+	one.RecordEnding(parts("sound"), 2, true, one.now) // now it has ended
+	exchange()
+	is.True(one.quarantined("sound"))
+	is.True(other.quarantined("sound"))
+}
+
 // TestReportsStaySmall guards against messages that grow with each request that ended with a server.
 func TestReportsStaySmall(t *testing.T) {
 	is := is.New(t)
@@ -234,11 +272,11 @@
 	for i := range 500 {
 		f.end(true, fmt.Sprint("own-", i))
 	}
-	is.Equal(len(f.Reports(f.now)), int(tellTime/(500*time.Millisecond))) // one a step
+	is.Equal(len(f.Findings(f.now).Parts), int(tellTime/(500*time.Millisecond))) // one a step
 	f.now = f.now.Add(tellTime)
-	is.Equal(len(f.Reports(f.now)), 0)
+	is.Equal(len(f.Findings(f.now).Parts), 0)
 	f.end(true, "own-1")
 	f.end(true, "own-1")
 	f.now = f.now.Add(tellTime)
-	is.Equal(len(f.Reports(f.now)), 1) // what is kept from servers is told as long as it is
+	is.Equal(len(f.Findings(f.now).Parts), 1) // what is kept from servers is told as long as it is
 }
--- a/core/services/lavreport/node.go
+++ b/core/services/lavreport/node.go
@@ -84,8 +84,8 @@
 
 // Quarantine holds which parts of prompts backend servers ended with.
 type Quarantine interface {
-	Reports(now time.Time) []lavquarantine.Report
-	Apply(reports []lavquarantine.Report, now time.Time)
+	Findings(now time.Time) lavquarantine.Findings
+	Apply(findings lavquarantine.Findings, now time.Time)
 }
 
 // NewsSource returns what this host knows of the store.
@@ -259,7 +259,7 @@
 		message.Notices = n.notices.Reports(now)
 	}
 	if n.parts != nil {
-		message.PromptParts = n.parts.Reports(now)
+		message.PromptParts = n.parts.Findings(now)
 	}
 }
 
--- a/entry/services/lavbroadcast/broadcaster_test.go
+++ b/entry/services/lavbroadcast/broadcaster_test.go
@@ -186,10 +186,13 @@
 		Exchanged: []lavreport.CentreSum{{DataCentre: "centre-b", Sum: sum}}, Members: []lavring.Member{member}, ForwardTo: []string{"127.0.0.1:2"},
 		News:    &lavnews.News{Servers: &lavnews.Edition{Version: 7, Digest: 1 << 63, Age: time.Second}, CutoversRead: true, Address: "127.0.0.1:3"},
 		Notices: []lavnotice.Report{{Instance: 1 << 63, Leaving: true, LeavingFor: time.Second, Pause: 2 * time.Second, LimitKnown: true, Limit: lavnotice.Limit{Stated: true, Rate: 1.2}, LimitFor: time.Minute}},
-		PromptParts: []lavquarantine.Report{{
-			Part: 1 << 63, Answered: true, AnsweredFor: time.Minute,
-			Endings: []lavquarantine.ReportedEnding{{Instance: 5, Age: 2 * time.Second, Begun: true}, {Instance: 6, Age: time.Second}},
-		}},
+		PromptParts: lavquarantine.Findings{
+			Parts: []lavquarantine.Report{{
+				Part: 1 << 63, Answered: true, AnsweredFor: time.Minute,
+				Endings: []lavquarantine.ReportedEnding{{Instance: 5, Age: 2 * time.Second, Begun: true}, {Instance: 6, Age: time.Second}},
+			}},
+			Alive: []lavquarantine.Alive{{Instance: 1 << 62, Age: time.Second}},
+		},
 	}
 	data, err := proto.Marshal(encode(message))
 	is.NoErr(err)
@@ -205,7 +208,10 @@
 	state.PromptParts[0].Begun = nil
 	_, err = decode(&state)
 	is.True(err != nil) // lists of unequal lengths
-	state.PromptParts = nil
+	state.PromptParts, state.AliveMillis = nil, nil
+	_, err = decode(&state)
+	is.True(err != nil) // lists of unequal lengths
+	state.AliveInstances = nil
 	state.Sum.Requests = nil
 	_, err = decode(&state)
 	is.True(err != nil) // lists of unequal lengths
--- a/entry/services/lavbroadcast/decode.go
+++ b/entry/services/lavbroadcast/decode.go
@@ -88,7 +88,7 @@
 			LimitFor:   time.Duration(notice.GetLimitMillis()) * time.Millisecond,
 		})
 	}
-	if message.PromptParts, err = decodeParts(state.GetPromptParts()); err != nil {
+	if message.PromptParts, err = decodeFindings(state); err != nil {
 		return nil, err
 	}
 	for _, member := range state.GetMembers() {
@@ -99,13 +99,20 @@
 	return message, nil
 }
 
-// decodeParts returns the reports of parts of prompts. It fails if the lists of one have unequal lengths.
-func decodeParts(encoded []*lavwire.PromptPart) ([]lavquarantine.Report, error) {
-	var reports []lavquarantine.Report
-	for _, part := range encoded {
+// decodeFindings returns which parts of prompts servers ended with. It fails if lists that belong together have unequal lengths.
+func decodeFindings(state *lavwire.HostState) (lavquarantine.Findings, error) {
+	var findings lavquarantine.Findings
+	if instances, ages := state.GetAliveInstances(), state.GetAliveMillis(); len(instances) != len(ages) {
+		return findings, errors.Errorf("%d backend servers that answered have %d ages", len(instances), len(ages))
+	}
+	for i, instance := range state.GetAliveInstances() {
+		age := time.Duration(state.GetAliveMillis()[i]) * time.Millisecond
+		findings.Alive = append(findings.Alive, lavquarantine.Alive{Instance: lavserver.InstanceKey(instance), Age: age})
+	}
+	for _, part := range state.GetPromptParts() {
 		instances, ages, begun := part.GetInstances(), part.GetAgesMillis(), part.GetBegun()
 		if len(ages) != len(instances) || len(begun) != len(instances) {
-			return nil, errors.Errorf("prompt part with %d backend servers has %d ages and %d states", len(instances), len(ages), len(begun))
+			return findings, errors.Errorf("prompt part with %d backend servers has %d ages and %d states", len(instances), len(ages), len(begun))
 		}
 		report := lavquarantine.Report{
 			Part:        lavquarantine.PartKey(part.GetKey()),
@@ -117,9 +124,9 @@
 				Instance: lavserver.InstanceKey(instance), Age: time.Duration(ages[i]) * time.Millisecond, Begun: begun[i],
 			})
 		}
-		reports = append(reports, report)
+		findings.Parts = append(findings.Parts, report)
 	}
-	return reports, nil
+	return findings, nil
 }
 
 func decodeEdition(edition *lavwire.StoreEdition) *lavnews.Edition {
--- a/entry/services/lavbroadcast/encode.go
+++ b/entry/services/lavbroadcast/encode.go
@@ -124,9 +124,13 @@
 			Limit:         float64(notice.Limit.Rate),
 		})
 	}
-	for _, part := range message.PromptParts {
+	for _, part := range message.PromptParts.Parts {
 		state.PromptParts = append(state.PromptParts, encodePart(part))
 	}
+	for _, alive := range message.PromptParts.Alive {
+		state.AliveInstances = append(state.AliveInstances, uint64(alive.Instance))
+		state.AliveMillis = append(state.AliveMillis, uint32(alive.Age.Milliseconds()))
+	}
 	for _, member := range message.Members {
 		state.Members = append(state.Members, encodeMember(member))
 	}
--- a/entry/services/lavforward/execution.go
+++ b/entry/services/lavforward/execution.go
@@ -195,6 +195,9 @@
 	e.Metrics.serverFirstAnswer.WithLabelValues(string(chosen.Service)).Observe(e.Clock().Sub(now).Seconds())
 	e.health.recordActivity(chosen.Instance(), e.Clock())
 	e.recordNotices(chosen, reply)
+	if !reply.OtherServer {
+		e.Quarantine.RecordAlive(chosen.Instance(), now, e.Clock())
+	}
 	if reply.NotRun {
 		e.flight.settled = true
 		return e.handleRefusal(chosen, reply)
