--- a/entry/services/lavforward/notice_test.go
+++ b/entry/services/lavforward/notice_test.go
@@ -358,7 +358,7 @@
 			clock := &manualClock{now: time.Now()}
 			f := newFixture(4)
 			servers := &limitedServers{limited: "a", clock: clock.Now, reply: test.reply}
-			f.Forwarder.Sender, f.Forwarder.Clock, f.Forwarder.waiting.clock = servers, clock.Now, clock.Now
+			f.Sender, f.Clock, f.waiting.clock = servers, clock.Now, clock.Now
 			for range 100 {
 				request := test.request()
 				request.Arrived = clock.Now()
--- a/entry/services/lavforward/quarantine_test.go
+++ b/entry/services/lavforward/quarantine_test.go
@@ -94,7 +94,7 @@
 	clock := &manualClock{now: time.Now()}
 	f := newFixture(servers)
 	fragile := &fragileServers{clock: clock.Now, endedAt: make(map[lavid.BackendServerID]time.Time)}
-	f.Forwarder.Sender, f.Forwarder.Clock, f.Forwarder.waiting.clock = fragile, clock.Now, clock.Now
+	f.Sender, f.Clock, f.waiting.clock = fragile, clock.Now, clock.Now
 	return f, fragile, clock
 }
 
@@ -128,7 +128,7 @@
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
 			f, _, clock := newFragileFixture(4)
-			f.Forwarder.Sender = failingServers{err}
+			f.Sender = failingServers{err}
 			for range 20 {
 				f.serve(newPromptRequest(clock, "shared", "own"))
 				clock.advance(time.Second)
