--- a/core/services/lavquarantine/table_test.go
+++ b/core/services/lavquarantine/table_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strconv"
 	"testing"
 	"time"
 
@@ -56,6 +57,11 @@
 	is.True(f.quarantined("shared", "deadly", "own-4"))
 	is.True(!f.quarantined("shared", "other", "own-5")) // parts that were answered go on
 	is.Equal(f.Count(f.now), 1)
+	f.end(false, "beside", "deadly")
+	statuses := f.Statuses(f.now)
+	is.Equal(len(statuses), 5) // also the shared part and those of single requests
+	is.True(statuses[0].Quarantined && !statuses[1].Quarantined)
+	is.Equal(statuses[0], Status{Part: strconv.FormatUint(uint64(KeyOf("deadly")), 16), Quarantined: true, Endings: 3, Score: 2.5, LastEnding: f.now})
 }
 
 // TestWaitingPromptsAreNotSuspectedBesideOneThatHadBegun guards against sound prompts that are kept from servers because they
