See a reset that arrived before a late read

A call that may run once counted as sent, and ended with 502, although its server had reset the new connection: the read that waits for the reset had a deadline of 1 to 10 ms, and a process that did not run until then reads without looking at the socket. After the deadline the socket is looked at without waiting, as for idle connections.

--- a/core/modules/lavexchange/conn.go
+++ b/core/modules/lavexchange/conn.go
@@ -71,7 +71,14 @@
 	if !errors.Is(err, os.ErrDeadlineExceeded) {
 		return errors.Wrap(err, "server does not accept the connection")
 	}
-	return errors.Wrap(c.SetReadDeadline(time.Time{}), "clear the deadline")
+	if err := c.SetReadDeadline(time.Time{}); err != nil {
+		return errors.Wrap(err, "clear the deadline")
+	}
+	// A read whose deadline passed before it began does not look at the socket.
+	if !c.silent() {
+		return errors.New("server does not accept the connection")
+	}
+	return nil
 }
 
 // dial opens an IPv4 TCP connection that is closed if its peer stops responding.
@@ -103,9 +110,11 @@
 
 // usable reports whether an idle connection has not expired and has received neither data nor a close.
 func (c *conn) usable(now time.Time) bool {
-	if c.reader.Buffered() > 0 || !now.Before(c.idleDeadline) {
-		return false
-	}
+	return c.reader.Buffered() == 0 && now.Before(c.idleDeadline) && c.silent()
+}
+
+// silent reports, without waiting, whether the connection has received neither data nor a close.
+func (c *conn) silent() bool {
 	syscallConn, ok := c.Conn.(syscall.Conn)
 	if !ok {
 		return false
