--- a/core/services/lavcutover/statistics.go
+++ b/core/services/lavcutover/statistics.go
@@ -215,6 +215,10 @@
 // allowance for chance and for different speeds of single servers.
 var longerSettings = lavrollout.TestSettings{EffectSizes: []float64{0.15, 0.3}, PriorRate: 0.5}
 
+// delayedWeight is the weight of the test on delayed times. Each further test holds back some good releases at the end; half of the
+// weight takes most of that back, while slow releases have far more evidence against them.
+const delayedWeight = 0.5
+
 // samples holds one sample per kind of send.
 type samples map[lavrollout.Stratum]lavrollout.Sample
 
@@ -247,5 +251,5 @@
 	slow := lavrollout.ExcessLikelihoodRatio(tested[1], control[1], settings.Failures)
 	longer := lavrollout.ExcessLikelihoodRatio(tested[2], control[2], longerSettings)
 	delayed := lavrollout.MixedLikelihoodRatio(tested[3], control[3], settings.Failures)
-	return max(failures, slow, longer, delayed)
+	return max(failures, slow, longer, delayedWeight*delayed)
 }
