Refuse without a trial what is not sent; say what each new test guards against

A request that had waited, or whose send had been cancelled, asked for admission only to be refused: if a trial of its part was due just then, the trial was taken and nothing was sent, and the refusal named no time. Found while reading the diff. A request that stops waiting is admitted anew, and a cancelled send asks for the refusal only; the part with the most ends is named. TestPartIsTriedAgainAfterGrowingPauses covers the refusal.

--- a/core/modules/lavevent/splitter_test.go
+++ b/core/modules/lavevent/splitter_test.go
@@ -37,6 +37,7 @@
 	is.Equal(err, ErrEventTooLarge)
 }
 
+// TestEventsAreToldFromOtherText guards against bytes that are no events and are delivered as such.
 func TestEventsAreToldFromOtherText(t *testing.T) {
 	is := is.New(t)
 	var splitter Splitter
--- a/core/modules/lavexchange/endless_test.go
+++ b/core/modules/lavexchange/endless_test.go
@@ -16,7 +16,8 @@
 // maxAcceptedBytes is what a client may take at most of bytes that are no answer, with the buffers of the connection.
 const maxAcceptedBytes = 16 << 20
 
-// TestBytesWithoutEndAreGivenUp guards against a server that sends bytes that are no answer until the connection is closed, which
+// TestBytesWithoutEndAreGivenUp guards against a server that sends bytes that are no answer until the connection is closed,
+// which
 // would fill the memory of the host or hold the request until its deadline.
 func TestBytesWithoutEndAreGivenUp(t *testing.T) {
 	filler := strings.Repeat("x", 32<<10)
--- a/core/modules/lavexchange/response.go
+++ b/core/modules/lavexchange/response.go
@@ -59,7 +59,8 @@
 	r.sendResult <- err
 }
 
-// maxHeadBytes is the number of bytes that are read before the body of the answer, with interim responses and responses to other
+// maxHeadBytes is the number of bytes that are read before the body of the answer, with interim responses and responses to
+// other
 // requests.
 const maxHeadBytes = 256 << 10
 
--- a/core/services/lavcutover/cutover_test.go
+++ b/core/services/lavcutover/cutover_test.go
@@ -373,7 +373,8 @@
 	is.Equal(c.Tick(firstRank, busy, start.Add(23500*time.Millisecond))[0].Progress.State, Complete)
 }
 
-// observeLoadedAndIdle times first events of old servers with a long queue and new ones without, in two kinds. The new ones take
+// observeLoadedAndIdle times first events of old servers with a long queue and new ones without, in two kinds. The new ones
+// take
 // the given multiple of what is expected for their load.
 func observeLoadedAndIdle(c *Cutovers, factor float64) {
 	for i := range 200 {
@@ -398,6 +399,8 @@
 	is.Equal(c.Tick(firstRank, busy, start.Add(12*time.Second))[0].Progress.State, Stopped)
 }
 
+// TestReleaseWithoutLoadCompletes guards against a good release that is stopped because its servers have less load than the
+// old ones.
 func TestReleaseWithoutLoadCompletes(t *testing.T) {
 	for _, factor := range []float64{0.7, 1, 1.2} {
 		is := is.New(t)
--- a/core/services/lavcutover/statistics.go
+++ b/core/services/lavcutover/statistics.go
@@ -215,7 +215,8 @@
 // allowance for chance and for different speeds of single servers.
 var longerSettings = lavrollout.TestSettings{EffectSizes: []float64{0.15, 0.3}, PriorRate: 0.5}
 
-// delayedWeight is the weight of the test on delayed times. Each further test holds back some good releases at the end; half of the
+// delayedWeight is the weight of the test on delayed times. Each further test holds back some good releases at the end; half
+// of the
 // weight takes most of that back, while slow releases have far more evidence against them.
 const delayedWeight = 0.5
 
--- a/core/services/lavnotice/table_test.go
+++ b/core/services/lavnotice/table_test.go
@@ -133,6 +133,7 @@
 	}
 }
 
+// TestLimitIsANumberOfAtLeastZero guards against a limit that cannot be read and stops all requests, or none.
 func TestLimitIsANumberOfAtLeastZero(t *testing.T) {
 	is := is.New(t)
 	for _, rate := range []float64{math.NaN(), math.Inf(1), -0.1} {
--- a/core/services/lavquarantine/admission.go
+++ b/core/services/lavquarantine/admission.go
@@ -44,8 +44,7 @@
 			due = found.lastEnding().Add(pause * time.Duration(rank(part)))
 		}
 		if now.Before(due) || now.Before(found.trialAt.Add(pause)) {
-			decision.Refused, decision.Part, decision.Endings = true, part, len(found.endings)
-			decision.ReturnAfter = max(decision.ReturnAfter, found.lastEnding().Add(pause).Sub(now), minReturnAfter)
+			decision.refuse(part, found, pause, now)
 		}
 	}
 	if decision.Refused || len(held) == 0 {
@@ -59,6 +58,31 @@
 	return Admission{Trial: true}
 }
 
+// Refusal returns the refusal of a prompt with the given parts, without a trial. It is the zero Admission if no part is kept
+// from
+// servers.
+func (t *Table) Refusal(parts []PartKey, now time.Time) Admission {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var decision Admission
+	for _, part := range parts {
+		if found := t.current(part, now); t.isQuarantined(part, found, now) {
+			decision.refuse(part, found, found.trialPause(), now)
+		}
+	}
+	return decision
+}
+
+// refuse refuses a prompt because of a part with the given record, which is tried again after a pause. The part with the most
+// endings is named.
+func (a *Admission) refuse(part PartKey, of record, pause time.Duration, now time.Time) {
+	if len(of.endings) >= a.Endings {
+		a.Part, a.Endings = part, len(of.endings)
+	}
+	a.Refused = true
+	a.ReturnAfter = max(a.ReturnAfter, of.lastEnding().Add(pause).Sub(now), minReturnAfter)
+}
+
 // isAmbiguous reports whether a part outside of a prompt was present at all endings of one in it; the caller holds the lock.
 func (t *Table) isAmbiguous(parts []PartKey, of record, now time.Time) bool {
 	for other := range t.suspects {
--- a/core/services/lavquarantine/table_test.go
+++ b/core/services/lavquarantine/table_test.go
@@ -47,6 +47,8 @@
 
 func (f *fleet) quarantined(ids ...string) bool { return f.Quarantined(parts(ids...), f.now) }
 
+// TestPartIsKeptFromServersAfterTwoEndings guards against a part that ends one server after the other, while parts that are
+// answered beside it go on.
 func TestPartIsKeptFromServersAfterTwoEndings(t *testing.T) {
 	is := is.New(t)
 	f := newFleet()
@@ -89,7 +91,8 @@
 	is.True(f.quarantined("deadly"))
 }
 
-// TestPromptThatWasDroppedIsSuspected guards against a part that ends servers after a host has given its answer up for that of a
+// TestPromptThatWasDroppedIsSuspected guards against a part that ends servers after a host has given its answer up for that of
+// a
 // larger model, also when only another host sees the server end.
 func TestPromptThatWasDroppedIsSuspected(t *testing.T) {
 	is := is.New(t)
@@ -136,6 +139,7 @@
 	is.True(f.quarantined("used")) // five in a row without an answer
 }
 
+// TestEndingsAtTheSameTimeCountOnce guards against prompts that are kept from servers because a rack lost power.
 func TestEndingsAtTheSameTimeCountOnce(t *testing.T) {
 	is := is.New(t)
 	f := newFleet()
@@ -146,6 +150,8 @@
 	is.True(!f.quarantined("part")) // a rack lost power
 }
 
+// TestPartThatExplainsTheEndingsOfOthersClearsThem guards against a sound part that stays kept from servers because it once
+// came with a deadly one.
 func TestPartThatExplainsTheEndingsOfOthersClearsThem(t *testing.T) {
 	is := is.New(t)
 	f := newFleet()
@@ -175,6 +181,8 @@
 	is.True(f.Admit(parts("sound", "deadly"), first, f.now).Refused)
 }
 
+// TestPartIsTriedAgainAfterGrowingPauses guards against a part that is tried by several hosts at once or too often, or never
+// again.
 func TestPartIsTriedAgainAfterGrowingPauses(t *testing.T) {
 	is := is.New(t)
 	f := newFleet()
@@ -186,6 +194,7 @@
 		is.True(refused.Refused)
 		is.Equal(refused.Part, KeyOf("deadly"))
 		is.Equal(refused.ReturnAfter, pause)
+		is.Equal(f.Refusal(parts("deadly", "other"), f.now), refused)
 		f.now = f.now.Add(pause)
 		later := f.Admit(parts("deadly"), func(PartKey) int { return 1 }, f.now)
 		is.True(later.Refused) // another host is first
@@ -199,6 +208,7 @@
 	is.Equal(f.Admit(parts("deadly"), first, f.now), Admission{}) // a trial that was answered ends the quarantine
 }
 
+// TestEndingsAreForgotten guards against a part that is kept from servers, and told to other hosts, for ever.
 func TestEndingsAreForgotten(t *testing.T) {
 	is := is.New(t)
 	f := newFleet()
@@ -210,6 +220,8 @@
 	is.Equal(len(f.Findings(f.now).Parts), 0)
 }
 
+// TestHostsLearnFromReports guards against hosts that each need ends of their own, and against reports that count twice or
+// bring back what was refuted.
 func TestHostsLearnFromReports(t *testing.T) {
 	is := is.New(t)
 	one, other := newFleet(), newFleet()
--- a/core/services/lavrate/limiter_test.go
+++ b/core/services/lavrate/limiter_test.go
@@ -100,6 +100,7 @@
 	}
 }
 
+// TestWouldAllowCountsNothing guards against a rate that is used up by looking for servers.
 func TestWouldAllowCountsNothing(t *testing.T) {
 	is := is.New(t)
 	limiter := New("host-0")
--- a/entry/services/lavbroadcast/broadcaster_test.go
+++ b/entry/services/lavbroadcast/broadcaster_test.go
@@ -82,7 +82,8 @@
 // serverCount is a number of servers whose loads need more than one packet.
 const serverCount = 100
 
-// TestPeersExchangeLoadsAndUnlistedHosts guards against loads that are lost when they need several packets, and against a host that stays unknown because it is missing in the list of the store.
+// TestPeersExchangeLoadsAndUnlistedHosts guards against loads that are lost when they need several packets, and against a host
+// that stays unknown because it is missing in the list of the store.
 func TestPeersExchangeLoadsAndUnlistedHosts(t *testing.T) {
 	is := is.New(t)
 	a, b := newBroadcaster(t, "a"), newBroadcaster(t, "b")
--- a/entry/services/lavbroadcast/decode.go
+++ b/entry/services/lavbroadcast/decode.go
@@ -99,7 +99,8 @@
 	return message, nil
 }
 
-// decodeFindings returns which parts of prompts servers ended with. It fails if lists that belong together have unequal lengths.
+// decodeFindings returns which parts of prompts servers ended with. It fails if lists that belong together have unequal
+// lengths.
 func decodeFindings(state *lavwire.HostState) (lavquarantine.Findings, error) {
 	var findings lavquarantine.Findings
 	if instances, ages := state.GetAliveInstances(), state.GetAliveMillis(); len(instances) != len(ages) {
--- a/entry/services/lavforward/choose.go
+++ b/entry/services/lavforward/choose.go
@@ -249,7 +249,8 @@
 }
 
 // reserve adds the send to the load of the server and records it for the server's release and the prompt cache. It returns
-// false when this host's part of the rate of a cold server, or of a limit that the server states, is used up. release has to follow.
+// false when this host's part of the rate of a cold server, or of a limit that the server states, is used up. release has to
+// follow.
 func (e *execution) reserve(chosen choice, model lavid.ModelID, now time.Time) (*lavload.Job, bool) {
 	if e.isRateLimited(chosen.Row, now) && !e.Cold.Allow(chosen.ID, e.coldRateLimit(), e.Hosts.Hosts(now), now) {
 		return nil, false
--- a/entry/services/lavforward/delivery.go
+++ b/entry/services/lavforward/delivery.go
@@ -324,7 +324,7 @@
 	now := e.Clock()
 	if ctx.Err() != nil && !watchdog.hasFired() {
 		if e.isQuarantined(now) {
-			return stepDone, e.failQuarantined(e.admit(now))
+			return stepDone, e.failQuarantined(e.Quarantine.Refusal(e.parts, now))
 		}
 		return stepDone, e.fail("stream was not complete in time")
 	}
--- a/entry/services/lavforward/endless_test.go
+++ b/entry/services/lavforward/endless_test.go
@@ -122,6 +122,8 @@
 	is.Equal(len(f.sends), 1)
 }
 
+// TestEmptyLinesOfAStreamAreDelivered guards against an answer whose bytes differ from those of its server because empty lines
+// are held back.
 func TestEmptyLinesOfAStreamAreDelivered(t *testing.T) {
 	is := is.New(t)
 	const stream = "\nid: 1\ndata: 1\n\n\n: comment\n\nid: 2\ndata: 2\n\n\n\n"
--- a/entry/services/lavforward/execution.go
+++ b/entry/services/lavforward/execution.go
@@ -99,7 +99,7 @@
 			entry := e.waiting.wait(ctx, e, model)
 			switch {
 			case entry.quarantined:
-				return e.failQuarantined(e.admit(e.Clock()))
+				continue
 			case entry.refused != "":
 				return e.refuse(entry.refused, entry.retryAfter)
 			}
@@ -253,7 +253,7 @@
 		return stepRepeat, Result{}
 	}
 	if requestEnded && e.isQuarantined(now) {
-		return stepDone, e.failQuarantined(e.admit(now))
+		return stepDone, e.failQuarantined(e.Quarantine.Refusal(e.parts, now))
 	}
 	if !requestEnded {
 		switch {
--- a/entry/services/lavforward/forwarder_test.go
+++ b/entry/services/lavforward/forwarder_test.go
@@ -462,7 +462,8 @@
 	is.True(taken >= 60)
 }
 
-// TestServerThatStartedAgainIsJudgedAnew guards against a server that gets little work, or is taken to have prompts in its cache,
+// TestServerThatStartedAgainIsJudgedAnew guards against a server that gets little work, or is taken to have prompts in its
+// cache,
 // because of what an earlier instance under the same ID did before it ended.
 func TestServerThatStartedAgainIsJudgedAnew(t *testing.T) {
 	is := is.New(t)
