--- a/core/modules/lavexchange/endless_test.go
+++ b/core/modules/lavexchange/endless_test.go
@@ -17,8 +17,7 @@
 const maxAcceptedBytes = 16 << 20
 
 // TestBytesWithoutEndAreGivenUp guards against a server that sends bytes that are no answer until the connection is closed,
-// which
-// would fill the memory of the host or hold the request until its deadline.
+// which would fill the memory of the host or hold the request until its deadline.
 func TestBytesWithoutEndAreGivenUp(t *testing.T) {
 	filler := strings.Repeat("x", 32<<10)
 	for name, endless := range map[string]struct{ first, then string }{
--- a/core/modules/lavexchange/response.go
+++ b/core/modules/lavexchange/response.go
@@ -60,8 +60,7 @@
 }
 
 // maxHeadBytes is the number of bytes that are read before the body of the answer, with interim responses and responses to
-// other
-// requests.
+// other requests.
 const maxHeadBytes = 256 << 10
 
 // readHead reads the status and headers. It skips interim responses and responses to other requests.
--- a/core/services/lavcutover/cutover_test.go
+++ b/core/services/lavcutover/cutover_test.go
@@ -374,8 +374,7 @@
 }
 
 // observeLoadedAndIdle times first events of old servers with a long queue and new ones without, in two kinds. The new ones
-// take
-// the given multiple of what is expected for their load.
+// take the given multiple of what is expected for their load.
 func observeLoadedAndIdle(c *Cutovers, factor float64) {
 	for i := range 200 {
 		spread := math.Pow(2, float64(i*37%100)/100)
--- a/core/services/lavcutover/statistics.go
+++ b/core/services/lavcutover/statistics.go
@@ -216,8 +216,7 @@
 var longerSettings = lavrollout.TestSettings{EffectSizes: []float64{0.15, 0.3}, PriorRate: 0.5}
 
 // delayedWeight is the weight of the test on delayed times. Each further test holds back some good releases at the end; half
-// of the
-// weight takes most of that back, while slow releases have far more evidence against them.
+// of the weight takes most of that back, while slow releases have far more evidence against them.
 const delayedWeight = 0.5
 
 // samples holds one sample per kind of send.
--- a/core/services/lavquarantine/admission.go
+++ b/core/services/lavquarantine/admission.go
@@ -59,8 +59,7 @@
 }
 
 // Refusal returns the refusal of a prompt with the given parts, without a trial. It is the zero Admission if no part is kept
-// from
-// servers.
+// from servers.
 func (t *Table) Refusal(parts []PartKey, now time.Time) Admission {
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/core/services/lavquarantine/table_test.go
+++ b/core/services/lavquarantine/table_test.go
@@ -92,8 +92,7 @@
 }
 
 // TestPromptThatWasDroppedIsSuspected guards against a part that ends servers after a host has given its answer up for that of
-// a
-// larger model, also when only another host sees the server end.
+// a larger model, also when only another host sees the server end.
 func TestPromptThatWasDroppedIsSuspected(t *testing.T) {
 	is := is.New(t)
 	f, other := newFleet(), newFleet()
--- a/core/services/lavreport/node.go
+++ b/core/services/lavreport/node.go
@@ -144,8 +144,7 @@
 }
 
 // NewNode returns a node that reports the loads, speeds and cutovers of this host, and applies those of the others to them. As
-// a
-// relay, it passes the news on. The source of news and the observer may be nil.
+// a relay, it passes the news on. The source of news and the observer may be nil.
 func NewNode(peers *Peers, loads *lavload.Table, speeds Speeds, cutovers *lavcutover.Cutovers, news NewsSource, observe AgeObserver, now time.Time) *Node {
 	return &Node{
 		peers: peers, loads: loads, speeds: speeds, cutovers: cutovers, news: news, observe: observe,
--- a/core/services/lavrollout/excess.go
+++ b/core/services/lavrollout/excess.go
@@ -32,8 +32,7 @@
 }
 
 // MixedLikelihoodRatio returns the mean of ExcessLikelihoodRatio over all strata together and over each one alone. It also
-// shows
-// an excess in one stratum while the tested samples of others are better than the control's.
+// shows an excess in one stratum while the tested samples of others are better than the control's.
 func MixedLikelihoodRatio(tested, control map[Stratum]Sample, settings TestSettings) float64 {
 	alone, count := 0.0, 0.0
 	for stratum, sample := range tested {
--- a/entry/services/lavforward/forwarder_test.go
+++ b/entry/services/lavforward/forwarder_test.go
@@ -463,8 +463,7 @@
 }
 
 // TestServerThatStartedAgainIsJudgedAnew guards against a server that gets little work, or is taken to have prompts in its
-// cache,
-// because of what an earlier instance under the same ID did before it ended.
+// cache, because of what an earlier instance under the same ID did before it ended.
 func TestServerThatStartedAgainIsJudgedAnew(t *testing.T) {
 	is := is.New(t)
 	f := newFixture(1)
--- a/entry/services/lavforward/notice.go
+++ b/entry/services/lavforward/notice.go
@@ -28,8 +28,7 @@
 }
 
 // recordLimit records the limit that an answer states, or that it states none. The server of a refusal as another one is not
-// the
-// chosen one. A limit that cannot be read changes nothing.
+// the chosen one. A limit that cannot be read changes nothing.
 func (e *execution) recordLimit(chosen choice, reply *Reply) {
 	switch {
 	case reply.OtherServer:
