--- a/core/services/lavquarantine/admission.go
+++ b/core/services/lavquarantine/admission.go
@@ -9,7 +9,7 @@
 type Admission struct {
 	// Refused states that the prompt is kept from servers because of Part, at which Endings servers have ended.
 	Refused bool
-	Part    PartKey
+	Part    Key
 	Endings int
 	// ReturnAfter is the time after which the caller of a refused prompt may come back.
 	ReturnAfter time.Duration
@@ -18,19 +18,19 @@
 }
 
 // Rank returns the place of this host in the order in which hosts try a part again, zero for the first.
-type Rank func(part PartKey) int
+type Rank func(part Key) int
 
 // Admit decides whether a prompt with the given parts may be sent. A part that is kept from servers is tried again after a
 // pause by the host that is first in order, and after one more pause by each next one, as a trial may not reach the first.
 // Where a part that the prompt does not have explains the same endings, a trial tells which of both it is, and is not delayed.
-func (t *Table) Admit(parts []PartKey, rank Rank, now time.Time) Admission {
+func (t *Table) Admit(parts []Key, rank Rank, now time.Time) Admission {
 	if !t.Suspects() {
 		return Admission{}
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	var decision Admission
-	var held []PartKey
+	var held []Key
 	for _, part := range parts {
 		found := t.current(part, now)
 		if !t.isQuarantined(part, found, now) {
@@ -60,7 +60,7 @@
 
 // Refusal returns the refusal of a prompt with the given parts, without a trial. It is the zero Admission if no part is kept
 // from servers.
-func (t *Table) Refusal(parts []PartKey, now time.Time) Admission {
+func (t *Table) Refusal(parts []Key, now time.Time) Admission {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	var decision Admission
@@ -74,7 +74,7 @@
 
 // refuse refuses a prompt because of a part with the given record, which is tried again after a pause. The part with the most
 // endings is named.
-func (a *Admission) refuse(part PartKey, of record, pause time.Duration, now time.Time) {
+func (a *Admission) refuse(part Key, of record, pause time.Duration, now time.Time) {
 	if len(of.endings) >= a.Endings {
 		a.Part, a.Endings = part, len(of.endings)
 	}
@@ -83,7 +83,7 @@
 }
 
 // isAmbiguous reports whether a part outside of a prompt was present at all endings of one in it; the caller holds the lock.
-func (t *Table) isAmbiguous(parts []PartKey, of record, now time.Time) bool {
+func (t *Table) isAmbiguous(parts []Key, of record, now time.Time) bool {
 	for other := range t.suspects {
 		if slices.Contains(parts, other) {
 			continue
--- a/core/services/lavquarantine/part.go
+++ b/core/services/lavquarantine/part.go
@@ -9,11 +9,11 @@
 	"lavenderswitch/core/models/lavserver"
 )
 
-// PartKey identifies a part of a prompt. It is a hash of the part's ID.
-type PartKey uint64
+// Key identifies a part of a prompt. It is a hash of the part's ID.
+type Key uint64
 
 // KeyOf returns the key of the part with the given ID.
-func KeyOf(id string) PartKey { return PartKey(xxhash.Sum64String(id)) }
+func KeyOf(id string) Key { return Key(xxhash.Sum64String(id)) }
 
 // Ending is the end of a backend server while a prompt with a part was in work there.
 type Ending struct {
--- a/core/services/lavquarantine/report.go
+++ b/core/services/lavquarantine/report.go
@@ -42,7 +42,7 @@
 
 // Report tells other hosts what is known of a part.
 type Report struct {
-	Part    PartKey
+	Part    Key
 	Endings []ReportedEnding
 	// Answered states that the part was last answered AnsweredFor ago.
 	Answered    bool
@@ -125,7 +125,7 @@
 }
 
 // report returns the report of a part with this record.
-func (r record) report(part PartKey, now time.Time) Report {
+func (r record) report(part Key, now time.Time) Report {
 	report := Report{Part: part}
 	for _, ending := range r.endings {
 		report.Endings = append(report.Endings, ReportedEnding{Instance: ending.Instance, Age: max(now.Sub(ending.At), 0), Begun: ending.Begun})
--- a/core/services/lavquarantine/table.go
+++ b/core/services/lavquarantine/table.go
@@ -54,10 +54,10 @@
 	suspectCount atomic.Int64
 
 	mu      sync.Mutex
-	records *lru.Cache[PartKey, record]
+	records *lru.Cache[Key, record]
 	// suspects are the parts on record that have endings, and cleared those whose endings were removed lately.
-	suspects map[PartKey]struct{}
-	cleared  map[PartKey]struct{}
+	suspects map[Key]struct{}
+	cleared  map[Key]struct{}
 	// ended holds the instances of the endings on record, and begun those that ended with an answer that had just begun.
 	ended map[lavserver.InstanceKey]struct{}
 	begun *lru.Cache[lavserver.InstanceKey, struct{}]
@@ -76,7 +76,7 @@
 
 // drop is a send that this host gave up before the server had survived its prompt.
 type drop struct {
-	parts    []PartKey
+	parts    []Key
 	instance lavserver.InstanceKey
 	begun    bool
 	at       time.Time
@@ -85,9 +85,9 @@
 // New returns an empty table.
 func New() *Table {
 	t := &Table{
-		suspects: make(map[PartKey]struct{}), cleared: make(map[PartKey]struct{}), ended: make(map[lavserver.InstanceKey]struct{}),
+		suspects: make(map[Key]struct{}), cleared: make(map[Key]struct{}), ended: make(map[lavserver.InstanceKey]struct{}),
 	}
-	records, err := lru.NewWithEvict(maxParts, func(part PartKey, _ record) {
+	records, err := lru.NewWithEvict(maxParts, func(part Key, _ record) {
 		delete(t.suspects, part)
 		delete(t.cleared, part)
 	})
@@ -107,7 +107,7 @@
 }
 
 // put stores the record of a part; the caller holds the lock.
-func (t *Table) put(part PartKey, changed record) {
+func (t *Table) put(part Key, changed record) {
 	t.records.Add(part, changed)
 	if len(changed.endings) > 0 {
 		t.suspects[part] = struct{}{}
@@ -118,7 +118,7 @@
 }
 
 // current returns the record of a part without endings that are too old; the caller holds the lock.
-func (t *Table) current(part PartKey, now time.Time) record {
+func (t *Table) current(part Key, now time.Time) record {
 	found, _ := t.records.Peek(part)
 	found.endings = after(found.endings, now.Add(-lifetime))
 	return found
@@ -126,7 +126,7 @@
 
 // RecordEnding records that a server ended while it had a prompt with the given parts in work, or just that it ended if there
 // are none. The prompts that were dropped there shortly before are recorded too.
-func (t *Table) RecordEnding(parts []PartKey, instance lavserver.InstanceKey, begun bool, now time.Time) {
+func (t *Table) RecordEnding(parts []Key, instance lavserver.InstanceKey, begun bool, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.end(parts, Ending{Instance: instance, At: now, Begun: begun}, now)
@@ -134,7 +134,7 @@
 }
 
 // end stores an ending with the given parts; the caller holds the lock.
-func (t *Table) end(parts []PartKey, ending Ending, now time.Time) {
+func (t *Table) end(parts []Key, ending Ending, now time.Time) {
 	if len(parts) == 0 {
 		return
 	}
@@ -189,7 +189,7 @@
 
 // RecordDropped records that this host gave up a send of a prompt with the given parts. Its server may still work on it for a
 // moment, and end.
-func (t *Table) RecordDropped(parts []PartKey, instance lavserver.InstanceKey, begun bool, now time.Time) {
+func (t *Table) RecordDropped(parts []Key, instance lavserver.InstanceKey, begun bool, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.drops = append(t.drops[max(0, len(t.drops)+1-maxDrops):], drop{parts: parts, instance: instance, begun: begun, at: now})
@@ -210,7 +210,7 @@
 }
 
 // RecordAnswer records that a server survived an answer to a prompt with the given parts. Their endings do not count any more.
-func (t *Table) RecordAnswer(parts []PartKey, now time.Time) {
+func (t *Table) RecordAnswer(parts []Key, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for _, part := range parts {
@@ -219,7 +219,7 @@
 }
 
 // answer stores that a part was answered at a time; the caller holds the lock.
-func (t *Table) answer(part PartKey, changed record, answeredAt, now time.Time) {
+func (t *Table) answer(part Key, changed record, answeredAt, now time.Time) {
 	if answeredAt.After(changed.answeredAt) {
 		changed.answeredAt = answeredAt
 	}
@@ -256,7 +256,7 @@
 }
 
 // isQuarantined reports whether a part with the given record is kept from servers; the caller holds the lock.
-func (t *Table) isQuarantined(part PartKey, of record, now time.Time) bool {
+func (t *Table) isQuarantined(part Key, of record, now time.Time) bool {
 	if len(of.endings) == 0 {
 		return false
 	}
@@ -265,7 +265,7 @@
 }
 
 // isExplained reports whether another part explains all endings of this one: it was there each time, and at further ones.
-func (t *Table) isExplained(part PartKey, of record, score float64, now time.Time) bool {
+func (t *Table) isExplained(part Key, of record, score float64, now time.Time) bool {
 	for other := range t.suspects {
 		if other == part {
 			continue
@@ -282,7 +282,7 @@
 func (t *Table) Suspects() bool { return t.suspectCount.Load() > 0 }
 
 // Quarantined reports whether prompts with the given parts are kept from servers now.
-func (t *Table) Quarantined(parts []PartKey, now time.Time) bool {
+func (t *Table) Quarantined(parts []Key, now time.Time) bool {
 	if !t.Suspects() {
 		return false
 	}
--- a/core/services/lavquarantine/table_test.go
+++ b/core/services/lavquarantine/table_test.go
@@ -14,8 +14,8 @@
 var start = time.Unix(1_000_000, 0)
 
 // parts returns the keys of the parts of a prompt.
-func parts(ids ...string) []PartKey {
-	keys := make([]PartKey, 0, len(ids))
+func parts(ids ...string) []Key {
+	keys := make([]Key, 0, len(ids))
 	for _, id := range ids {
 		keys = append(keys, KeyOf(id))
 	}
@@ -23,7 +23,7 @@
 }
 
 // first is the rank of the host that tries each part first.
-func first(PartKey) int { return 0 }
+func first(Key) int { return 0 }
 
 // fleet records endings of servers, each of another instance and half a second after the one before.
 type fleet struct {
@@ -171,7 +171,7 @@
 	f.end(true, "sound", "deadly")
 	f.end(true, "sound", "deadly")
 	is.True(f.Admit(parts("sound", "deadly"), first, f.now).Refused)
-	second := func(PartKey) int { return 1 }
+	second := func(Key) int { return 1 }
 	is.True(f.Admit(parts("sound"), second, f.now).Refused) // the first host in order has its turn
 	is.True(f.Admit(parts("sound"), first, f.now).Trial)
 	is.True(f.Admit(parts("sound"), first, f.now).Refused) // one trial at a time
@@ -195,7 +195,7 @@
 		is.Equal(refused.ReturnAfter, pause)
 		is.Equal(f.Refusal(parts("deadly", "other"), f.now), refused)
 		f.now = f.now.Add(pause)
-		later := f.Admit(parts("deadly"), func(PartKey) int { return 1 }, f.now)
+		later := f.Admit(parts("deadly"), func(Key) int { return 1 }, f.now)
 		is.True(later.Refused) // another host is first
 		is.True(f.Admit(parts("deadly"), first, f.now).Trial)
 		is.True(f.Admit(parts("deadly"), first, f.now.Add(time.Second)).Refused) // one trial at a time
--- a/core/services/lavreport/node_test.go
+++ b/core/services/lavreport/node_test.go
@@ -363,7 +363,7 @@
 				host.node.ShareQuarantine(tables[host])
 			}
 			network.run(2*time.Second, nil)
-			deadly := []lavquarantine.PartKey{lavquarantine.KeyOf("deadly")}
+			deadly := []lavquarantine.Key{lavquarantine.KeyOf("deadly")}
 			tables[network.hosts[0]].RecordEnding(deadly, 1, true, network.now)
 			network.run(200*time.Millisecond, nil)
 			tables[network.hosts[size.hosts-1]].RecordEnding(deadly, 2, true, network.now)
--- a/entry/services/lavbroadcast/decode.go
+++ b/entry/services/lavbroadcast/decode.go
@@ -116,7 +116,7 @@
 			return findings, errors.Errorf("prompt part with %d backend servers has %d ages and %d states", len(instances), len(ages), len(begun))
 		}
 		report := lavquarantine.Report{
-			Part:        lavquarantine.PartKey(part.GetKey()),
+			Part:        lavquarantine.Key(part.GetKey()),
 			Answered:    part.GetAnswered(),
 			AnsweredFor: time.Duration(part.GetAnsweredMillis()) * time.Millisecond,
 		}
--- a/entry/services/lavforward/execution.go
+++ b/entry/services/lavforward/execution.go
@@ -33,7 +33,7 @@
 	excluded map[lavid.BackendServerID]bool
 	// parts are the keys of the parts of the prompt that other requests may share. trial states that the prompt may be sent
 	// although servers ended with one of them. endings counts the servers that ended when they began to answer the request.
-	parts   []lavquarantine.PartKey
+	parts   []lavquarantine.Key
 	trial   bool
 	endings int
 	// flight is the current send.
--- a/entry/services/lavforward/quarantine.go
+++ b/entry/services/lavforward/quarantine.go
@@ -25,7 +25,7 @@
 
 // flight is a send whose server has not survived the prompt yet.
 type flight struct {
-	parts  []lavquarantine.PartKey
+	parts  []lavquarantine.Key
 	cancel context.CancelFunc
 	// begun states that the answer has begun and nothing of it has been delivered.
 	begun bool
@@ -71,8 +71,8 @@
 }
 
 // sharedPartKeys returns the keys of the parts of a prompt that other requests may share. The last part is the request's own.
-func sharedPartKeys(prompt Prompt) []lavquarantine.PartKey {
-	var keys []lavquarantine.PartKey
+func sharedPartKeys(prompt Prompt) []lavquarantine.Key {
+	var keys []lavquarantine.Key
 	for _, part := range prompt.Parts[:max(len(prompt.Parts)-1, 0)] {
 		keys = append(keys, lavquarantine.KeyOf(part.ID))
 	}
@@ -95,7 +95,7 @@
 
 // trialRank returns the order in which hosts try a part again.
 func (e *execution) trialRank(now time.Time) lavquarantine.Rank {
-	return func(part lavquarantine.PartKey) int {
+	return func(part lavquarantine.Key) int {
 		members := lavring.Ranked(e.Hosts.Hosts(now), fmt.Sprintf("prompt part %x", uint64(part)))
 		for rank, member := range members {
 			if member.ID == e.HostID {
