Log a key of the request with each lost send

The log could not show whether the requests at successive ends were the same: each try has an ID of its own. The lines send failed and stream broke off now have request_key, a hash of method, host name, path, client account and body. No decision depends on it yet.

--- a/core/services/lavquarantine/dump.go
+++ b/core/services/lavquarantine/dump.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"slices"
-	"strconv"
 	"time"
 )
 
@@ -28,7 +27,7 @@
 			continue
 		}
 		statuses = append(statuses, Status{
-			Part: strconv.FormatUint(uint64(part), 16), Quarantined: t.isQuarantined(part, found, now), Endings: len(found.endings),
+			Part: part.String(), Quarantined: t.isQuarantined(part, found, now), Endings: len(found.endings),
 			Score: t.score(found), LastEnding: found.lastEnding(),
 		})
 	}
--- a/core/services/lavquarantine/table_test.go
+++ b/core/services/lavquarantine/table_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"strconv"
 	"testing"
 	"time"
 
@@ -63,7 +62,7 @@
 	statuses := f.Statuses(f.now)
 	is.Equal(len(statuses), 5) // also the shared part and those of single requests
 	is.True(statuses[0].Quarantined && !statuses[1].Quarantined)
-	is.Equal(statuses[0], Status{Part: strconv.FormatUint(uint64(KeyOf("deadly")), 16), Quarantined: true, Endings: 3, Score: 2.5, LastEnding: f.now})
+	is.Equal(statuses[0], Status{Part: KeyOf("deadly").String(), Quarantined: true, Endings: 3, Score: 2.5, LastEnding: f.now})
 }
 
 // TestWaitingPromptsAreNotSuspectedBesideOneThatHadBegun guards against sound prompts that are kept from servers because they
@@ -297,3 +296,14 @@
 	f.now = f.now.Add(tellTime)
 	is.Equal(len(f.Findings(f.now).Parts), 1) // what is kept from servers is told as long as it is
 }
+
+// TestKeyOfARequestDependsOnEachOfItsTexts guards against requests that count as the same although they differ.
+func TestKeyOfARequestDependsOnEachOfItsTexts(t *testing.T) {
+	is := is.New(t)
+	key := KeyOfRequest([]byte("body"), "POST", "/path")
+	is.Equal(key, KeyOfRequest([]byte("body"), "POST", "/path"))
+	is.True(key != KeyOfRequest([]byte("other"), "POST", "/path"))
+	is.True(key != KeyOfRequest([]byte("body"), "POST", "/other"))
+	is.True(key != KeyOfRequest([]byte("body"), "POST/", "path"))
+	is.True(key != KeyOfRequest(nil, "POST", "/path", "body"))
+}
--- a/entry/services/lavforward/request.go
+++ b/entry/services/lavforward/request.go
@@ -10,6 +10,7 @@
 	"lavenderswitch/core/models/lavroute"
 	"lavenderswitch/core/models/lavserver"
 	"lavenderswitch/core/services/lavnotice"
+	"lavenderswitch/core/services/lavquarantine"
 )
 
 // Part is one part of a prompt, identified so that requests with the same part can share its cache.
@@ -71,6 +72,11 @@
 	return r.Account.ID
 }
 
+// key returns the key of the whole request. It is the same for each try of a caller, whose IDs differ.
+func (r *Request) key() lavquarantine.Key {
+	return lavquarantine.KeyOfRequest(r.Body, r.Method, r.HostName, r.Target, string(r.AccountID()))
+}
+
 // Dispatch is one send of a request to one backend server.
 type Dispatch struct {
 	*Request
--- a/entry/services/lavforward/send_log.go
+++ b/entry/services/lavforward/send_log.go
@@ -102,9 +102,10 @@
 // maxLoggedParts is the number of parts of a prompt that a log line names. The parts that requests share come first.
 const maxLoggedParts = 8
 
-// progressFields adds the parts of the prompt to the fields of a send that got no whole answer, so that sends that ended with
-// their servers can be compared.
+// progressFields adds the key of the request and the parts of its prompt to the fields of a send that got no whole answer, so
+// that sends that ended with their servers can be compared.
 func (e *execution) progressFields(fields logrus.Fields) logrus.Fields {
+	fields["request_key"] = e.request.key().String()
 	if len(e.request.Prompt.Parts) == 0 {
 		return fields
 	}
--- a/entry/services/lavforward/send_log_test.go
+++ b/entry/services/lavforward/send_log_test.go
@@ -10,6 +10,7 @@
 	"github.com/sirupsen/logrus"
 	"github.com/sirupsen/logrus/hooks/test"
 
+	"lavenderswitch/core/models/lavid"
 	"lavenderswitch/core/models/lavroute"
 	"lavenderswitch/core/modules/lavlog"
 )
@@ -44,6 +45,21 @@
 	is.Equal(hook.AllEntries()[1].Data[lavlog.FieldServer], hook.AllEntries()[0].Data[lavlog.FieldServer])
 }
 
+// TestLostSendsOfTheSameRequestHaveTheSameKeyInTheLog guards against tries of one request that cannot be told from tries of
+// different requests, since each has an ID of its own.
+func TestLostSendsOfTheSameRequestHaveTheSameKeyInTheLog(t *testing.T) {
+	is := is.New(t)
+	keyOf := func(id lavid.RequestID, body string) any {
+		request := newRequest(lavroute.OnceOnly)
+		request.ID, request.Body = id, []byte(body)
+		_, hook := serveLogged(newFixture(1, loseSend(true)), request)
+		return hook.AllEntries()[0].Data["request_key"]
+	}
+	is.True(keyOf("first", "body") != nil)
+	is.Equal(keyOf("first", "body"), keyOf("second", "body"))
+	is.True(keyOf("first", "body") != keyOf("first", "other"))
+}
+
 func TestLateAndRepeatedRequestsLogEverySend(t *testing.T) {
 	is := is.New(t)
 	late := newRequest(lavroute.Idempotent)
