Reproduce one request that ends servers again and again

Three servers, 1 to 68 hosts, and a request with the same path, client account and body that comes each 150 ms for ten minutes at random hosts, of which one is cut off for a while and one starts again. The test also asks that sound requests are answered whenever servers have started again.

--- a/entry/services/lavforward/quarantine_test.go
+++ b/entry/services/lavforward/quarantine_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net/http"
 	"slices"
 	"sync"
@@ -16,7 +17,9 @@
 
 	"lavenderswitch/core/models/lavid"
 	"lavenderswitch/core/models/lavroute"
+	"lavenderswitch/core/models/lavserver"
 	"lavenderswitch/core/modules/lavexchange"
+	"lavenderswitch/core/modules/lavring"
 )
 
 // manualClock is a clock that a test advances.
@@ -159,3 +162,175 @@
 		})
 	}
 }
+
+// crashingServer is a server that ends with each deadly request that it begins, and starts again as another instance.
+type crashingServer struct {
+	lavserver.Server
+	downUntil time.Time
+}
+
+// crashSimulation plays hosts that share servers which end with one request. Requests and replies take no time.
+type crashSimulation struct {
+	now     time.Time
+	start   time.Time
+	servers []*crashingServer
+	hosts   []*Forwarder
+	// afterHead makes servers end after the head of the answer.
+	afterHead bool
+	// ends holds when a server ended, and deadlySends when the deadly request reached one.
+	ends        []time.Time
+	deadlySends []time.Time
+}
+
+const (
+	// crashDowntime is how long a server is down, and crashExchange how often hosts hear of each other.
+	crashDowntime = 3 * time.Second
+	crashExchange = 400 * time.Millisecond
+	deadlyBody    = "deadly"
+)
+
+func (s *crashSimulation) Send(_ context.Context, dispatch Dispatch) (*Reply, error) {
+	for _, server := range s.servers {
+		if server.SameInstance(dispatch.Server) && !s.now.Before(server.downUntil) {
+			if string(dispatch.Body) != deadlyBody {
+				return replyWith(http.StatusOK, "id: 1\ndata: 1\n\n")(dispatch)
+			}
+			s.deadlySends, s.ends = append(s.deadlySends, s.now), append(s.ends, s.now)
+			server.downUntil = s.now.Add(crashDowntime)
+			server.Born = server.downUntil
+			if s.afterHead {
+				return &Reply{Status: http.StatusOK, Header: http.Header{}, Signed: true, Body: io.NopCloser(endedReader{})}, nil
+			}
+			return nil, errors.Wrap(io.ErrUnexpectedEOF, "connection ended")
+		}
+	}
+	return nil, lavexchange.ErrExchange{Reason: "connection refused"}
+}
+
+// newCrashSimulation returns a simulation with the given numbers of servers and hosts.
+func newCrashSimulation(servers, hostCount int) *crashSimulation {
+	start := time.Unix(1000, 0)
+	s := &crashSimulation{now: start, start: start}
+	for i := range servers {
+		s.servers = append(s.servers, &crashingServer{Server: lavserver.Server{
+			ID: lavid.BackendServerID(fmt.Sprint("server-", i)), Service: service, Address: fmt.Sprint("10.0.0.", i, ":1"), DataCentre: "centre-a", Release: "v1", Slots: 8, Born: start,
+		}})
+	}
+	var members hosts
+	for i := range hostCount {
+		members = append(members, lavring.Member{ID: lavid.HostID(fmt.Sprint("host-", i)), DataCentre: "centre-a"})
+	}
+	for _, member := range members {
+		s.hosts = append(s.hosts, s.newHost(member, members))
+	}
+	return s
+}
+
+// newHost returns a host that has just started.
+func (s *crashSimulation) newHost(member lavring.Member, members hosts) *Forwarder {
+	f := newFixture(0)
+	f.Sender, f.Hosts, f.HostID = s, members, member.ID
+	f.Clock = func() time.Time { return s.now }
+	f.waiting.clock = f.Clock
+	return f.Forwarder
+}
+
+// exchange lists the servers at all hosts, and tells each host what the others found, apart from the one that is cut off.
+func (s *crashSimulation) exchange(cutOff int) {
+	var listing []lavserver.Server
+	for _, server := range s.servers {
+		if !s.now.Before(server.downUntil) {
+			listing = append(listing, server.Server)
+		}
+	}
+	for i, host := range s.hosts {
+		host.Directory.ApplyListing(listing, s.now)
+		for j, other := range s.hosts {
+			if i != j && i != cutOff && j != cutOff {
+				host.Quarantine.Apply(other.Quarantine.Findings(s.now), s.now)
+			}
+		}
+		host.CancelQuarantined(s.now)
+	}
+}
+
+// TestRequestThatEndsServersIsSentToFewOfThem guards against a request that ends each server which begins it, and that callers
+// send again and again to any host, while other requests of the same account and path are to be answered.
+func TestRequestThatEndsServersIsSentToFewOfThem(t *testing.T) {
+	prompt := Prompt{Parts: []Part{{ID: "shared", Tokens: 100}, {ID: "own", Tokens: 100}}, Input: 200}
+	for name, test := range map[string]struct {
+		kind      lavroute.Kind
+		prompt    Prompt
+		afterHead bool
+		hosts     int
+	}{
+		"plain":              {lavroute.Idempotent, Prompt{}, false, 6},
+		"once only":          {lavroute.OnceOnly, Prompt{}, false, 6},
+		"begun answer":       {lavroute.Idempotent, Prompt{}, true, 6},
+		"stream":             {lavroute.Streaming, prompt, true, 6},
+		"waiting stream":     {lavroute.Streaming, prompt, false, 6},
+		"prompt of one part": {lavroute.Streaming, Prompt{Parts: prompt.Parts[1:], Input: 100}, true, 6},
+		"a single host":      {lavroute.Idempotent, Prompt{}, false, 1},
+		"tens of hosts":      {lavroute.Idempotent, Prompt{}, false, 68},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			random := rand.New(rand.NewPCG(7, uint64(test.hosts)))
+			s := newCrashSimulation(3, test.hosts)
+			s.afterHead = test.afterHead
+			request := func(body string) *Request {
+				request := newRequest(test.kind)
+				request.ID, request.Body = lavid.RequestID(fmt.Sprint("request-", s.now.Sub(s.start))), []byte(body)
+				request.Account = &lavroute.Account{ID: "account"}
+				request.Arrived, request.Deadline = s.now, s.now.Add(4*time.Second)
+				if test.prompt.Input > 0 {
+					request.Service.Engine = &lavroute.Engine{Slots: 8, Capacity: 100000, EventTokens: 3}
+					request.Prompt = test.prompt
+				}
+				return request
+			}
+			const (
+				length   = 10 * time.Minute
+				interval = 150 * time.Millisecond
+			)
+			refused := 0
+			for at := time.Duration(0); at < length; at += interval / 3 {
+				s.now = s.start.Add(at)
+				cutOff := -1
+				if at > 30*time.Second && at < 50*time.Second {
+					cutOff = 1
+				}
+				if at == time.Minute && test.hosts > 1 {
+					host := s.hosts[2]
+					s.hosts[2] = s.newHost(lavring.Member{ID: host.HostID, DataCentre: "centre-a"}, host.Hosts.(hosts))
+				}
+				if at%crashExchange == 0 {
+					s.exchange(cutOff)
+				}
+				host := s.hosts[random.IntN(len(s.hosts))]
+				if at%interval == 0 {
+					_, result := s.serve(host, request(deadlyBody))
+					is.True(result.Refusal != nil || result.Broken)
+				}
+				if _, result := s.serve(host, request(fmt.Sprint("sound-", at))); result.Refusal != nil && len(s.ends) > 0 && s.now.Sub(s.ends[len(s.ends)-1]) > crashDowntime+crashExchange {
+					refused++
+				}
+			}
+			is.True(len(s.ends) >= 3)
+			late := 0
+			for _, at := range s.deadlySends {
+				if at.After(s.ends[2].Add(3 * time.Second)) {
+					late++
+				}
+			}
+			t.Logf("%d servers ended, %d of them later than 3 s after the third; %d sound requests were refused although servers had started again", len(s.ends), late, refused)
+			is.True(late <= 3)
+			is.Equal(refused, 0)
+		})
+	}
+}
+
+func (s *crashSimulation) serve(host *Forwarder, request *Request) (*recordedAnswer, Result) {
+	answer := &recordedAnswer{}
+	return answer, host.Serve(context.Background(), request, answer)
+}
