--- a/core/services/lavquarantine/admission.go
+++ b/core/services/lavquarantine/admission.go
@@ -1,29 +1,26 @@
 package lavquarantine
 
-import (
-	"slices"
-	"time"
-)
+import "time"
 
-// Admission is the decision on a prompt.
+// Admission is the decision on a request.
 type Admission struct {
-	// Refused states that the prompt is kept from servers because of Part, at which Endings servers have ended.
+	// Refused states that the request is kept from servers because of Key, at which Endings servers have ended.
 	Refused bool
-	Part    Key
+	Key     Key
 	Endings int
-	// ReturnAfter is the time after which the caller of a refused prompt may come back.
+	// ReturnAfter is the time after which the caller of a refused request may come back.
 	ReturnAfter time.Duration
-	// Trial states that the prompt may be sent once, although servers ended with a part of it.
+	// Trial states that the request may be sent once, although servers ended with Key.
 	Trial bool
 }
 
-// Rank returns the place of this host in the order in which hosts try a part again, zero for the first.
-type Rank func(part Key) int
+// Rank returns the place of this host in the order in which hosts try a key again, zero for the first.
+type Rank func(key Key) int
 
-// Admit decides whether a prompt with the given parts may be sent. A part that is kept from servers is tried again after a
-// pause by the host that is first in order, and after one more pause by each next one, as a trial may not reach the first.
-// Where a part that the prompt does not have explains the same endings, a trial tells which of both it is, and is not delayed.
-func (t *Table) Admit(parts []Key, rank Rank, now time.Time) Admission {
+// Admit decides whether a request with the given keys may be sent. One that is kept from servers is tried again after a pause
+// by the host that is first in order, and after one more pause by each next one, as a trial may not reach the first. Where a
+// key that the request does not have explains the same endings, a trial tells which of both it is, and is not delayed.
+func (t *Table) Admit(keys Keys, rank Rank, now time.Time) Admission {
 	if !t.Suspects() {
 		return Admission{}
 	}
@@ -31,61 +28,73 @@
 	defer t.mu.Unlock()
 	var decision Admission
 	var held []Key
-	for _, part := range parts {
-		found := t.current(part, now)
-		if !t.isQuarantined(part, found, now) {
-			continue
+	keys.each(func(key Key, _ bool) {
+		found := t.current(key, now)
+		if !t.isQuarantined(key, found, now) {
+			return
 		}
-		held = append(held, part)
-		pause := found.trialPause()
-		due := found.lastEnding().Add(pause * time.Duration(1+rank(part)))
-		if t.isAmbiguous(parts, found, now) {
+		held = append(held, key)
+		pause := t.trialPause(found)
+		due := found.lastEnding().Add(pause * time.Duration(1+rank(key)))
+		if t.isAmbiguous(keys, found, now) {
 			pause = ambiguousTrialPause
-			due = found.lastEnding().Add(pause * time.Duration(rank(part)))
+			due = found.lastEnding().Add(pause * time.Duration(rank(key)))
 		}
 		if now.Before(due) || now.Before(found.trialAt.Add(pause)) {
-			decision.refuse(part, found, pause, now)
+			decision.refuse(key, found, pause, now)
+			t.recordRefusal(key, found, now)
 		}
-	}
+	})
 	if decision.Refused || len(held) == 0 {
 		return decision
 	}
-	for _, part := range held {
-		found := t.current(part, now)
+	for _, key := range held {
+		found := t.current(key, now)
 		found.trialAt = now
-		t.put(part, found)
+		t.put(key, found)
 	}
-	return Admission{Trial: true}
+	return Admission{Trial: true, Key: held[len(held)-1]}
 }
 
-// Refusal returns the refusal of a prompt with the given parts, without a trial. It is the zero Admission if no part is kept
+// Refusal returns the refusal of a request with the given keys, without a trial. It is the zero Admission if it is not kept
 // from servers.
-func (t *Table) Refusal(parts []Key, now time.Time) Admission {
+func (t *Table) Refusal(keys Keys, now time.Time) Admission {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	var decision Admission
-	for _, part := range parts {
-		if found := t.current(part, now); t.isQuarantined(part, found, now) {
-			decision.refuse(part, found, found.trialPause(), now)
+	keys.each(func(key Key, _ bool) {
+		if found := t.current(key, now); t.isQuarantined(key, found, now) {
+			decision.refuse(key, found, t.trialPause(found), now)
+			t.recordRefusal(key, found, now)
 		}
-	}
+	})
 	return decision
 }
 
-// refuse refuses a prompt because of a part with the given record, which is tried again after a pause. The part with the most
+// recordRefusal stores that a whole request was refused, so that it stays on record while callers send it; the caller holds the
+// lock.
+func (t *Table) recordRefusal(key Key, refused record, now time.Time) {
+	if refused.whole {
+		refused.refusedAt = now
+		t.put(key, refused)
+	}
+}
+
+// refuse refuses a request because of a key with the given record, which is tried again after a pause. The key with the most
 // endings is named.
-func (a *Admission) refuse(part Key, of record, pause time.Duration, now time.Time) {
+func (a *Admission) refuse(key Key, of record, pause time.Duration, now time.Time) {
 	if len(of.endings) >= a.Endings {
-		a.Part, a.Endings = part, len(of.endings)
+		a.Key, a.Endings = key, len(of.endings)
 	}
 	a.Refused = true
 	a.ReturnAfter = max(a.ReturnAfter, of.lastEnding().Add(pause).Sub(now), minReturnAfter)
 }
 
-// isAmbiguous reports whether a part outside of a prompt was present at all endings of one in it; the caller holds the lock.
-func (t *Table) isAmbiguous(parts []Key, of record, now time.Time) bool {
+// isAmbiguous reports whether a key that a request does not have was present at all endings of one that it has; the caller
+// holds the lock.
+func (t *Table) isAmbiguous(keys Keys, of record, now time.Time) bool {
 	for other := range t.suspects {
-		if slices.Contains(parts, other) {
+		if keys.contains(other) {
 			continue
 		}
 		found := t.current(other, now)
--- a/core/services/lavquarantine/dump.go
+++ b/core/services/lavquarantine/dump.go
@@ -6,30 +6,35 @@
 	"time"
 )
 
-// Status is the state of a suspected part for the state dump, which uses the field names as keys.
+// Status is the state of a suspected part or request for the state dump, which uses the field names as keys.
 type Status struct {
-	// Part is the key of the part in hexadecimal digits.
-	Part        string
+	// Part is the key of the part of prompts, and Request that of the whole request; the other one is empty.
+	Part        string `json:",omitempty"`
+	Request     string `json:",omitempty"`
 	Quarantined bool
 	Endings     int
 	Score       float64
 	LastEnding  time.Time
 }
 
-// Statuses returns the parts that servers ended with since they were last answered, those that are kept from servers first.
+// Statuses returns the parts and requests that servers ended with since they were last answered, those that are kept from
+// servers first.
 func (t *Table) Statuses(now time.Time) []Status {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	statuses := make([]Status, 0, len(t.suspects))
-	for part := range t.suspects {
-		found := t.current(part, now)
+	for key := range t.suspects {
+		found := t.current(key, now)
 		if len(found.endings) == 0 {
 			continue
 		}
-		statuses = append(statuses, Status{
-			Part: part.String(), Quarantined: t.isQuarantined(part, found, now), Endings: len(found.endings),
-			Score: t.score(found), LastEnding: found.lastEnding(),
-		})
+		status := Status{Quarantined: t.isQuarantined(key, found, now), Endings: len(found.endings), Score: t.score(found), LastEnding: found.lastEnding()}
+		if found.whole {
+			status.Request = key.String()
+		} else {
+			status.Part = key.String()
+		}
+		statuses = append(statuses, status)
 	}
 	slices.SortFunc(statuses, func(a, b Status) int {
 		if a.Quarantined != b.Quarantined {
@@ -38,7 +43,7 @@
 			}
 			return 1
 		}
-		return cmp.Or(b.LastEnding.Compare(a.LastEnding), cmp.Compare(a.Part, b.Part))
+		return cmp.Or(b.LastEnding.Compare(a.LastEnding), cmp.Compare(a.Part, b.Part), cmp.Compare(a.Request, b.Request))
 	})
 	return statuses
 }
--- a/core/services/lavquarantine/part.go
+++ b/core/services/lavquarantine/part.go
@@ -27,27 +27,60 @@
 	return Key(digest.Sum64())
 }
 
+// Keys are the keys of a request. Request is zero if only parts of its prompt are of interest.
+type Keys struct {
+	// Parts are the parts of the prompt that other requests may share.
+	Parts   []Key
+	Request Key
+}
+
+// each calls a function with each key, and whether it is that of the whole request.
+func (k Keys) each(call func(key Key, whole bool)) {
+	for _, part := range k.Parts {
+		call(part, false)
+	}
+	if k.Request != 0 {
+		call(k.Request, true)
+	}
+}
+
+// contains reports whether a key is among the keys.
+func (k Keys) contains(key Key) bool {
+	return key == k.Request || slices.Contains(k.Parts, key)
+}
+
 // String returns the key as logs and state dumps show it, in hexadecimal digits.
 func (k Key) String() string { return strconv.FormatUint(uint64(k), 16) }
 
-// Ending is the end of a backend server while a prompt with a part was in work there.
+// Ending is the end of a backend server while a request was in work there.
 type Ending struct {
 	Instance lavserver.InstanceKey
-	At       time.Time
-	// Begun states that the server had begun to answer the prompt and had not delivered anything of the answer yet.
+	// SentAt is when the request was sent to the server; zero if that is not known.
+	SentAt time.Time
+	At     time.Time
+	// Begun states that the server had begun to answer the request and had not delivered anything of the answer yet.
 	Begun bool
 }
 
-// record is what is known of a part.
+// isSimultaneous reports whether a server ended at the same time as another one before, such as those of a rack that loses
+// power. A request that was sent after the end of the other one shows that it was not.
+func (e Ending) isSimultaneous(before Ending) bool {
+	return e.At.Sub(before.At) < simultaneous && e.SentAt.Before(before.At)
+}
+
+// record is what is known of a part of prompts or of a whole request.
 type record struct {
-	// endings are those since the part was last answered, one for each instance, in order of time.
+	// whole states that it is a whole request.
+	whole bool
+	// endings are those since the last answer, one for each instance, in order of time.
 	endings []Ending
-	// answeredAt is when a server was last known to have survived an answer to a prompt with the part, and clearedAt when such
-	// an answer last removed endings.
+	// answeredAt is when a server was last known to have survived an answer, and clearedAt when an answer last removed endings.
 	answeredAt time.Time
 	clearedAt  time.Time
-	// trialAt is when this host last let a prompt with the part pass as a trial.
+	// trialAt is when this host last let a request pass as a trial.
 	trialAt time.Time
+	// refusedAt is when any host last refused a whole request.
+	refusedAt time.Time
 }
 
 // with returns the endings with one more. Of two for the same instance, the earlier counts, as begun if one of them is.
@@ -58,7 +91,7 @@
 		if ending.Instance == added.Instance {
 			added.Begun = added.Begun || ending.Begun
 			if ending.At.Before(added.At) {
-				added.At = ending.At
+				added.At, added.SentAt = ending.At, ending.SentAt
 			}
 		}
 	}
@@ -116,31 +149,30 @@
 	return false
 }
 
-// requiredScore returns the score from which the part is kept from servers.
-func (r record) requiredScore() float64 {
-	if !r.answeredAt.IsZero() && r.endings[0].At.Sub(r.answeredAt) < answerMemory {
-		return answeredScore
+// lifetime returns how long the endings count.
+func (r record) lifetime() time.Duration {
+	if r.whole {
+		return requestLifetime
 	}
-	return unansweredScore
+	return partLifetime
 }
 
-// trialPause returns the time after the latest ending before the part is tried again. It grows with each server that ended.
-func (r record) trialPause() time.Duration {
-	pause := firstTrialPause
-	for range max(countGroups(r.endings)-int(unansweredScore), 0) {
-		pause = min(pause*trialPauseFactor, maxTrialPause)
+// withoutExpired returns the record without the endings that are too old. Those of a request that is still refused count on.
+func (r record) withoutExpired(now time.Time) record {
+	if since := now.Add(-r.lifetime()); !r.refusedAt.After(since) {
+		r.endings = after(r.endings, since)
 	}
-	return pause
+	return r
 }
 
-// countGroups returns the number of groups of endings that are not simultaneous.
-func countGroups(endings []Ending) int {
-	count := 0
-	var began time.Time
-	for _, ending := range endings {
-		if count == 0 || ending.At.Sub(began) >= simultaneous {
-			count, began = count+1, ending.At
-		}
+// requiredScore returns the score from which the part or request is kept from servers.
+func (r record) requiredScore() float64 {
+	switch {
+	case r.answeredAt.IsZero() || r.endings[0].At.Sub(r.answeredAt) >= answerMemory:
+		return unansweredScore
+	case r.whole:
+		return answeredRequestScore
+	default:
+		return answeredPartScore
 	}
-	return count
 }
--- a/core/services/lavquarantine/report.go
+++ b/core/services/lavquarantine/report.go
@@ -9,12 +9,13 @@
 )
 
 const (
-	// maxReports is the number of parts in one report; those with the latest changes come first.
+	// maxReports is the number of keys in one report; those that are kept from servers come first, then those with the latest
+	// changes.
 	maxReports = 64
-	// tellTime is how long after a change hosts tell each other of a part that is not kept from servers.
+	// tellTime is how long after a change hosts tell each other of a key that is not kept from servers.
 	tellTime = 30 * time.Second
-	// reportDelay is about how long a report is on its way. An answer that is later by less than this may be one that is known
-	// already, since its time is computed from its age.
+	// reportDelay is about how long a report is on its way. An answer or refusal that is later by less than this may be one that
+	// is known already, since its time is computed from its age.
 	reportDelay = 200 * time.Millisecond
 	// transitTime is about how long a message is on its way, by which reported times are late.
 	transitTime = 50 * time.Millisecond
@@ -25,11 +26,13 @@
 	Instance lavserver.InstanceKey
 	Age      time.Duration
 	Begun    bool
+	// Worked is how long the server had had the request.
+	Worked time.Duration
 }
 
 // Findings are what hosts tell each other.
 type Findings struct {
-	Parts []Report
+	Keys []Report
 	// Alive are the instances of which endings were refuted.
 	Alive []Alive
 }
@@ -40,26 +43,32 @@
 	Age      time.Duration
 }
 
-// Report tells other hosts what is known of a part.
+// Report tells other hosts what is known of a key.
 type Report struct {
-	Part    Key
+	Key Key
+	// Whole states that it is the key of a whole request.
+	Whole   bool
 	Endings []ReportedEnding
-	// Answered states that the part was last answered AnsweredFor ago.
+	// Answered states that it was last answered AnsweredFor ago.
 	Answered    bool
 	AnsweredFor time.Duration
+	// Refused states that a whole request was last refused RefusedFor ago.
+	Refused    bool
+	RefusedFor time.Duration
 }
 
 // dated is a report with the time of the latest change.
 type dated struct {
 	Report
-	changedAt time.Time
+	quarantined bool
+	changedAt   time.Time
 }
 
 // Findings returns what other hosts are to be told, including what they have told this one.
 func (t *Table) Findings(now time.Time) Findings {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return Findings{Parts: t.reports(now), Alive: t.refutations(now)}
+	return Findings{Keys: t.reports(now), Alive: t.refutations(now)}
 }
 
 // refutations returns the instances of which endings were refuted lately; the caller holds the lock.
@@ -74,7 +83,7 @@
 	return found[:min(len(found), maxReports)]
 }
 
-// reports returns what is known of the parts; the caller holds the lock.
+// reports returns what is known of the keys; the caller holds the lock.
 func (t *Table) reports(now time.Time) []Report {
 	t.forgetEnded(now)
 	var found []dated
@@ -87,8 +96,9 @@
 		if t.score(known) == 0 {
 			continue
 		}
-		if now.Sub(known.lastEnding()) < tellTime || t.isQuarantined(part, known, now) {
-			found = append(found, dated{known.report(part, now), known.lastEnding()})
+		quarantined := t.isQuarantined(part, known, now)
+		if now.Sub(known.lastEnding()) < tellTime || quarantined {
+			found = append(found, dated{known.report(part, now), quarantined, known.lastEnding()})
 		}
 	}
 	for part := range t.cleared {
@@ -98,11 +108,17 @@
 			continue
 		}
 		if len(known.endings) == 0 {
-			found = append(found, dated{known.report(part, now), known.clearedAt})
+			found = append(found, dated{known.report(part, now), false, known.clearedAt})
 		}
 	}
 	slices.SortFunc(found, func(a, b dated) int {
-		return cmp.Or(b.changedAt.Compare(a.changedAt), cmp.Compare(a.Part, b.Part))
+		if a.quarantined != b.quarantined {
+			if a.quarantined {
+				return -1
+			}
+			return 1
+		}
+		return cmp.Or(b.changedAt.Compare(a.changedAt), cmp.Compare(a.Key, b.Key))
 	})
 	reports := make([]Report, 0, min(len(found), maxReports))
 	for _, entry := range found[:min(len(found), maxReports)] {
@@ -124,11 +140,18 @@
 	}
 }
 
-// report returns the report of a part with this record.
-func (r record) report(part Key, now time.Time) Report {
-	report := Report{Part: part}
+// report returns the report of a key with this record.
+func (r record) report(key Key, now time.Time) Report {
+	report := Report{Key: key, Whole: r.whole}
 	for _, ending := range r.endings {
-		report.Endings = append(report.Endings, ReportedEnding{Instance: ending.Instance, Age: max(now.Sub(ending.At), 0), Begun: ending.Begun})
+		reported := ReportedEnding{Instance: ending.Instance, Age: max(now.Sub(ending.At), 0), Begun: ending.Begun}
+		if !ending.SentAt.IsZero() {
+			reported.Worked = max(ending.At.Sub(ending.SentAt), 0)
+		}
+		report.Endings = append(report.Endings, reported)
+	}
+	if !r.refusedAt.IsZero() {
+		report.Refused, report.RefusedFor = true, max(now.Sub(r.refusedAt), 0)
 	}
 	if !r.answeredAt.IsZero() {
 		report.Answered, report.AnsweredFor = true, max(now.Sub(r.answeredAt), 0)
@@ -144,22 +167,27 @@
 		t.refute(alive.Instance, now.Add(-alive.Age-transitTime), now)
 	}
 	ended := make(map[lavserver.InstanceKey]time.Time)
-	for _, report := range findings.Parts {
-		known := t.current(report.Part, now)
+	for _, report := range findings.Keys {
+		known := t.current(report.Key, now)
+		known.whole = known.whole || report.Whole
+		if reported := now.Add(-report.RefusedFor); report.Refused && reported.Sub(known.refusedAt) > reportDelay {
+			known.refusedAt = reported
+		}
 		for _, ending := range report.Endings {
-			reported := Ending{Instance: ending.Instance, At: now.Add(-ending.Age), Begun: ending.Begun}
-			if alive, _ := t.alive.Peek(ending.Instance); ending.Age >= lifetime || reported.At.Before(alive.at.Add(transitTime)) {
+			reported := ending.at(now)
+			if alive, _ := t.alive.Peek(ending.Instance); reported.At.Before(alive.at.Add(transitTime)) {
 				continue
 			}
 			t.noteEnding(reported)
 			known.endings = with(known.endings, reported)
 			ended[ending.Instance] = reported.At
 		}
+		known = known.withoutExpired(now)
 		answeredAt := known.answeredAt
 		if reported := now.Add(-report.AnsweredFor); report.Answered && reported.Sub(answeredAt) > reportDelay {
 			answeredAt = reported
 		}
-		t.answer(report.Part, known, answeredAt, now)
+		t.answer(report.Key, known, answeredAt, now)
 	}
 	if len(t.drops) > 0 {
 		for instance, at := range ended {
@@ -167,3 +195,13 @@
 		}
 	}
 }
+
+// at returns the ending of a report that arrives now. The time of sending is left out where the reporting host did not state
+// it.
+func (e ReportedEnding) at(now time.Time) Ending {
+	ending := Ending{Instance: e.Instance, At: now.Add(-e.Age), Begun: e.Begun}
+	if e.Worked > 0 {
+		ending.SentAt = ending.At.Add(-e.Worked)
+	}
+	return ending
+}
--- a/core/services/lavquarantine/table.go
+++ b/core/services/lavquarantine/table.go
@@ -1,7 +1,6 @@
 package lavquarantine
 
 import (
-	"math"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -12,31 +11,37 @@
 )
 
 const (
-	// maxParts bounds the parts on record; the one that was used least recently is removed first. maxInstances bounds the
-	// servers that are known to have ended with an answer that had begun, and maxEndings the endings of a part.
-	maxParts     = 8192
+	// maxRecords bounds the parts and requests on record; the one that was used least recently is removed first. maxInstances
+	// bounds the servers that are known to have ended with an answer that had begun, and maxEndings the endings of a record.
+	maxRecords   = 8192
 	maxInstances = 1024
 	maxEndings   = 8
-	// lifetime is how long an ending counts.
-	lifetime = 10 * time.Minute
-	// begunWeight is what an ending adds to the score of a part if the server had just begun to answer, and besideWeight what it
-	// adds if the prompt waited, or part of the answer had been delivered. A server that ends takes all requests with it.
+	// partLifetime is how long an ending counts against parts of a prompt, and requestLifetime how long it counts against the
+	// whole request, which is longer as no other request is refused because of it.
+	partLifetime    = 10 * time.Minute
+	requestLifetime = time.Hour
+	// begunWeight is what an ending adds to the score if the server had just begun to answer, and besideWeight what it adds to
+	// that of a part if the request waited, or part of the answer had been delivered. A server that ends takes all requests
+	// with it. A whole request is rarely in work by chance at two servers that end.
 	begunWeight  = 1.0
 	besideWeight = 0.5
-	// unansweredScore is the score from which a part is kept from servers, and answeredScore the one for a part that was
-	// answered within answerMemory before its first ending. The score begins anew with each answer.
-	unansweredScore = 2.0
-	answeredScore   = 5.0
-	answerMemory    = time.Minute
+	// unansweredScore is the score from which parts and requests are kept from servers, and the others are those for one that
+	// was answered within answerMemory before its first ending. The score begins anew with each answer.
+	unansweredScore      = 2.0
+	answeredRequestScore = 3.0
+	answeredPartScore    = 5.0
+	answerMemory         = time.Minute
 	// simultaneous is the time within which several endings count as one, such as those of a rack that loses power.
 	simultaneous = 100 * time.Millisecond
-	// firstTrialPause is how long after the latest ending a part is first tried again. Each further ending multiplies the
-	// pause by trialPauseFactor, up to maxTrialPause.
+	// firstTrialPause is how long after the latest ending a part or request is first tried again. Each trial with which a
+	// server ended multiplies the pause by trialPauseFactor, up to maxTrialPause for parts. A whole request is tried
+	// maxRequestTrials times, and then again after requestLifetime.
 	firstTrialPause  = 5 * time.Second
 	trialPauseFactor = 3
 	maxTrialPause    = 5 * time.Minute
-	// ambiguousTrialPause is the time between trials of a part, by one host after the other, while another part explains its
-	// endings as well.
+	maxRequestTrials = 2
+	// ambiguousTrialPause is the time between trials, by one host after the other, while another part or request explains the
+	// same endings.
 	ambiguousTrialPause = time.Second
 	// minReturnAfter is the shortest time after which a caller is asked to come back.
 	minReturnAfter = time.Second
@@ -48,14 +53,14 @@
 	maxEnded = 4096
 )
 
-// Table holds which servers ended with which parts of prompts. It is safe for concurrent use.
+// Table holds which servers ended with which parts of prompts and which requests. It is safe for concurrent use.
 type Table struct {
-	// suspectCount is the number of suspects, so that most prompts are admitted without a look at their parts.
+	// suspectCount is the number of suspects, so that most requests are admitted without a look at their keys.
 	suspectCount atomic.Int64
 
 	mu      sync.Mutex
 	records *lru.Cache[Key, record]
-	// suspects are the parts on record that have endings, and cleared those whose endings were removed lately.
+	// suspects are the keys on record that have endings, and cleared those whose endings were removed lately.
 	suspects map[Key]struct{}
 	cleared  map[Key]struct{}
 	// ended holds the instances of the endings on record, and begun those that ended with an answer that had just begun.
@@ -74,12 +79,24 @@
 	refutedAt time.Time
 }
 
-// drop is a send that this host gave up before the server had survived its prompt.
+// drop is a send that this host gave up before the server had survived it.
 type drop struct {
-	parts    []Key
-	instance lavserver.InstanceKey
-	begun    bool
-	at       time.Time
+	Send
+	at time.Time
+}
+
+// Send is a request at a backend server.
+type Send struct {
+	Keys
+	Instance lavserver.InstanceKey
+	// SentAt is when it was sent, and Begun states that the server had begun to answer it and had not delivered anything yet.
+	SentAt time.Time
+	Begun  bool
+}
+
+// ending returns the end of the server while the request was in work there.
+func (s Send) ending(at time.Time) Ending {
+	return Ending{Instance: s.Instance, SentAt: s.SentAt, At: at, Begun: s.Begun}
 }
 
 // New returns an empty table.
@@ -87,7 +104,7 @@
 	t := &Table{
 		suspects: make(map[Key]struct{}), cleared: make(map[Key]struct{}), ended: make(map[lavserver.InstanceKey]struct{}),
 	}
-	records, err := lru.NewWithEvict(maxParts, func(part Key, _ record) {
+	records, err := lru.NewWithEvict(maxRecords, func(part Key, _ record) {
 		delete(t.suspects, part)
 		delete(t.cleared, part)
 	})
@@ -106,44 +123,50 @@
 	return t
 }
 
-// put stores the record of a part; the caller holds the lock.
-func (t *Table) put(part Key, changed record) {
-	t.records.Add(part, changed)
+// put stores the record of a key; the caller holds the lock.
+func (t *Table) put(key Key, changed record) {
+	t.records.Add(key, changed)
 	if len(changed.endings) > 0 {
-		t.suspects[part] = struct{}{}
+		t.suspects[key] = struct{}{}
 	} else {
-		delete(t.suspects, part)
+		delete(t.suspects, key)
 	}
 	t.suspectCount.Store(int64(len(t.suspects)))
 }
 
-// current returns the record of a part without endings that are too old; the caller holds the lock.
-func (t *Table) current(part Key, now time.Time) record {
-	found, _ := t.records.Peek(part)
-	found.endings = after(found.endings, now.Add(-lifetime))
-	return found
+// current returns the record of a key without endings that are too old; the caller holds the lock.
+func (t *Table) current(key Key, now time.Time) record {
+	found, _ := t.records.Peek(key)
+	return found.withoutExpired(now)
+}
+
+// RecordEnding records that a server ended while it had a request in work. The requests that were dropped there shortly before
+// are recorded too.
+func (t *Table) RecordEnding(send Send, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.end(send, now, now)
+	t.endDropped(send.Instance, now, now)
 }
 
-// RecordEnding records that a server ended while it had a prompt with the given parts in work, or just that it ended if there
-// are none. The prompts that were dropped there shortly before are recorded too.
-func (t *Table) RecordEnding(parts []Key, instance lavserver.InstanceKey, begun bool, now time.Time) {
+// RecordEnded records that a server ended, of which this host had no request in work. The requests that were dropped there
+// shortly before are recorded as in work.
+func (t *Table) RecordEnded(instance lavserver.InstanceKey, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.end(parts, Ending{Instance: instance, At: now, Begun: begun}, now)
 	t.endDropped(instance, now, now)
 }
 
-// end stores an ending with the given parts; the caller holds the lock.
-func (t *Table) end(parts []Key, ending Ending, now time.Time) {
-	if len(parts) == 0 {
-		return
-	}
+// end stores the end of the server of a request at a time; the caller holds the lock.
+func (t *Table) end(send Send, endedAt, now time.Time) {
+	ending := send.ending(endedAt)
 	t.noteEnding(ending)
-	for _, part := range parts {
-		changed := t.current(part, now)
+	send.each(func(key Key, whole bool) {
+		changed := t.current(key, now)
+		changed.whole = whole
 		changed.endings = with(changed.endings, ending)
-		t.put(part, changed)
-	}
+		t.put(key, changed)
+	})
 }
 
 // noteEnding stores the instance of an ending; the caller holds the lock.
@@ -187,21 +210,20 @@
 	t.alive.Add(instance, known)
 }
 
-// RecordDropped records that this host gave up a send of a prompt with the given parts. Its server may still work on it for a
-// moment, and end.
-func (t *Table) RecordDropped(parts []Key, instance lavserver.InstanceKey, begun bool, now time.Time) {
+// RecordDropped records that this host gave up a send. Its server may still work on it for a moment, and end.
+func (t *Table) RecordDropped(send Send, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.drops = append(t.drops[max(0, len(t.drops)+1-maxDrops):], drop{parts: parts, instance: instance, begun: begun, at: now})
+	t.drops = append(t.drops[max(0, len(t.drops)+1-maxDrops):], drop{Send: send, at: now})
 }
 
-// endDropped records the prompts that were dropped at a server that ended at a time; the caller holds the lock.
+// endDropped records the requests that were dropped at a server that ended at a time; the caller holds the lock.
 func (t *Table) endDropped(instance lavserver.InstanceKey, endedAt, now time.Time) {
 	var remaining []drop
 	for _, dropped := range t.drops {
 		switch {
-		case dropped.instance == instance && endedAt.Sub(dropped.at) <= dropTime:
-			t.end(dropped.parts, Ending{Instance: instance, At: endedAt, Begun: dropped.begun}, now)
+		case dropped.Instance == instance && endedAt.Sub(dropped.at) <= dropTime:
+			t.end(dropped.Send, endedAt, now)
 		case now.Sub(dropped.at) <= 2*dropTime:
 			remaining = append(remaining, dropped)
 		}
@@ -209,16 +231,19 @@
 	t.drops = remaining
 }
 
-// RecordAnswer records that a server survived an answer to a prompt with the given parts. Their endings do not count any more.
-func (t *Table) RecordAnswer(parts []Key, now time.Time) {
+// RecordAnswer records that a server survived an answer to a request with the given keys. Their endings do not count any more.
+// Answers to whole requests are kept only of those that are on record, as most requests come once.
+func (t *Table) RecordAnswer(keys Keys, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	for _, part := range parts {
-		t.answer(part, t.current(part, now), now, now)
-	}
+	keys.each(func(key Key, whole bool) {
+		if !whole || t.records.Contains(key) {
+			t.answer(key, t.current(key, now), now, now)
+		}
+	})
 }
 
-// answer stores that a part was answered at a time; the caller holds the lock.
+// answer stores that a part or request was answered at a time; the caller holds the lock.
 func (t *Table) answer(part Key, changed record, answeredAt, now time.Time) {
 	if answeredAt.After(changed.answeredAt) {
 		changed.answeredAt = answeredAt
@@ -230,32 +255,72 @@
 	t.put(part, changed)
 }
 
-// score returns how much speaks against a part; the caller holds the lock. Of simultaneous endings, the one with the largest
-// weight counts. An ending at which the answer to another prompt had just begun says nothing about the prompts beside it.
+// score returns how much speaks against a part or request; the caller holds the lock.
 func (t *Table) score(of record) float64 {
-	score, weight := 0.0, 0.0
-	var began time.Time
+	score := 0.0
+	for _, weight := range t.weights(of) {
+		score += weight
+	}
+	return score
+}
+
+// weights returns the weight of each group of simultaneous endings, which is that of the ending with the largest one; the
+// caller holds the lock.
+func (t *Table) weights(of record) []float64 {
+	var weights []float64
+	var first Ending
 	for i, ending := range of.endings {
-		if i == 0 || ending.At.Sub(began) >= simultaneous {
-			score, weight, began = score+weight, 0, ending.At
+		if i == 0 || !ending.isSimultaneous(first) {
+			weights, first = append(weights, 0), ending
 		}
-		weight = math.Max(weight, t.weight(ending))
+		last := len(weights) - 1
+		weights[last] = max(weights[last], t.weight(ending, of.whole))
 	}
-	return score + weight
+	return weights
 }
 
-func (t *Table) weight(ending Ending) float64 {
+// failedTrials returns the number of endings after those with which the quarantine began; the caller holds the lock.
+func (t *Table) failedTrials(of record) int {
+	score, required := 0.0, of.requiredScore()
+	count := 0
+	for _, weight := range t.weights(of) {
+		if score >= required {
+			count++
+		}
+		score += weight
+	}
+	return count
+}
+
+// trialPause returns the time after the latest ending before the part or request is tried again; the caller holds the lock.
+func (t *Table) trialPause(of record) time.Duration {
+	failed := t.failedTrials(of)
+	if of.whole && failed >= maxRequestTrials {
+		return requestLifetime
+	}
+	pause := firstTrialPause
+	for range failed {
+		pause = min(pause*trialPauseFactor, maxTrialPause)
+	}
+	return pause
+}
+
+// weight returns how much an ending speaks against a part or whole request; the caller holds the lock. One at which the answer
+// to another request had just begun says nothing about those that waited beside it.
+func (t *Table) weight(ending Ending, whole bool) float64 {
 	switch {
 	case ending.Begun:
 		return begunWeight
 	case t.begun.Contains(ending.Instance):
 		return 0
+	case whole:
+		return begunWeight
 	default:
 		return besideWeight
 	}
 }
 
-// isQuarantined reports whether a part with the given record is kept from servers; the caller holds the lock.
+// isQuarantined reports whether a part or request with the given record is kept from servers; the caller holds the lock.
 func (t *Table) isQuarantined(part Key, of record, now time.Time) bool {
 	if len(of.endings) == 0 {
 		return false
@@ -264,7 +329,8 @@
 	return score >= of.requiredScore() && !t.isExplained(part, of, score, now)
 }
 
-// isExplained reports whether another part explains all endings of this one: it was there each time, and at further ones.
+// isExplained reports whether another part or request explains all endings of this one: it was there each time, and at further
+// ones.
 func (t *Table) isExplained(part Key, of record, score float64, now time.Time) bool {
 	for other := range t.suspects {
 		if other == part {
@@ -278,33 +344,35 @@
 	return false
 }
 
-// Suspects reports whether any part is under suspicion.
+// Suspects reports whether any part or request is under suspicion.
 func (t *Table) Suspects() bool { return t.suspectCount.Load() > 0 }
 
-// Quarantined reports whether prompts with the given parts are kept from servers now.
-func (t *Table) Quarantined(parts []Key, now time.Time) bool {
+// Quarantined reports whether requests with the given keys are kept from servers now.
+func (t *Table) Quarantined(keys Keys, now time.Time) bool {
 	if !t.Suspects() {
 		return false
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	for _, part := range parts {
-		if t.isQuarantined(part, t.current(part, now), now) {
-			return true
-		}
-	}
-	return false
+	found := false
+	keys.each(func(key Key, _ bool) {
+		found = found || t.isQuarantined(key, t.current(key, now), now)
+	})
+	return found
 }
 
-// Count returns the number of parts that are kept from servers.
-func (t *Table) Count(now time.Time) int {
+// Counts returns the numbers of parts of prompts and of whole requests that are kept from servers.
+func (t *Table) Counts(now time.Time) (parts, requests int) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	count := 0
-	for part := range t.suspects {
-		if t.isQuarantined(part, t.current(part, now), now) {
-			count++
+	for key := range t.suspects {
+		switch found := t.current(key, now); {
+		case !t.isQuarantined(key, found, now):
+		case found.whole:
+			requests++
+		default:
+			parts++
 		}
 	}
-	return count
+	return parts, requests
 }
--- a/core/services/lavquarantine/table_test.go
+++ b/core/services/lavquarantine/table_test.go
@@ -13,14 +13,19 @@
 var start = time.Unix(1_000_000, 0)
 
 // parts returns the keys of the parts of a prompt.
-func parts(ids ...string) []Key {
-	keys := make([]Key, 0, len(ids))
+func parts(ids ...string) Keys {
+	var keys Keys
 	for _, id := range ids {
-		keys = append(keys, KeyOf(id))
+		keys.Parts = append(keys.Parts, KeyOf(id))
 	}
 	return keys
 }
 
+// sendOf returns a send of a prompt with the given parts.
+func sendOf(instance lavserver.InstanceKey, begun bool, ids ...string) Send {
+	return Send{Keys: parts(ids...), Instance: instance, Begun: begun}
+}
+
 // first is the rank of the host that tries each part first.
 func first(Key) int { return 0 }
 
@@ -36,7 +41,7 @@
 func (f *fleet) end(begun bool, ids ...string) {
 	f.count++
 	f.now = f.now.Add(500 * time.Millisecond)
-	f.RecordEnding(parts(ids...), f.count, begun, f.now)
+	f.RecordEnding(sendOf(f.count, begun, ids...), f.now)
 }
 
 func (f *fleet) answer(ids ...string) {
@@ -57,7 +62,8 @@
 	f.end(true, "shared", "deadly", "own-3")
 	is.True(f.quarantined("shared", "deadly", "own-4"))
 	is.True(!f.quarantined("shared", "other", "own-5")) // parts that were answered go on
-	is.Equal(f.Count(f.now), 1)
+	count, _ := f.Counts(f.now)
+	is.Equal(count, 1)
 	f.end(false, "beside", "deadly")
 	statuses := f.Statuses(f.now)
 	is.Equal(len(statuses), 5) // also the shared part and those of single requests
@@ -71,7 +77,7 @@
 	is := is.New(t)
 	f := newFleet()
 	for i := range 10 {
-		f.RecordEnding(parts("waiting"), f.count+1, false, f.now.Add(500*time.Millisecond))
+		f.RecordEnding(sendOf(f.count+1, false, "waiting"), f.now.Add(500*time.Millisecond))
 		f.end(true, "deadly", fmt.Sprint("own-", i))
 	}
 	is.True(f.quarantined("deadly"))
@@ -97,23 +103,23 @@
 	f, other := newFleet(), newFleet()
 	for instance := range lavserver.InstanceKey(2) {
 		f.now = f.now.Add(time.Second)
-		f.RecordDropped(parts("deadly"), instance, true, f.now)
-		f.RecordDropped(parts("elsewhere"), 100, true, f.now)
+		f.RecordDropped(sendOf(instance, true, "deadly"), f.now)
+		f.RecordDropped(sendOf(100, true, "elsewhere"), f.now)
 		f.now = f.now.Add(50 * time.Millisecond)
 		if instance == 0 {
-			f.RecordEnding(parts("waiting"), instance, false, f.now)
+			f.RecordEnding(sendOf(instance, false, "waiting"), f.now)
 			continue
 		}
-		other.RecordEnding(parts("waiting"), instance, false, f.now)
+		other.RecordEnding(sendOf(instance, false, "waiting"), f.now)
 		f.now = f.now.Add(400 * time.Millisecond)
 		f.Apply(other.Findings(f.now), f.now)
 	}
 	is.True(f.quarantined("deadly"))
 	is.True(!f.quarantined("elsewhere"))
 	is.True(!f.quarantined("waiting"))
-	f.RecordDropped(parts("early"), 3, true, f.now)
+	f.RecordDropped(sendOf(3, true, "early"), f.now)
 	f.now = f.now.Add(2 * dropTime)
-	f.RecordEnding(nil, 3, false, f.now)
+	f.RecordEnded(3, f.now)
 	is.True(f.Suspects())
 	is.Equal(len(f.current(KeyOf("early"), f.now).endings), 0) // the server had survived it
 }
@@ -142,7 +148,7 @@
 	is := is.New(t)
 	f := newFleet()
 	for instance := range lavserver.InstanceKey(8) {
-		f.RecordEnding(parts("part"), instance, true, f.now.Add(time.Duration(instance)*10*time.Millisecond))
+		f.RecordEnding(sendOf(instance, true, "part"), f.now.Add(time.Duration(instance)*10*time.Millisecond))
 	}
 	f.now = f.now.Add(time.Second)
 	is.True(!f.quarantined("part")) // a rack lost power
@@ -190,7 +196,7 @@
 	for range 5 {
 		refused := f.Admit(parts("deadly"), first, f.now)
 		is.True(refused.Refused)
-		is.Equal(refused.Part, KeyOf("deadly"))
+		is.Equal(refused.Key, KeyOf("deadly"))
 		is.Equal(refused.ReturnAfter, pause)
 		is.Equal(f.Refusal(parts("deadly", "other"), f.now), refused)
 		f.now = f.now.Add(pause)
@@ -206,6 +212,112 @@
 	is.Equal(f.Admit(parts("deadly"), first, f.now), Admission{}) // a trial that was answered ends the quarantine
 }
 
+// whole returns the keys of a whole request without a prompt.
+func whole(body string) Keys { return Keys{Request: KeyOfRequest([]byte(body), "POST", "/path")} }
+
+// endWhole records the end of a server of another instance, half a second after the one before, with whole requests in work.
+func (f *fleet) endWhole(bodies ...string) {
+	f.count++
+	f.now = f.now.Add(500 * time.Millisecond)
+	for _, body := range bodies {
+		f.RecordEnding(Send{Keys: whole(body), Instance: f.count, SentAt: f.now.Add(-100 * time.Millisecond), Begun: true}, f.now)
+	}
+}
+
+// TestWholeRequestIsTriedAgainAFewTimes guards against a request that ends servers again and again because it is tried again
+// after pauses, and against one that is forgotten while callers send it.
+func TestWholeRequestIsTriedAgainAFewTimes(t *testing.T) {
+	is := is.New(t)
+	f := newFleet()
+	f.endWhole("deadly")
+	f.endWhole("deadly")
+	trials := 0
+	for began := f.now; f.now.Sub(began) < requestLifetime; f.now = f.now.Add(time.Second) {
+		if admission := f.Admit(whole("deadly"), first, f.now); admission.Trial {
+			trials++
+			f.endWhole("deadly")
+		}
+	}
+	is.Equal(trials, maxRequestTrials)
+	f.now = f.now.Add(time.Minute)
+	is.True(f.Admit(whole("deadly"), first, f.now).Trial) // one more after the lifetime of the latest ending
+	f.answerWhole("deadly")
+	is.Equal(f.Admit(whole("deadly"), first, f.now), Admission{})
+}
+
+func (f *fleet) answerWhole(body string) {
+	f.now = f.now.Add(500 * time.Millisecond)
+	f.RecordAnswer(whole(body), f.now)
+}
+
+// TestRefusedRequestStaysOnRecord guards against a request that ends servers anew because its endings were forgotten while
+// callers went on to send it to another host.
+func TestRefusedRequestStaysOnRecord(t *testing.T) {
+	is := is.New(t)
+	f, other := newFleet(), newFleet()
+	f.endWhole("deadly")
+	f.endWhole("deadly")
+	other.Apply(f.Findings(f.now), f.now)
+	for range 8 {
+		f.now = f.now.Add(requestLifetime / 4)
+		last := func(Key) int { return 100_000 }
+		is.True(other.Admit(whole("deadly"), last, f.now).Refused)
+		f.Apply(other.Findings(f.now), f.now)
+	}
+	is.True(f.Quarantined(whole("deadly"), f.now)) // this host has refused none itself
+	f.now = f.now.Add(requestLifetime + time.Second)
+	is.True(!f.Quarantined(whole("deadly"), f.now))
+	is.True(!other.Quarantined(whole("deadly"), f.now))
+	is.Equal(len(other.Findings(f.now).Keys), 0)
+}
+
+// TestRepeatedRequestEndsServersOneAfterTheOther guards against a request whose repeats end servers so fast that they seem to
+// have ended at the same time.
+func TestRepeatedRequestEndsServersOneAfterTheOther(t *testing.T) {
+	is := is.New(t)
+	f, other := newFleet(), newFleet()
+	for instance := range lavserver.InstanceKey(2) {
+		sentAt := f.now
+		f.now = f.now.Add(20 * time.Millisecond)
+		f.RecordEnding(Send{Keys: whole("deadly"), Instance: instance, SentAt: sentAt, Begun: true}, f.now)
+	}
+	is.True(f.Quarantined(whole("deadly"), f.now))
+	other.Apply(f.Findings(f.now), f.now.Add(50*time.Millisecond))
+	is.True(other.Quarantined(whole("deadly"), f.now.Add(50*time.Millisecond)))
+	for instance := range lavserver.InstanceKey(3) {
+		f.RecordEnding(Send{Keys: whole("popular"), Instance: 10 + instance, SentAt: f.now.Add(-time.Second), Begun: true}, f.now.Add(time.Duration(instance)*20*time.Millisecond))
+	}
+	is.True(!f.Quarantined(whole("popular"), f.now.Add(time.Second))) // three servers lost power with it in work
+}
+
+// TestSoundRequestIsTriedAtOnceBesideOneThatEndsServers guards against sound requests that are kept from servers because they
+// were in work wherever servers ended, also such as many callers send.
+func TestSoundRequestIsTriedAtOnceBesideOneThatEndsServers(t *testing.T) {
+	is := is.New(t)
+	f := newFleet()
+	f.endWhole("deadly", "sound", "popular")
+	f.answerWhole("popular")
+	f.endWhole("deadly", "sound", "popular")
+	is.Equal(f.Admit(whole("popular"), first, f.now), Admission{}) // it was answered in between
+	is.True(f.Admit(whole("sound"), first, f.now).Trial)
+	f.answerWhole("sound")
+	is.Equal(f.Admit(whole("sound"), first, f.now), Admission{})
+	is.True(f.Admit(whole("deadly"), first, f.now).Refused)
+	f.endWhole("deadly", "popular")
+	is.Equal(f.Admit(whole("popular"), first, f.now), Admission{}) // the other request explains it
+	parts, requests := f.Counts(f.now)
+	is.Equal([2]int{parts, requests}, [2]int{0, 1})
+	is.Equal(f.Statuses(f.now)[0].Request, whole("deadly").Request.String())
+}
+
+// TestRequestsOnceAnsweredAreNotKept guards against records of all requests that are answered, of which most come once.
+func TestRequestsOnceAnsweredAreNotKept(t *testing.T) {
+	is := is.New(t)
+	f := newFleet()
+	f.answerWhole("sound")
+	is.Equal(f.records.Len(), 0)
+}
+
 // TestEndingsAreForgotten guards against a part that is kept from servers, and told to other hosts, for ever.
 func TestEndingsAreForgotten(t *testing.T) {
 	is := is.New(t)
@@ -213,9 +325,9 @@
 	f.end(true, "deadly")
 	f.end(true, "deadly")
 	is.True(f.quarantined("deadly"))
-	f.now = f.now.Add(lifetime)
+	f.now = f.now.Add(partLifetime)
 	is.True(!f.quarantined("deadly"))
-	is.Equal(len(f.Findings(f.now).Parts), 0)
+	is.Equal(len(f.Findings(f.now).Keys), 0)
 }
 
 // TestHostsLearnFromReports guards against hosts that each need ends of their own, and against reports that count twice or
@@ -275,7 +387,7 @@
 	exchange()
 	is.True(!other.quarantined("sound")) // what others told does not come back
 	one.now = one.now.Add(time.Second)
-	one.RecordEnding(parts("sound"), 2, true, one.now) // now it has ended
+	one.RecordEnding(sendOf(2, true, "sound"), one.now) // now it has ended
 	exchange()
 	is.True(one.quarantined("sound"))
 	is.True(other.quarantined("sound"))
@@ -288,13 +400,19 @@
 	for i := range 500 {
 		f.end(true, fmt.Sprint("own-", i))
 	}
-	is.Equal(len(f.Findings(f.now).Parts), int(tellTime/(500*time.Millisecond))) // one a step
+	is.Equal(len(f.Findings(f.now).Keys), int(tellTime/(500*time.Millisecond))) // one a step
 	f.now = f.now.Add(tellTime)
-	is.Equal(len(f.Findings(f.now).Parts), 0)
+	is.Equal(len(f.Findings(f.now).Keys), 0)
 	f.end(true, "own-1")
 	f.end(true, "own-1")
 	f.now = f.now.Add(tellTime)
-	is.Equal(len(f.Findings(f.now).Parts), 1) // what is kept from servers is told as long as it is
+	is.Equal(len(f.Findings(f.now).Keys), 1) // what is kept from servers is told as long as it is
+	for i := range 2 * maxReports {
+		f.RecordEnding(sendOf(lavserver.InstanceKey(1000+i), true, fmt.Sprint("beside-", i)), f.now)
+	}
+	reports := f.Findings(f.now).Keys
+	is.Equal(len(reports), maxReports)
+	is.Equal(reports[0].Key, KeyOf("own-1")) // also beside many that have ended since
 }
 
 // TestKeyOfARequestDependsOnEachOfItsTexts guards against requests that count as the same although they differ.
--- a/core/services/lavreport/message.go
+++ b/core/services/lavreport/message.go
@@ -70,7 +70,7 @@
 	News *lavnews.News
 	// Notices holds what backend servers have stated about new work, in every message with loads.
 	Notices []lavnotice.Report
-	// PromptParts holds which parts of prompts backend servers ended with, in every message with loads.
+	// PromptParts holds which requests and parts of prompts backend servers ended with, in every message with loads.
 	PromptParts lavquarantine.Findings
 	// ForwardTo are addresses to which the receiver forwards the message, without this list.
 	ForwardTo []string
--- a/core/services/lavreport/node_test.go
+++ b/core/services/lavreport/node_test.go
@@ -363,10 +363,10 @@
 				host.node.ShareQuarantine(tables[host])
 			}
 			network.run(2*time.Second, nil)
-			deadly := []lavquarantine.Key{lavquarantine.KeyOf("deadly")}
-			tables[network.hosts[0]].RecordEnding(deadly, 1, true, network.now)
+			deadly := lavquarantine.Keys{Parts: []lavquarantine.Key{lavquarantine.KeyOf("deadly")}}
+			tables[network.hosts[0]].RecordEnding(lavquarantine.Send{Keys: deadly, Instance: 1, Begun: true}, network.now)
 			network.run(200*time.Millisecond, nil)
-			tables[network.hosts[size.hosts-1]].RecordEnding(deadly, 2, true, network.now)
+			tables[network.hosts[size.hosts-1]].RecordEnding(lavquarantine.Send{Keys: deadly, Instance: 2, Begun: true}, network.now)
 			network.run(maxP99Age, nil)
 			for _, host := range network.hosts {
 				is.True(tables[host].Quarantined(deadly, network.now))
--- a/entry/services/lavbroadcast/broadcaster_test.go
+++ b/entry/services/lavbroadcast/broadcaster_test.go
@@ -188,9 +188,9 @@
 		News:    &lavnews.News{Servers: &lavnews.Edition{Version: 7, Digest: 1 << 63, Age: time.Second}, CutoversRead: true, Address: "127.0.0.1:3"},
 		Notices: []lavnotice.Report{{Instance: 1 << 63, Leaving: true, LeavingFor: time.Second, Pause: 2 * time.Second, LimitKnown: true, Limit: lavnotice.Limit{Stated: true, Rate: 1.2}, LimitFor: time.Minute}},
 		PromptParts: lavquarantine.Findings{
-			Parts: []lavquarantine.Report{{
-				Part: 1 << 63, Answered: true, AnsweredFor: time.Minute,
-				Endings: []lavquarantine.ReportedEnding{{Instance: 5, Age: 2 * time.Second, Begun: true}, {Instance: 6, Age: time.Second}},
+			Keys: []lavquarantine.Report{{
+				Key: 1 << 63, Answered: true, AnsweredFor: time.Minute, Whole: true, Refused: true, RefusedFor: time.Hour,
+				Endings: []lavquarantine.ReportedEnding{{Instance: 5, Age: 2 * time.Second, Begun: true, Worked: 90 * time.Millisecond}, {Instance: 6, Age: time.Second}},
 			}},
 			Alive: []lavquarantine.Alive{{Instance: 1 << 62, Age: time.Second}},
 		},
@@ -206,6 +206,9 @@
 	_, err = decode(&state)
 	is.True(err != nil) // no rate
 	state.Notices = nil
+	state.PromptParts[0].WorkedMillis = nil
+	_, err = decode(&state)
+	is.NoErr(err) // an earlier build does not state how long a server had had the request
 	state.PromptParts[0].Begun = nil
 	_, err = decode(&state)
 	is.True(err != nil) // lists of unequal lengths
--- a/entry/services/lavbroadcast/decode.go
+++ b/entry/services/lavbroadcast/decode.go
@@ -99,8 +99,8 @@
 	return message, nil
 }
 
-// decodeFindings returns which parts of prompts servers ended with. It fails if lists that belong together have unequal
-// lengths.
+// decodeFindings returns which requests and parts of prompts servers ended with. It fails if lists that belong together have
+// unequal lengths.
 func decodeFindings(state *lavwire.HostState) (lavquarantine.Findings, error) {
 	var findings lavquarantine.Findings
 	if instances, ages := state.GetAliveInstances(), state.GetAliveMillis(); len(instances) != len(ages) {
@@ -110,26 +110,39 @@
 		age := time.Duration(state.GetAliveMillis()[i]) * time.Millisecond
 		findings.Alive = append(findings.Alive, lavquarantine.Alive{Instance: lavserver.InstanceKey(instance), Age: age})
 	}
-	for _, part := range state.GetPromptParts() {
-		instances, ages, begun := part.GetInstances(), part.GetAgesMillis(), part.GetBegun()
-		if len(ages) != len(instances) || len(begun) != len(instances) {
-			return findings, errors.Errorf("prompt part with %d backend servers has %d ages and %d states", len(instances), len(ages), len(begun))
-		}
-		report := lavquarantine.Report{
-			Part:        lavquarantine.Key(part.GetKey()),
-			Answered:    part.GetAnswered(),
-			AnsweredFor: time.Duration(part.GetAnsweredMillis()) * time.Millisecond,
-		}
-		for i, instance := range instances {
-			report.Endings = append(report.Endings, lavquarantine.ReportedEnding{
-				Instance: lavserver.InstanceKey(instance), Age: time.Duration(ages[i]) * time.Millisecond, Begun: begun[i],
-			})
+	for _, encoded := range state.GetPromptParts() {
+		report, err := decodeFinding(encoded)
+		if err != nil {
+			return findings, err
 		}
-		findings.Parts = append(findings.Parts, report)
+		findings.Keys = append(findings.Keys, report)
 	}
 	return findings, nil
 }
 
+func decodeFinding(encoded *lavwire.PromptPart) (lavquarantine.Report, error) {
+	instances, ages, begun, worked := encoded.GetInstances(), encoded.GetAgesMillis(), encoded.GetBegun(), encoded.GetWorkedMillis()
+	if len(ages) != len(instances) || len(begun) != len(instances) || len(worked) > 0 && len(worked) != len(instances) {
+		return lavquarantine.Report{}, errors.Errorf("prompt part with %d backend servers has %d ages, %d states and %d times of work", len(instances), len(ages), len(begun), len(worked))
+	}
+	report := lavquarantine.Report{
+		Key:         lavquarantine.Key(encoded.GetKey()),
+		Whole:       encoded.GetWholeRequest(),
+		Answered:    encoded.GetAnswered(),
+		AnsweredFor: time.Duration(encoded.GetAnsweredMillis()) * time.Millisecond,
+		Refused:     encoded.GetRefused(),
+		RefusedFor:  time.Duration(encoded.GetRefusedMillis()) * time.Millisecond,
+	}
+	for i, instance := range instances {
+		ending := lavquarantine.ReportedEnding{Instance: lavserver.InstanceKey(instance), Age: time.Duration(ages[i]) * time.Millisecond, Begun: begun[i]}
+		if len(worked) > 0 {
+			ending.Worked = time.Duration(worked[i]) * time.Millisecond
+		}
+		report.Endings = append(report.Endings, ending)
+	}
+	return report, nil
+}
+
 func decodeEdition(edition *lavwire.StoreEdition) *lavnews.Edition {
 	if edition == nil {
 		return nil
--- a/entry/services/lavbroadcast/encode.go
+++ b/entry/services/lavbroadcast/encode.go
@@ -124,8 +124,8 @@
 			Limit:         float64(notice.Limit.Rate),
 		})
 	}
-	for _, part := range message.PromptParts.Parts {
-		state.PromptParts = append(state.PromptParts, encodePart(part))
+	for _, report := range message.PromptParts.Keys {
+		state.PromptParts = append(state.PromptParts, encodeFinding(report))
 	}
 	for _, alive := range message.PromptParts.Alive {
 		state.AliveInstances = append(state.AliveInstances, uint64(alive.Instance))
@@ -137,12 +137,20 @@
 	return state
 }
 
-func encodePart(part lavquarantine.Report) *lavwire.PromptPart {
-	encoded := &lavwire.PromptPart{Key: uint64(part.Part), Answered: part.Answered, AnsweredMillis: uint32(part.AnsweredFor.Milliseconds())}
-	for _, ending := range part.Endings {
+func encodeFinding(report lavquarantine.Report) *lavwire.PromptPart {
+	encoded := &lavwire.PromptPart{
+		Key:            uint64(report.Key),
+		Answered:       report.Answered,
+		AnsweredMillis: uint32(report.AnsweredFor.Milliseconds()),
+		WholeRequest:   report.Whole,
+		Refused:        report.Refused,
+		RefusedMillis:  uint32(report.RefusedFor.Milliseconds()),
+	}
+	for _, ending := range report.Endings {
 		encoded.Instances = append(encoded.Instances, uint64(ending.Instance))
 		encoded.AgesMillis = append(encoded.AgesMillis, uint32(ending.Age.Milliseconds()))
 		encoded.Begun = append(encoded.Begun, ending.Begun)
+		encoded.WorkedMillis = append(encoded.WorkedMillis, uint32(ending.Worked.Milliseconds()))
 	}
 	return encoded
 }
--- a/entry/services/lavforward/delivery.go
+++ b/entry/services/lavforward/delivery.go
@@ -70,7 +70,11 @@
 	e.Metrics.countSend(chosen, sendFailed)
 	e.logDecision("server failed", chosen.ID, logrus.Fields{"status": reply.Status, "release": chosen.Release})
 	if !e.answerBegun {
-		if body, err := e.readBuffered(reply.Body); err == nil && reply.Signed {
+		body, err := e.readBuffered(reply.Body)
+		if err == nil {
+			e.recordSurvival(now)
+		}
+		if err == nil && reply.Signed {
 			serverError := *reply
 			serverError.Body = io.NopCloser(bytes.NewReader(body))
 			e.serverError = &serverError
@@ -114,7 +118,7 @@
 		}
 		e.excluded[chosen.ID] = true
 		if err != nil && !watchdog.hasFired() {
-			e.recordEnding(chosen, true, err, now)
+			e.recordEnding(err, now)
 		}
 		if !errors.Is(err, errBuffersFull) {
 			e.health.recordFailure(chosen.Instance(), now)
@@ -169,7 +173,7 @@
 			case deliverErr != nil:
 				return stepDone, Result{Broken: true}
 			}
-			e.flight.begun = e.stream.events() == 0
+			e.flight.Begun = e.stream.events() == 0
 			if now := e.Clock(); e.stream.events() > 0 && now.Sub(headAt) >= answerSurvivalTime {
 				e.recordSurvival(now)
 			}
@@ -324,12 +328,12 @@
 	now := e.Clock()
 	if ctx.Err() != nil && !watchdog.hasFired() {
 		if e.isQuarantined(now) {
-			return stepDone, e.failQuarantined(e.Quarantine.Refusal(e.parts, now))
+			return stepDone, e.failQuarantined(e.Quarantine.Refusal(e.keys, now))
 		}
 		return stepDone, e.fail("stream was not complete in time")
 	}
 	if !e.flight.survived && !watchdog.hasFired() {
-		e.recordEnding(chosen, e.stream.events() == 0, err, now)
+		e.recordEnding(err, now)
 	}
 	e.excluded[chosen.ID] = true
 	e.health.recordFailure(chosen.Instance(), now)
--- a/entry/services/lavforward/execution.go
+++ b/entry/services/lavforward/execution.go
@@ -31,11 +31,9 @@
 	request  *Request
 	answer   AnswerWriter
 	excluded map[lavid.BackendServerID]bool
-	// parts are the keys of the parts of the prompt that other requests may share. trial states that the prompt may be sent
-	// although servers ended with one of them. endings counts the servers that ended when they began to answer the request.
-	parts   []lavquarantine.Key
-	trial   bool
-	endings int
+	// keys are those of the request. trial states that it may be sent although servers ended with one of them.
+	keys  lavquarantine.Keys
+	trial bool
 	// flight is the current send.
 	flight *flight
 	// bufferedBytes is what the request has reserved of the buffers for large answers.
@@ -153,11 +151,11 @@
 	remaining := e.request.Deadline.Sub(now)
 	ctx, cancel := context.WithTimeout(ctx, remaining)
 	defer cancel()
-	e.flight = &flight{parts: e.parts, cancel: cancel}
+	e.flight = &flight{Send: lavquarantine.Send{Keys: e.keys, Instance: chosen.Instance(), SentAt: now, Begun: e.request.Service.Engine == nil}, cancel: cancel}
 	if !e.trial {
 		e.flights.add(e.flight)
 	}
-	defer e.endFlight(chosen)
+	defer e.endFlight()
 	rank := e.rank()
 	var awaitingHead atomic.Bool
 	awaitingHead.Store(true)
@@ -203,7 +201,7 @@
 		return e.handleRefusal(chosen, reply)
 	}
 	awaitingHead.Store(false)
-	e.flight.begun = true
+	e.flight.Begun = true
 	e.health.recordAnswer(chosen.Instance(), now, rank)
 	e.runs++
 	return e.deliver(ctx, chosen, model, job, watchdog, reply, now)
@@ -253,14 +251,14 @@
 		return stepRepeat, Result{}
 	}
 	if requestEnded && e.isQuarantined(now) {
-		return stepDone, e.failQuarantined(e.Quarantine.Refusal(e.parts, now))
+		return stepDone, e.failQuarantined(e.Quarantine.Refusal(e.keys, now))
 	}
 	if !requestEnded {
 		switch {
 		case sent && !watchdog.hasFired():
-			e.recordEnding(chosen, false, err, now)
+			e.recordEnding(err, now)
 		case lavexchange.IsRefused(err):
-			e.Quarantine.RecordEnding(nil, chosen.Instance(), false, now)
+			e.Quarantine.RecordEnded(chosen.Instance(), now)
 		}
 		e.health.recordFailure(chosen.Instance(), now)
 		e.Metrics.countSend(chosen, sendLost)
@@ -283,11 +281,13 @@
 	case !route.Repeatable():
 	case e.runs >= route.Attempts:
 	case e.sends >= route.Attempts+maxRefusedSends:
-	case e.endings >= maxEndings || e.isQuarantined(e.Clock()):
-		reason = reasonQuarantined
-	case !e.takeRepeat():
 	default:
-		return stepRepeat, Result{}
+		if admission := e.admit(e.Clock()); admission.Refused {
+			return stepDone, e.failQuarantined(admission)
+		}
+		if e.takeRepeat() {
+			return stepRepeat, Result{}
+		}
 	}
 	return stepDone, e.fail(reason)
 }
--- a/entry/services/lavforward/forwarder.go
+++ b/entry/services/lavforward/forwarder.go
@@ -55,7 +55,7 @@
 	Forecasts *lavforecast.Forecaster
 	Cold      *lavcold.Limiter
 	Limits    *lavrate.Limiter
-	// Quarantine decides which prompts are kept from servers.
+	// Quarantine decides which requests are kept from servers.
 	Quarantine *lavquarantine.Table
 	Releases   Releases
 	Hosts      Hosts
@@ -103,7 +103,7 @@
 // Serve forwards the request, writes the answer and returns how the request ended; it stops when ctx ends.
 func (f *Forwarder) Serve(ctx context.Context, request *Request, answer AnswerWriter) Result {
 	f.repeats.countRequest(request.Service.ID, f.Clock())
-	e := &execution{Forwarder: f, request: request, answer: answer, parts: sharedPartKeys(request.Prompt), excluded: make(map[lavid.BackendServerID]bool)}
+	e := &execution{Forwarder: f, request: request, answer: answer, keys: request.keys(), excluded: make(map[lavid.BackendServerID]bool)}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	f.Metrics.inProgress.Inc()
--- a/entry/services/lavforward/metrics.go
+++ b/entry/services/lavforward/metrics.go
@@ -39,7 +39,7 @@
 	noticeLimit   = "limit"
 )
 
-// The values of the result label of a decision about a prompt.
+// The values of the result label of a decision about a request that servers ended with.
 const (
 	quarantineRefused = "refused"
 	quarantineTrial   = "trial"
@@ -96,7 +96,7 @@
 		repeats:           counter("repeats_total", "Requests to the repeat budget for a further send; the result refused means that it was used up.", labelService, labelResult),
 		escalations:       counter("escalations_total", "Answers of smaller models that were dropped in favour of a larger model.", labelService),
 		notices:           counter("server_notices_total", "Answers in which a backend server first stated that it leaves, asked for a pause, or stated another limit.", labelService, labelResult),
-		quarantine:        counter("quarantine_decisions_total", "Requests with a prompt part that backend servers ended with: refused, or sent as a trial.", labelService, labelResult),
+		quarantine:        counter("quarantine_decisions_total", "Requests that backend servers ended with, or with a part of their prompts: refused, or sent as a trial.", labelService, labelResult),
 		inProgress:        factory.NewGauge(prometheus.GaugeOpts{Name: "lavenderswitch_requests_in_progress", Help: "Requests that are being forwarded."}),
 		duration:          histogram("request_duration_seconds", "Time from a request's arrival to its end.", labelKind, labelOutcome),
 		firstEvent:        histogram("first_event_seconds", "Time from a streamed request's arrival to its first event.", labelKind),
--- a/entry/services/lavforward/quarantine.go
+++ b/entry/services/lavforward/quarantine.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"sync"
 	"time"
 
@@ -13,28 +12,27 @@
 	"lavenderswitch/core/services/lavquarantine"
 )
 
-// answerSurvivalTime is how long after the head of an answer a server has survived the prompt. One that ends later ended for
+// answerSurvivalTime is how long after the head of an answer a server has survived the request. One that ends later ended for
 // another reason.
 const answerSurvivalTime = time.Second
 
-// maxEndings is the number of servers that may end when they begin to answer a request before it is not repeated any more.
-const maxEndings = 2
-
-// reasonQuarantined is the reason of a refusal because of a part of the prompt.
-const reasonQuarantined = "backend servers ended with a part of the prompt"
+// The reasons of refusals because of the whole request, or of a part of its prompt.
+const (
+	reasonRequestQuarantined = "backend servers ended with this request"
+	reasonPartQuarantined    = "backend servers ended with a part of the prompt"
+)
 
-// flight is a send whose server has not survived the prompt yet.
+// flight is a send whose server has not survived the request yet. It is begun once the answer has begun and nothing of it has
+// been delivered. A plain server begins with the arrival of the request, as it sends nothing before the whole answer.
 type flight struct {
-	parts  []lavquarantine.Key
+	lavquarantine.Send
 	cancel context.CancelFunc
-	// begun states that the answer has begun and nothing of it has been delivered.
-	begun bool
-	// settled states that it is known what became of the prompt: it was not run, its server ended, or survived it.
+	// settled states that it is known what became of the request: it was not run, its server ended, or survived it.
 	settled  bool
 	survived bool
 }
 
-// flights holds the sends that are cancelled once a part of their prompt is kept from servers. It is safe for concurrent use.
+// flights holds the sends that are cancelled once their requests are kept from servers. It is safe for concurrent use.
 type flights struct {
 	mu      sync.Mutex
 	pending map[*flight]struct{}
@@ -54,8 +52,8 @@
 	delete(f.pending, removed)
 }
 
-// CancelQuarantined cancels the sends of prompts with a part that has been found to end servers since, unless a server has
-// survived them. It is to be called several times a second, as other hosts may have found it.
+// CancelQuarantined cancels the sends of requests that have been found to end servers since, unless a server has survived them.
+// It is to be called several times a second, as other hosts may have found it.
 func (f *Forwarder) CancelQuarantined(now time.Time) {
 	if !f.Quarantine.Suspects() {
 		return
@@ -63,40 +61,35 @@
 	f.flights.mu.Lock()
 	defer f.flights.mu.Unlock()
 	for pending := range f.flights.pending {
-		if f.Quarantine.Quarantined(pending.parts, now) {
+		if f.Quarantine.Quarantined(pending.Keys, now) {
 			pending.cancel()
 			delete(f.flights.pending, pending)
 		}
 	}
 }
 
-// sharedPartKeys returns the keys of the parts of a prompt that other requests may share. The last part is the request's own.
-func sharedPartKeys(prompt Prompt) []lavquarantine.Key {
-	var keys []lavquarantine.Key
-	for _, part := range prompt.Parts[:max(len(prompt.Parts)-1, 0)] {
-		keys = append(keys, lavquarantine.KeyOf(part.ID))
-	}
-	return keys
-}
-
-// admit decides whether the next send of the request may be made, and takes the trial of a part if it is due.
+// admit decides whether the next send of the request may be made, and takes the trial of its keys if it is due.
 func (e *execution) admit(now time.Time) lavquarantine.Admission {
 	if e.trial {
 		return lavquarantine.Admission{}
 	}
-	admission := e.Quarantine.Admit(e.parts, e.trialRank(now), now)
+	admission := e.Quarantine.Admit(e.keys, e.trialRank(now), now)
 	if admission.Trial {
 		e.trial = true
 		e.Metrics.quarantine.WithLabelValues(string(e.request.Service.ID), quarantineTrial).Inc()
-		e.logDecision("prompt part is tried again", e.lastServer, nil)
+		message := "prompt part is tried again"
+		if admission.Key == e.keys.Request {
+			message = "request is tried again"
+		}
+		e.logDecision(message, e.lastServer, logrus.Fields{"request_key": e.keys.Request.String()})
 	}
 	return admission
 }
 
-// trialRank returns the order in which hosts try a part again.
+// trialRank returns the order in which hosts try a key again.
 func (e *execution) trialRank(now time.Time) lavquarantine.Rank {
-	return func(part lavquarantine.Key) int {
-		members := lavring.Ranked(e.Hosts.Hosts(now), fmt.Sprintf("prompt part %x", uint64(part)))
+	return func(key lavquarantine.Key) int {
+		members := lavring.Ranked(e.Hosts.Hosts(now), "prompt part "+key.String())
 		for rank, member := range members {
 			if member.ID == e.HostID {
 				return rank
@@ -106,57 +99,55 @@
 	}
 }
 
-// isQuarantined reports whether the prompt is kept from servers.
+// isQuarantined reports whether the request is kept from servers.
 func (e *execution) isQuarantined(now time.Time) bool {
-	return !e.trial && e.Quarantine.Quarantined(e.parts, now)
+	return !e.trial && e.Quarantine.Quarantined(e.keys, now)
 }
 
-// failQuarantined ends a request whose prompt is kept from servers.
+// failQuarantined ends a request that is kept from servers.
 func (e *execution) failQuarantined(admission lavquarantine.Admission) Result {
-	fields := logrus.Fields{"endings": admission.Endings}
-	for i, key := range e.parts {
-		if key == admission.Part {
+	message, reason := "request is kept from servers", reasonRequestQuarantined
+	fields := logrus.Fields{"endings": admission.Endings, "request_key": e.keys.Request.String()}
+	for i, key := range e.keys.Parts {
+		if key == admission.Key {
+			message, reason = "prompt is kept from servers", reasonPartQuarantined
 			fields["prompt_part"] = e.request.Prompt.Parts[i].ID
 		}
 	}
 	e.Metrics.quarantine.WithLabelValues(string(e.request.Service.ID), quarantineRefused).Inc()
-	e.logDecision("prompt is kept from servers", e.lastServer, fields)
-	result := e.fail(reasonQuarantined)
+	e.logDecision(message, e.lastServer, fields)
+	result := e.fail(reason)
 	if result.Refusal != nil && e.runs == 0 {
 		result.Refusal.RetryAfter = admission.ReturnAfter
 	}
 	return result
 }
 
-// recordEnding records that the connection to a server broke before the server had survived the prompt. begun states that the
-// answer had begun and nothing of it had been delivered. A send that timed out, or whose answer was damaged, says nothing about
-// the end of its server.
-func (e *execution) recordEnding(chosen choice, begun bool, err error, now time.Time) {
+// recordEnding records that the connection to a server broke before the server had survived the request. A send that timed out,
+// or whose answer was damaged, says nothing about the end of its server.
+func (e *execution) recordEnding(err error, now time.Time) {
 	if !lavexchange.IsPeerEnd(err) {
 		return
 	}
 	e.flight.settled, e.trial = true, false
-	if begun {
-		e.endings++
-	}
-	e.Quarantine.RecordEnding(e.parts, chosen.Instance(), begun, now)
+	e.Quarantine.RecordEnding(e.flight.Send, now)
 	e.CancelQuarantined(now)
 }
 
-// recordSurvival records, once for each send, that its server has survived the prompt.
+// recordSurvival records, once for each send, that its server has survived the request.
 func (e *execution) recordSurvival(now time.Time) {
 	if e.flight.survived {
 		return
 	}
 	e.flight.settled, e.flight.survived = true, true
 	e.flights.remove(e.flight)
-	e.Quarantine.RecordAnswer(e.parts, now)
+	e.Quarantine.RecordAnswer(e.keys, now)
 }
 
-// endFlight records that a send ended. If it is not known what became of its prompt, the server may still end with it.
-func (e *execution) endFlight(chosen choice) {
+// endFlight records that a send ended. If it is not known what became of its request, the server may still end with it.
+func (e *execution) endFlight() {
 	e.flights.remove(e.flight)
-	if !e.flight.settled && len(e.parts) > 0 {
-		e.Quarantine.RecordDropped(e.parts, chosen.Instance(), e.flight.begun, e.Clock())
+	if !e.flight.settled {
+		e.Quarantine.RecordDropped(e.flight.Send, e.Clock())
 	}
 }
--- a/entry/services/lavforward/quarantine_test.go
+++ b/entry/services/lavforward/quarantine_test.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"net/http"
 	"slices"
+	"strings"
 	"sync"
 	"syscall"
 	"testing"
@@ -20,6 +21,8 @@
 	"lavenderswitch/core/models/lavserver"
 	"lavenderswitch/core/modules/lavexchange"
 	"lavenderswitch/core/modules/lavring"
+	"lavenderswitch/core/services/lavquarantine"
+	"lavenderswitch/core/services/lavwaiting"
 )
 
 // manualClock is a clock that a test advances.
@@ -108,6 +111,7 @@
 	request.Arrived = clock.Now()
 	request.Deadline = request.Arrived.Add(20 * time.Second)
 	request.Account = &lavroute.Account{ID: "account"}
+	request.Body = []byte(strings.Join(parts, " "))
 	for _, part := range parts {
 		request.Prompt.Parts = append(request.Prompt.Parts, Part{ID: part, Tokens: 100})
 		request.Prompt.Input += 100
@@ -263,15 +267,16 @@
 		prompt    Prompt
 		afterHead bool
 		hosts     int
+		length    time.Duration
 	}{
-		"plain":              {lavroute.Idempotent, Prompt{}, false, 6},
-		"once only":          {lavroute.OnceOnly, Prompt{}, false, 6},
-		"begun answer":       {lavroute.Idempotent, Prompt{}, true, 6},
-		"stream":             {lavroute.Streaming, prompt, true, 6},
-		"waiting stream":     {lavroute.Streaming, prompt, false, 6},
-		"prompt of one part": {lavroute.Streaming, Prompt{Parts: prompt.Parts[1:], Input: 100}, true, 6},
-		"a single host":      {lavroute.Idempotent, Prompt{}, false, 1},
-		"tens of hosts":      {lavroute.Idempotent, Prompt{}, false, 68},
+		"plain":              {lavroute.Idempotent, Prompt{}, false, 6, 10 * time.Minute},
+		"once only":          {lavroute.OnceOnly, Prompt{}, false, 6, 10 * time.Minute},
+		"begun answer":       {lavroute.Idempotent, Prompt{}, true, 6, 2 * time.Minute},
+		"stream":             {lavroute.Streaming, prompt, true, 6, 2 * time.Minute},
+		"waiting stream":     {lavroute.Streaming, prompt, false, 6, 2 * time.Minute},
+		"prompt of one part": {lavroute.Streaming, Prompt{Parts: prompt.Parts[1:], Input: 100}, true, 6, 2 * time.Minute},
+		"a single host":      {lavroute.Idempotent, Prompt{}, false, 1, 10 * time.Minute},
+		"tens of hosts":      {lavroute.Idempotent, Prompt{}, false, 68, 40 * time.Second},
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
@@ -289,18 +294,15 @@
 				}
 				return request
 			}
-			const (
-				length   = 10 * time.Minute
-				interval = 150 * time.Millisecond
-			)
+			const interval = 150 * time.Millisecond
 			refused := 0
-			for at := time.Duration(0); at < length; at += interval / 3 {
+			for at := time.Duration(0); at < test.length; at += interval / 3 {
 				s.now = s.start.Add(at)
 				cutOff := -1
-				if at > 30*time.Second && at < 50*time.Second {
+				if at > 10*time.Second && at < 20*time.Second {
 					cutOff = 1
 				}
-				if at == time.Minute && test.hosts > 1 {
+				if at == 25*time.Second && test.hosts > 1 {
 					host := s.hosts[2]
 					s.hosts[2] = s.newHost(lavring.Member{ID: host.HostID, DataCentre: "centre-a"}, host.Hosts.(hosts))
 				}
@@ -334,3 +336,106 @@
 	answer := &recordedAnswer{}
 	return answer, host.Serve(context.Background(), request, answer)
 }
+
+// recordEndings records at a forwarder that two servers ended with a request, as other hosts report it.
+func recordEndings(f *Forwarder, request *Request) {
+	other, now := lavquarantine.New(), f.Clock()
+	for instance := range lavserver.InstanceKey(2) {
+		other.RecordEnding(lavquarantine.Send{Keys: request.keys(), Instance: 1000 + instance, Begun: true}, now.Add(time.Duration(instance)*time.Second-time.Second))
+	}
+	f.Quarantine.Apply(other.Findings(now), now)
+}
+
+// TestEverySendAsksWhetherItsRequestIsKeptFromServers guards against a request that ends servers on a path that does not ask
+// before it sends, and against refusals that state "not run" of one that has run.
+func TestEverySendAsksWhetherItsRequestIsKeptFromServers(t *testing.T) {
+	for name, test := range map[string]struct {
+		request *Request
+		// reply is that of the first server. The request is found to end servers while it is in work there.
+		reply  func(Dispatch) (*Reply, error)
+		status int
+		broken bool
+	}{
+		"refused by a server": {newRequest(lavroute.OnceOnly), refuseWith(http.StatusServiceUnavailable), http.StatusServiceUnavailable, false},
+		"not delivered":       {newRequest(lavroute.OnceOnly), loseSend(false), http.StatusServiceUnavailable, false},
+		"lost":                {newRequest(lavroute.Idempotent), loseSend(true), http.StatusBadGateway, false},
+		"resumed stream":      {newRequest(lavroute.Streaming), breakAfter("id: 1\ndata: 1\n\n"), 0, true},
+		"second run":          {newCascadeRequest(), replyWithConfidence(1, "id: 1\ndata: 1\n\n"), http.StatusBadGateway, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			f := newFixture(4, test.reply, replyWith(http.StatusOK, "id: 1\ndata: 1\n\n"))
+			f.beforeSend = func(_ context.Context, dispatch Dispatch) {
+				is.True(dispatch.MaySend())
+				recordEndings(f.Forwarder, test.request)
+				is.True(!dispatch.MaySend()) // nor is a request sent whose connection was being opened
+			}
+			_, result := f.serve(test.request)
+			is.Equal(len(f.sends), 1)
+			is.Equal(result.Broken, test.broken)
+			if !test.broken {
+				is.Equal(result.Refusal.Status, test.status)
+				is.Equal(result.Refusal.RetryAfter > 0, test.status == http.StatusServiceUnavailable)
+			}
+		})
+	}
+}
+
+// TestRequestInWorkIsCancelledOnceItIsFoundToEndServers guards against servers that end with a request that was sent before its
+// host could have known of it.
+func TestRequestInWorkIsCancelledOnceItIsFoundToEndServers(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(1)
+	request := newRequest(lavroute.Idempotent)
+	f.beforeSend = func(ctx context.Context, _ Dispatch) {
+		recordEndings(f.Forwarder, request)
+		f.CancelQuarantined(time.Now())
+		<-ctx.Done()
+	}
+	began := time.Now()
+	_, result := f.serve(request)
+	is.Equal(result.Refusal.Status, http.StatusBadGateway) // it may have run
+	is.True(time.Since(began) < time.Second)
+}
+
+// TestWaitingRequestIsRefusedOnceItIsFoundToEndServers guards against a request that is sent after it waited, although it was
+// found to end servers meanwhile.
+func TestWaitingRequestIsRefusedOnceItIsFoundToEndServers(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(1, replyWith(http.StatusOK, "id: 1\ndata: 1\n\n"))
+	request := newCascadeRequest()
+	entry := &waiter{
+		execution: &execution{Forwarder: f.Forwarder, request: request, keys: request.keys()}, done: make(chan struct{}),
+		item: &lavwaiting.Item{},
+	}
+	service := &waitingService{queue: lavwaiting.New(), waiters: map[*lavwaiting.Item]*waiter{entry.item: entry}}
+	f.waiting.refuseQuarantined(service, time.Now())
+	is.True(!entry.quarantined)
+	recordEndings(f.Forwarder, request)
+	f.waiting.refuseQuarantined(service, time.Now())
+	is.True(entry.quarantined)
+	_, result := f.serve(request)
+	is.Equal(result.Refusal.Status, http.StatusServiceUnavailable)
+	is.Equal(result.Refusal.Reason, reasonRequestQuarantined)
+	is.True(result.Refusal.RetryAfter > 4*time.Second) // when it is tried again
+	is.Equal(len(f.sends), 0)
+}
+
+// TestErrorAnswerShowsThatAServerSurvivedTheRequest guards against a sound request that stays kept from servers although they
+// answer it with errors.
+func TestErrorAnswerShowsThatAServerSurvivedTheRequest(t *testing.T) {
+	is := is.New(t)
+	clock := &manualClock{now: time.Now()}
+	f := newFixture(1, replyWith(http.StatusInternalServerError, "failed"), replyWith(http.StatusOK, "whole"))
+	f.Clock = clock.Now
+	request := newRequest(lavroute.OnceOnly)
+	request.Deadline = clock.Now().Add(time.Hour)
+	recordEndings(f.Forwarder, request)
+	f.serve(request)
+	is.Equal(len(f.sends), 0)
+	clock.advance(6 * time.Second)
+	answer, _ := f.serve(request)
+	is.Equal(answer.status, http.StatusInternalServerError) // the trial
+	answer, _ = f.serve(request)
+	is.Equal(answer.status, http.StatusOK)
+}
--- a/entry/services/lavforward/request.go
+++ b/entry/services/lavforward/request.go
@@ -72,9 +72,14 @@
 	return r.Account.ID
 }
 
-// key returns the key of the whole request. It is the same for each try of a caller, whose IDs differ.
-func (r *Request) key() lavquarantine.Key {
-	return lavquarantine.KeyOfRequest(r.Body, r.Method, r.HostName, r.Target, string(r.AccountID()))
+// keys returns the keys of the request: that of the whole request, which is the same for each try of a caller, and those of the
+// parts of the prompt that other requests may share. The last part is the request's own.
+func (r *Request) keys() lavquarantine.Keys {
+	keys := lavquarantine.Keys{Request: lavquarantine.KeyOfRequest(r.Body, r.Method, r.HostName, r.Target, string(r.AccountID()))}
+	for _, part := range r.Prompt.Parts[:max(len(r.Prompt.Parts)-1, 0)] {
+		keys.Parts = append(keys.Parts, lavquarantine.KeyOf(part.ID))
+	}
+	return keys
 }
 
 // Dispatch is one send of a request to one backend server.
--- a/entry/services/lavforward/send_log.go
+++ b/entry/services/lavforward/send_log.go
@@ -105,7 +105,7 @@
 // progressFields adds the key of the request and the parts of its prompt to the fields of a send that got no whole answer, so
 // that sends that ended with their servers can be compared.
 func (e *execution) progressFields(fields logrus.Fields) logrus.Fields {
-	fields["request_key"] = e.request.key().String()
+	fields["request_key"] = e.keys.Request.String()
 	if len(e.request.Prompt.Parts) == 0 {
 		return fields
 	}
--- a/entry/services/lavforward/waiting.go
+++ b/entry/services/lavforward/waiting.go
@@ -44,7 +44,7 @@
 	// chosen and job are set if the request goes to an engine.
 	chosen choice
 	job    *lavload.Job
-	// quarantined is set if a part of the prompt has been found to end servers meanwhile.
+	// quarantined is set if the request has been found to end servers meanwhile.
 	quarantined bool
 	// refused is the reason for which the request is refused; empty if it is not. retryAfter is when its turn would come.
 	refused    string
@@ -191,7 +191,7 @@
 	w.metrics.waiting.WithLabelValues(string(id)).Set(float64(service.queue.Len()))
 }
 
-// refuseQuarantined ends the wait of the requests with a part that has been found to end servers; the caller holds the mutex.
+// refuseQuarantined ends the wait of the requests that have been found to end servers; the caller holds the mutex.
 func (w *waitingRoom) refuseQuarantined(service *waitingService, now time.Time) {
 	for item, entry := range service.waiters {
 		if entry.execution.isQuarantined(now) {
