Do not cancel sound streams for a part that another key explains

Sends with the part that were in work at other servers were cancelled. Where a key that a send does not have explains the same ends, it is a trial already, and its answer tells which of both it is. TestSoundStreamGoesOnBesideARequestThatEndsServers failed before.

--- a/core/services/lavquarantine/table.go
+++ b/core/services/lavquarantine/table.go
@@ -361,6 +361,19 @@
 	return found
 }
 
+// MustCancel reports whether requests with the given keys that are in work at servers are to be cancelled: they are kept from
+// servers, and no key that they do not have explains the same endings. Otherwise they serve as trials.
+func (t *Table) MustCancel(keys Keys, now time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	cancel := false
+	keys.each(func(key Key, _ bool) {
+		found := t.current(key, now)
+		cancel = cancel || t.isQuarantined(key, found, now) && !t.isAmbiguous(keys, found, now)
+	})
+	return cancel
+}
+
 // Counts returns the numbers of parts of prompts and of whole requests that are kept from servers.
 func (t *Table) Counts(now time.Time) (parts, requests int) {
 	t.mu.Lock()
--- a/core/services/lavquarantine/table_test.go
+++ b/core/services/lavquarantine/table_test.go
@@ -299,10 +299,12 @@
 	f.answerWhole("popular")
 	f.endWhole("deadly", "sound", "popular")
 	is.Equal(f.Admit(whole("popular"), first, f.now), Admission{}) // it was answered in between
+	is.True(!f.MustCancel(whole("sound"), f.now))                  // where it is in work, its answer tells
 	is.True(f.Admit(whole("sound"), first, f.now).Trial)
 	f.answerWhole("sound")
 	is.Equal(f.Admit(whole("sound"), first, f.now), Admission{})
 	is.True(f.Admit(whole("deadly"), first, f.now).Refused)
+	is.True(f.MustCancel(whole("deadly"), f.now))
 	f.endWhole("deadly", "popular")
 	is.Equal(f.Admit(whole("popular"), first, f.now), Admission{}) // the other request explains it
 	parts, requests := f.Counts(f.now)
--- a/entry/services/lavforward/quarantine.go
+++ b/entry/services/lavforward/quarantine.go
@@ -61,7 +61,7 @@
 	f.flights.mu.Lock()
 	defer f.flights.mu.Unlock()
 	for pending := range f.flights.pending {
-		if f.Quarantine.Quarantined(pending.Keys, now) {
+		if f.Quarantine.MustCancel(pending.Keys, now) {
 			pending.cancel()
 			delete(f.flights.pending, pending)
 		}
--- a/entry/services/lavforward/quarantine_test.go
+++ b/entry/services/lavforward/quarantine_test.go
@@ -439,3 +439,19 @@
 	answer, _ = f.serve(request)
 	is.Equal(answer.status, http.StatusOK)
 }
+
+// TestSoundStreamGoesOnBesideARequestThatEndsServers guards against streams that are broken off because a part of their prompts
+// was in all requests that ended servers so far.
+func TestSoundStreamGoesOnBesideARequestThatEndsServers(t *testing.T) {
+	is := is.New(t)
+	clock := &manualClock{now: time.Now()}
+	deadly, sound := newPromptRequest(clock, "shared", "own"), newPromptRequest(clock, "shared", "other")
+	f := newFixture(2, replyWith(http.StatusOK, "id: 1\ndata: 1\n\n"))
+	f.beforeSend = func(context.Context, Dispatch) {
+		recordEndings(f.Forwarder, deadly)
+		f.CancelQuarantined(time.Now())
+	}
+	answer, result := f.serve(sound)
+	is.True(result.Refusal == nil && !result.Broken)
+	is.Equal(answer.status, http.StatusOK)
+}
