Tell other hosts which ends were those of repeats

Hosts told each other how long a server had had the request, in milliseconds, which is too coarse for servers that end at once. They now tell whether it was sent after another server had ended with it, one bit, which no clock blurs.

--- a/core/services/lavquarantine/part.go
+++ b/core/services/lavquarantine/part.go
@@ -55,17 +55,17 @@
 // Ending is the end of a backend server while a request was in work there.
 type Ending struct {
 	Instance lavserver.InstanceKey
-	// SentAt is when the request was sent to the server; zero if that is not known.
-	SentAt time.Time
-	At     time.Time
+	At       time.Time
 	// Begun states that the server had begun to answer the request and had not delivered anything of the answer yet.
 	Begun bool
+	// Repeat states that the request was sent there after another server had ended with it.
+	Repeat bool
 }
 
 // isSimultaneous reports whether a server ended at the same time as another one before, such as those of a rack that loses
-// power. A request that was sent after the end of the other one shows that it was not.
+// power.
 func (e Ending) isSimultaneous(before Ending) bool {
-	return e.At.Sub(before.At) < simultaneous && e.SentAt.Before(before.At)
+	return e.At.Sub(before.At) < simultaneous && !e.Repeat
 }
 
 // record is what is known of a part of prompts or of a whole request.
@@ -83,15 +83,16 @@
 	refusedAt time.Time
 }
 
-// with returns the endings with one more. Of two for the same instance, the earlier counts, as begun if one of them is.
+// with returns the endings with one more. Of two for the same instance, the earlier counts, as begun and as of a repeat if one of
+// them is.
 func with(endings []Ending, added Ending) []Ending {
 	merged := make([]Ending, 0, len(endings)+1)
 	placed := false
 	for _, ending := range endings {
 		if ending.Instance == added.Instance {
-			added.Begun = added.Begun || ending.Begun
+			added.Begun, added.Repeat = added.Begun || ending.Begun, added.Repeat || ending.Repeat
 			if ending.At.Before(added.At) {
-				added.At, added.SentAt = ending.At, ending.SentAt
+				added.At = ending.At
 			}
 		}
 	}
--- a/core/services/lavquarantine/report.go
+++ b/core/services/lavquarantine/report.go
@@ -26,8 +26,7 @@
 	Instance lavserver.InstanceKey
 	Age      time.Duration
 	Begun    bool
-	// Worked is how long the server had had the request.
-	Worked time.Duration
+	Repeat   bool
 }
 
 // Findings are what hosts tell each other.
@@ -144,11 +143,9 @@
 func (r record) report(key Key, now time.Time) Report {
 	report := Report{Key: key, Whole: r.whole}
 	for _, ending := range r.endings {
-		reported := ReportedEnding{Instance: ending.Instance, Age: max(now.Sub(ending.At), 0), Begun: ending.Begun}
-		if !ending.SentAt.IsZero() {
-			reported.Worked = max(ending.At.Sub(ending.SentAt), 0)
-		}
-		report.Endings = append(report.Endings, reported)
+		report.Endings = append(report.Endings, ReportedEnding{
+			Instance: ending.Instance, Age: max(now.Sub(ending.At), 0), Begun: ending.Begun, Repeat: ending.Repeat,
+		})
 	}
 	if !r.refusedAt.IsZero() {
 		report.Refused, report.RefusedFor = true, max(now.Sub(r.refusedAt), 0)
@@ -174,7 +171,7 @@
 			known.refusedAt = reported
 		}
 		for _, ending := range report.Endings {
-			reported := ending.at(now)
+			reported := Ending{Instance: ending.Instance, At: now.Add(-ending.Age), Begun: ending.Begun, Repeat: ending.Repeat}
 			if alive, _ := t.alive.Peek(ending.Instance); reported.At.Before(alive.at.Add(transitTime)) {
 				continue
 			}
@@ -195,13 +192,3 @@
 		}
 	}
 }
-
-// at returns the ending of a report that arrives now. The time of sending is left out where the reporting host did not state
-// it.
-func (e ReportedEnding) at(now time.Time) Ending {
-	ending := Ending{Instance: e.Instance, At: now.Add(-e.Age), Begun: e.Begun}
-	if e.Worked > 0 {
-		ending.SentAt = ending.At.Add(-e.Worked)
-	}
-	return ending
-}
--- a/core/services/lavquarantine/table.go
+++ b/core/services/lavquarantine/table.go
@@ -89,14 +89,15 @@
 type Send struct {
 	Keys
 	Instance lavserver.InstanceKey
-	// SentAt is when it was sent, and Begun states that the server had begun to answer it and had not delivered anything yet.
-	SentAt time.Time
-	Begun  bool
+	// Begun states that the server had begun to answer it and had not delivered anything yet.
+	Begun bool
+	// Repeat states that it was sent after another server had ended with it.
+	Repeat bool
 }
 
 // ending returns the end of the server while the request was in work there.
 func (s Send) ending(at time.Time) Ending {
-	return Ending{Instance: s.Instance, SentAt: s.SentAt, At: at, Begun: s.Begun}
+	return Ending{Instance: s.Instance, At: at, Begun: s.Begun, Repeat: s.Repeat}
 }
 
 // New returns an empty table.
--- a/core/services/lavquarantine/table_test.go
+++ b/core/services/lavquarantine/table_test.go
@@ -220,7 +220,7 @@
 	f.count++
 	f.now = f.now.Add(500 * time.Millisecond)
 	for _, body := range bodies {
-		f.RecordEnding(Send{Keys: whole(body), Instance: f.count, SentAt: f.now.Add(-100 * time.Millisecond), Begun: true}, f.now)
+		f.RecordEnding(Send{Keys: whole(body), Instance: f.count, Begun: true}, f.now)
 	}
 }
 
@@ -277,15 +277,14 @@
 	is := is.New(t)
 	f, other := newFleet(), newFleet()
 	for instance := range lavserver.InstanceKey(2) {
-		sentAt := f.now
 		f.now = f.now.Add(20 * time.Millisecond)
-		f.RecordEnding(Send{Keys: whole("deadly"), Instance: instance, SentAt: sentAt, Begun: true}, f.now)
+		f.RecordEnding(Send{Keys: whole("deadly"), Instance: instance, Begun: true, Repeat: instance > 0}, f.now)
 	}
 	is.True(f.Quarantined(whole("deadly"), f.now))
 	other.Apply(f.Findings(f.now), f.now.Add(50*time.Millisecond))
 	is.True(other.Quarantined(whole("deadly"), f.now.Add(50*time.Millisecond)))
 	for instance := range lavserver.InstanceKey(3) {
-		f.RecordEnding(Send{Keys: whole("popular"), Instance: 10 + instance, SentAt: f.now.Add(-time.Second), Begun: true}, f.now.Add(time.Duration(instance)*20*time.Millisecond))
+		f.RecordEnding(Send{Keys: whole("popular"), Instance: 10 + instance, Begun: true}, f.now.Add(time.Duration(instance)*20*time.Millisecond))
 	}
 	is.True(!f.Quarantined(whole("popular"), f.now.Add(time.Second))) // three servers lost power with it in work
 }
--- a/entry/services/lavbroadcast/broadcaster_test.go
+++ b/entry/services/lavbroadcast/broadcaster_test.go
@@ -190,7 +190,7 @@
 		PromptParts: lavquarantine.Findings{
 			Keys: []lavquarantine.Report{{
 				Key: 1 << 63, Answered: true, AnsweredFor: time.Minute, Whole: true, Refused: true, RefusedFor: time.Hour,
-				Endings: []lavquarantine.ReportedEnding{{Instance: 5, Age: 2 * time.Second, Begun: true, Worked: 90 * time.Millisecond}, {Instance: 6, Age: time.Second}},
+				Endings: []lavquarantine.ReportedEnding{{Instance: 5, Age: 2 * time.Second, Begun: true, Repeat: true}, {Instance: 6, Age: time.Second}},
 			}},
 			Alive: []lavquarantine.Alive{{Instance: 1 << 62, Age: time.Second}},
 		},
@@ -206,9 +206,9 @@
 	_, err = decode(&state)
 	is.True(err != nil) // no rate
 	state.Notices = nil
-	state.PromptParts[0].WorkedMillis = nil
+	state.PromptParts[0].Repeat = nil
 	_, err = decode(&state)
-	is.NoErr(err) // an earlier build does not state how long a server had had the request
+	is.NoErr(err) // an earlier build does not state which sends were repeats
 	state.PromptParts[0].Begun = nil
 	_, err = decode(&state)
 	is.True(err != nil) // lists of unequal lengths
--- a/entry/services/lavbroadcast/decode.go
+++ b/entry/services/lavbroadcast/decode.go
@@ -121,9 +121,9 @@
 }
 
 func decodeFinding(encoded *lavwire.PromptPart) (lavquarantine.Report, error) {
-	instances, ages, begun, worked := encoded.GetInstances(), encoded.GetAgesMillis(), encoded.GetBegun(), encoded.GetWorkedMillis()
-	if len(ages) != len(instances) || len(begun) != len(instances) || len(worked) > 0 && len(worked) != len(instances) {
-		return lavquarantine.Report{}, errors.Errorf("prompt part with %d backend servers has %d ages, %d states and %d times of work", len(instances), len(ages), len(begun), len(worked))
+	instances, ages, begun, repeat := encoded.GetInstances(), encoded.GetAgesMillis(), encoded.GetBegun(), encoded.GetRepeat()
+	if len(ages) != len(instances) || len(begun) != len(instances) || len(repeat) > 0 && len(repeat) != len(instances) {
+		return lavquarantine.Report{}, errors.Errorf("prompt part with %d backend servers has %d ages, and %d and %d states", len(instances), len(ages), len(begun), len(repeat))
 	}
 	report := lavquarantine.Report{
 		Key:         lavquarantine.Key(encoded.GetKey()),
@@ -135,8 +135,8 @@
 	}
 	for i, instance := range instances {
 		ending := lavquarantine.ReportedEnding{Instance: lavserver.InstanceKey(instance), Age: time.Duration(ages[i]) * time.Millisecond, Begun: begun[i]}
-		if len(worked) > 0 {
-			ending.Worked = time.Duration(worked[i]) * time.Millisecond
+		if len(repeat) > 0 {
+			ending.Repeat = repeat[i]
 		}
 		report.Endings = append(report.Endings, ending)
 	}
--- a/entry/services/lavbroadcast/encode.go
+++ b/entry/services/lavbroadcast/encode.go
@@ -150,7 +150,7 @@
 		encoded.Instances = append(encoded.Instances, uint64(ending.Instance))
 		encoded.AgesMillis = append(encoded.AgesMillis, uint32(ending.Age.Milliseconds()))
 		encoded.Begun = append(encoded.Begun, ending.Begun)
-		encoded.WorkedMillis = append(encoded.WorkedMillis, uint32(ending.Worked.Milliseconds()))
+		encoded.Repeat = append(encoded.Repeat, ending.Repeat)
 	}
 	return encoded
 }
--- a/entry/services/lavforward/execution.go
+++ b/entry/services/lavforward/execution.go
@@ -32,8 +32,10 @@
 	answer   AnswerWriter
 	excluded map[lavid.BackendServerID]bool
 	// keys are those of the request. trial states that it may be sent although servers ended with one of them.
-	keys  lavquarantine.Keys
-	trial bool
+	// endedServer states that a server has ended with the request.
+	keys        lavquarantine.Keys
+	trial       bool
+	endedServer bool
 	// flight is the current send.
 	flight *flight
 	// bufferedBytes is what the request has reserved of the buffers for large answers.
@@ -151,7 +153,7 @@
 	remaining := e.request.Deadline.Sub(now)
 	ctx, cancel := context.WithTimeout(ctx, remaining)
 	defer cancel()
-	e.flight = &flight{Send: lavquarantine.Send{Keys: e.keys, Instance: chosen.Instance(), SentAt: now, Begun: e.request.Service.Engine == nil}, cancel: cancel}
+	e.flight = &flight{Send: lavquarantine.Send{Keys: e.keys, Instance: chosen.Instance(), Begun: e.request.Service.Engine == nil, Repeat: e.endedServer}, cancel: cancel}
 	if !e.trial {
 		e.flights.add(e.flight)
 	}
--- a/entry/services/lavforward/quarantine.go
+++ b/entry/services/lavforward/quarantine.go
@@ -129,7 +129,7 @@
 	if !lavexchange.IsPeerEnd(err) {
 		return
 	}
-	e.flight.settled, e.trial = true, false
+	e.flight.settled, e.trial, e.endedServer = true, false, true
 	e.Quarantine.RecordEnding(e.flight.Send, now)
 	e.CancelQuarantined(now)
 }
