Try a part of prompts with requests that have not ended servers

A key does not excuse another one of the same request any more, and a request that has ended servers itself is a trial of a part only one pause after others could be one. TestPartIsTriedWithARequestThatHasNotEndedServers failed before.

--- a/core/services/lavquarantine/admission.go
+++ b/core/services/lavquarantine/admission.go
@@ -19,7 +19,8 @@
 
 // Admit decides whether a request with the given keys may be sent. One that is kept from servers is tried again after a pause
 // by the host that is first in order, and after one more pause by each next one, as a trial may not reach the first. Where a
-// key that the request does not have explains the same endings, a trial tells which of both it is, and is not delayed.
+// key that the request does not have explains the same endings, a trial tells which of both it is, and is not delayed. A part is
+// rather tried with a request that has not ended servers itself.
 func (t *Table) Admit(keys Keys, rank Rank, now time.Time) Admission {
 	if !t.Suspects() {
 		return Admission{}
@@ -28,18 +29,25 @@
 	defer t.mu.Unlock()
 	var decision Admission
 	var held []Key
-	keys.each(func(key Key, _ bool) {
+	var partsDue time.Time
+	keys.each(func(key Key, whole bool) {
 		found := t.current(key, now)
-		if !t.isQuarantined(key, found, now) {
+		if !t.isHeld(keys, key, found, now) {
 			return
 		}
-		held = append(held, key)
 		pause := t.trialPause(found)
 		due := found.lastEnding().Add(pause * time.Duration(1+rank(key)))
 		if t.isAmbiguous(keys, found, now) {
 			pause = ambiguousTrialPause
 			due = found.lastEnding().Add(pause * time.Duration(rank(key)))
 		}
+		switch {
+		case !whole && due.After(partsDue):
+			partsDue = due
+		case whole && len(held) > 0 && due.Before(partsDue.Add(pause)):
+			due = partsDue.Add(pause)
+		}
+		held = append(held, key)
 		if now.Before(due) || now.Before(found.trialAt.Add(pause)) {
 			decision.refuse(key, found, pause, now)
 			t.recordRefusal(key, found, now)
@@ -63,7 +71,7 @@
 	defer t.mu.Unlock()
 	var decision Admission
 	keys.each(func(key Key, _ bool) {
-		if found := t.current(key, now); t.isQuarantined(key, found, now) {
+		if found := t.current(key, now); t.isHeld(keys, key, found, now) {
 			decision.refuse(key, found, t.trialPause(found), now)
 			t.recordRefusal(key, found, now)
 		}
@@ -90,6 +98,12 @@
 	a.ReturnAfter = max(a.ReturnAfter, of.lastEnding().Add(pause).Sub(now), minReturnAfter)
 }
 
+// isHeld reports whether a key is a reason to keep a request with the given keys from servers; the caller holds the lock. Of
+// several keys of the request, one does not excuse another.
+func (t *Table) isHeld(keys Keys, key Key, of record, now time.Time) bool {
+	return t.isSuspected(of) && !t.isExplained(key, of, keys, now)
+}
+
 // isAmbiguous reports whether a key that a request does not have was present at all endings of one that it has; the caller
 // holds the lock.
 func (t *Table) isAmbiguous(keys Keys, of record, now time.Time) bool {
--- a/core/services/lavquarantine/table.go
+++ b/core/services/lavquarantine/table.go
@@ -322,23 +322,26 @@
 }
 
 // isQuarantined reports whether a part or request with the given record is kept from servers; the caller holds the lock.
-func (t *Table) isQuarantined(part Key, of record, now time.Time) bool {
-	if len(of.endings) == 0 {
-		return false
-	}
-	score := t.score(of)
-	return score >= of.requiredScore() && !t.isExplained(part, of, score, now)
+func (t *Table) isQuarantined(key Key, of record, now time.Time) bool {
+	return t.isSuspected(of) && !t.isExplained(key, of, Keys{}, now)
 }
 
-// isExplained reports whether another part or request explains all endings of this one: it was there each time, and at further
-// ones.
-func (t *Table) isExplained(part Key, of record, score float64, now time.Time) bool {
+// isSuspected reports whether enough speaks against a part or request with the given record, unless another one explains it;
+// the caller holds the lock.
+func (t *Table) isSuspected(of record) bool {
+	return len(of.endings) > 0 && t.score(of) >= of.requiredScore()
+}
+
+// isExplained reports whether another part or request, which is none of the excluded ones, explains all endings of this one: it
+// was there each time, and at further ones. The caller holds the lock.
+func (t *Table) isExplained(key Key, of record, excluded Keys, now time.Time) bool {
+	score := t.score(of)
 	for other := range t.suspects {
-		if other == part {
+		if other == key || excluded.contains(other) {
 			continue
 		}
 		found := t.current(other, now)
-		if len(found.endings) > len(of.endings) && found.containsInstances(of) && t.score(found) > score && t.score(found) >= found.requiredScore() {
+		if len(found.endings) > len(of.endings) && found.containsInstances(of) && t.score(found) > score && t.isSuspected(found) {
 			return true
 		}
 	}
