Do not count ends before hosts knew as failed trials

Ends that follow each other within 3 s are no trials now. TestEndsBeforeHostsKnewAreNoTrials failed before.

--- a/core/services/lavquarantine/table.go
+++ b/core/services/lavquarantine/table.go
@@ -31,8 +31,10 @@
 	answeredRequestScore = 3.0
 	answeredPartScore    = 5.0
 	answerMemory         = time.Minute
-	// simultaneous is the time within which several endings count as one, such as those of a rack that loses power.
+	// simultaneous is the time within which several endings count as one, such as those of a rack that loses power, and
+	// spreadTime that within which all hosts learn of an ending.
 	simultaneous = 100 * time.Millisecond
+	spreadTime   = 3 * time.Second
 	// firstTrialPause is how long after the latest ending a part or request is first tried again. Each trial with which a
 	// server ended multiplies the pause by trialPauseFactor, up to maxTrialPause for parts. A whole request is tried
 	// maxRequestTrials times, and then again after requestLifetime.
@@ -256,39 +258,46 @@
 	t.put(part, changed)
 }
 
-// score returns how much speaks against a part or request; the caller holds the lock.
-func (t *Table) score(of record) float64 {
-	score := 0.0
-	for _, weight := range t.weights(of) {
-		score += weight
-	}
-	return score
+// group is a number of endings that are simultaneous.
+type group struct {
+	first Ending
+	// weight is the largest of their weights.
+	weight float64
 }
 
-// weights returns the weight of each group of simultaneous endings, which is that of the ending with the largest one; the
-// caller holds the lock.
-func (t *Table) weights(of record) []float64 {
-	var weights []float64
-	var first Ending
+// groups returns the groups of simultaneous endings of a record; the caller holds the lock.
+func (t *Table) groups(of record) []group {
+	var groups []group
 	for i, ending := range of.endings {
-		if i == 0 || !ending.isSimultaneous(first) {
-			weights, first = append(weights, 0), ending
+		if i == 0 || !ending.isSimultaneous(groups[len(groups)-1].first) {
+			groups = append(groups, group{first: ending})
 		}
-		last := len(weights) - 1
-		weights[last] = max(weights[last], t.weight(ending, of.whole))
+		last := &groups[len(groups)-1]
+		last.weight = max(last.weight, t.weight(ending, of.whole))
+	}
+	return groups
+}
+
+// score returns how much speaks against a part or request; the caller holds the lock.
+func (t *Table) score(of record) float64 {
+	score := 0.0
+	for _, group := range t.groups(of) {
+		score += group.weight
 	}
-	return weights
+	return score
 }
 
-// failedTrials returns the number of endings after those with which the quarantine began; the caller holds the lock.
+// failedTrials returns the number of trials with which servers ended; the caller holds the lock. Endings that follow each other
+// within spreadTime are of requests whose hosts could not know of the earlier ones.
 func (t *Table) failedTrials(of record) int {
 	score, required := 0.0, of.requiredScore()
 	count := 0
-	for _, weight := range t.weights(of) {
-		if score >= required {
+	var before time.Time
+	for _, group := range t.groups(of) {
+		if score >= required && group.first.At.Sub(before) >= spreadTime {
 			count++
 		}
-		score += weight
+		score, before = score+group.weight, group.first.At
 	}
 	return count
 }
--- a/core/services/lavquarantine/table_test.go
+++ b/core/services/lavquarantine/table_test.go
@@ -311,6 +311,43 @@
 	is.Equal(f.Statuses(f.now)[0].Request, whole("deadly").Request.String())
 }
 
+// TestEndsBeforeHostsKnewAreNoTrials guards against sound requests that wait for long because several servers ended with a part
+// that they share before hosts had told each other.
+func TestEndsBeforeHostsKnewAreNoTrials(t *testing.T) {
+	is := is.New(t)
+	f := newFleet()
+	for range 5 {
+		f.end(true, "shared")
+	}
+	is.Equal(f.Admit(parts("shared"), first, f.now).ReturnAfter, firstTrialPause)
+}
+
+// TestPartIsTriedWithARequestThatHasNotEndedServers guards against sound requests that stay kept from servers, because a part
+// that they share with one that ends servers is always tried with the latter.
+func TestPartIsTriedWithARequestThatHasNotEndedServers(t *testing.T) {
+	is := is.New(t)
+	f := newFleet()
+	deadly, sound := parts("shared"), parts("shared")
+	deadly.Request, sound.Request = whole("deadly").Request, whole("sound").Request
+	f.end(true, "shared") // a server ended for another reason, so that the part explains the ends of the request
+	for range 2 {
+		f.count++
+		f.now = f.now.Add(500 * time.Millisecond)
+		f.RecordEnding(Send{Keys: deadly, Instance: f.count, Begun: true}, f.now)
+	}
+	for range 20 {
+		f.now = f.now.Add(time.Second)
+		is.True(f.Admit(deadly, first, f.now).Refused)
+		if f.Admit(sound, first, f.now).Trial {
+			f.RecordAnswer(sound, f.now)
+			is.Equal(f.Admit(sound, first, f.now), Admission{})
+			is.True(f.Admit(deadly, func(Key) int { return 1000 }, f.now).Refused)
+			return
+		}
+	}
+	t.Fatal("the part was not tried")
+}
+
 // TestRequestsOnceAnsweredAreNotKept guards against records of all requests that are answered, of which most come once.
 func TestRequestsOnceAnsweredAreNotKept(t *testing.T) {
 	is := is.New(t)
