Reproduce requests that reach a server during the pause that it asked for

It fails in all eight without the two places that ask: the choice (Usable) and the send (MayTake); one alone is covered by TestRequestThatWaitedIsNotPlacedAtAPausedServer and TestSendIsWithheldOnceItsServerAsksForAPause, which fail without it.

With a pause of 26 h it fails in all eight on today's code: a pause is cut to an hour.

--- a/entry/services/lavforward/notice_test.go
+++ b/entry/services/lavforward/notice_test.go
@@ -290,6 +290,126 @@
 	}
 }
 
+// pausedServers replies for servers of which the one that is reached first asks for a pause.
+type pausedServers struct {
+	paused lavid.BackendServerID
+	pause  time.Duration
+	// reached counts the requests that reached the server after it had asked for the pause.
+	reached int
+	reply   func(Dispatch) (*Reply, error)
+}
+
+func (s *pausedServers) Send(_ context.Context, dispatch Dispatch) (*Reply, error) {
+	switch {
+	case !dispatch.MaySend():
+		return nil, lavexchange.ErrWithheld
+	case s.paused == "":
+		s.paused = dispatch.Server.ID
+		return refuseFor(s.pause)(dispatch)
+	case dispatch.Server.ID != s.paused:
+		return s.reply(dispatch)
+	}
+	s.reached++
+	return replyWith(http.StatusOK, "id: 1\ndata: 1\n\n")(dispatch)
+}
+
+// TestNoSendReachesAServerDuringItsPause guards against a path on which requests reach a server during the pause that it asked
+// this host for, and against a host that does not use it again afterwards.
+func TestNoSendReachesAServerDuringItsPause(t *testing.T) {
+	whole := replyWith(http.StatusOK, "id: 1\ndata: 1\n\n")
+	for name, test := range map[string]struct {
+		request func() *Request
+		reply   func(Dispatch) (*Reply, error)
+	}{
+		"first sends":            {func() *Request { return newRequest(lavroute.OnceOnly) }, whole},
+		"repeats after errors":   {func() *Request { return newRequest(lavroute.Idempotent) }, replyWith(http.StatusInternalServerError, "failed")},
+		"repeats after refusals": {func() *Request { return newRequest(lavroute.OnceOnly) }, refuseWith(http.StatusServiceUnavailable)},
+		"servers in doubt":       {func() *Request { return newRequest(lavroute.Idempotent) }, loseSend(true)},
+		"servers that leave":     {func() *Request { return newRequest(lavroute.Idempotent) }, leaving(whole)},
+		"resumed streams":        {func() *Request { return newRequest(lavroute.Streaming) }, breakAfter("id: 1\ndata: 1\n\n")},
+		"second runs":            {newCascadeRequest, replyWithConfidence(1, "id: 1\ndata: 1\n\n")},
+		"homes of prompts": {func() *Request {
+			request := newCascadeRequest()
+			request.Prompt = Prompt{Parts: []Part{{ID: "shared", Tokens: 5000}, {ID: "own", Tokens: 10}}, Input: 5010}
+			return request
+		}, replyWithConfidence(99, "id: 1\ndata: 1\n\n")},
+	} {
+		for _, pause := range []time.Duration{3 * time.Second, 26 * time.Hour} {
+			t.Run(fmt.Sprint(name, " ", pause), func(t *testing.T) {
+				is := is.New(t)
+				clock := &manualClock{now: time.Now()}
+				f := newFixture(3)
+				servers := &pausedServers{pause: pause, reply: test.reply}
+				f.Sender, f.Clock, f.waiting.clock = servers, clock.Now, clock.Now
+				play := func(step time.Duration, count int) {
+					for range count {
+						request := test.request()
+						request.Arrived = clock.Now()
+						request.Deadline = request.Arrived.Add(5 * time.Second)
+						f.serve(request)
+						clock.advance(step)
+					}
+				}
+				play(time.Millisecond, 1)
+				play(pause/100, 95)
+				is.Equal(servers.reached, 0)
+				clock.advance(pause / 10)
+				for _, row := range f.directory.All() {
+					if row.ID != servers.paused {
+						f.directory.Leave(row.Server, clock.Now())
+					}
+				}
+				play(time.Millisecond, 1)
+				is.Equal(servers.reached, 1) // the pause has ended
+			})
+		}
+	}
+}
+
+// serverNamed returns a listed server.
+func (f *fixture) serverNamed(id lavid.BackendServerID) lavserver.Server {
+	for _, row := range f.directory.All() {
+		if row.ID == id {
+			return row.Server
+		}
+	}
+	panic("server is not listed: " + string(id))
+}
+
+// TestSendIsWithheldOnceItsServerAsksForAPause guards against a request that reaches a server during its pause because the
+// connection to it was being opened when another request was told of the pause.
+func TestSendIsWithheldOnceItsServerAsksForAPause(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(1, replyWith(http.StatusOK, "whole"))
+	f.beforeSend = func(_ context.Context, dispatch Dispatch) {
+		is.True(dispatch.MaySend())
+		f.directory.Pause(dispatch.Server, 3*time.Second, time.Now())
+		is.True(!dispatch.MaySend())
+	}
+	f.serve(newRequest(lavroute.OnceOnly))
+	is.Equal(len(f.sends), 1)
+}
+
+// TestRequestThatWaitedIsNotPlacedAtAPausedServer guards against a request that waits for an engine and goes to one that has
+// asked for a pause meanwhile.
+func TestRequestThatWaitedIsNotPlacedAtAPausedServer(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(2)
+	request := newCascadeRequest()
+	e := &execution{Forwarder: f.Forwarder, request: request, keys: request.keys(), excluded: map[lavid.BackendServerID]bool{}}
+	now := time.Now()
+	f.directory.Pause(f.serverNamed("a"), time.Minute, now)
+	for range 20 {
+		chosen, job, refused := e.placeWithin(noLimit, now)
+		is.Equal(refused, "")
+		is.Equal(chosen.ID, lavid.BackendServerID("b"))
+		e.release(chosen, job)
+	}
+	f.directory.Pause(f.serverNamed("b"), time.Minute, now)
+	_, _, refused := e.placeWithin(noLimit, now)
+	is.True(refused != "")
+}
+
 // limitedServers replies for servers of which one states a limit.
 type limitedServers struct {
 	limited  lavid.BackendServerID
