Keep to pauses of more than an hour

Cause: a pause was cut to an hour, on the assumption that a server that takes nothing for longer is taken off the list. The class of fault is a value that is shortened where the one who states it relies on it. Ruled out: other values that servers state, as limits are not bounded and leaving does not end.

Change: 30 days are the longest pause, which is what messages between hosts can hold; a pause ends with the instance, as before, so that it outlasts no server.

--- a/core/services/lavnotice/table.go
+++ b/core/services/lavnotice/table.go
@@ -14,9 +14,9 @@
 )
 
 const (
-	// MaxPause is the longest pause that a server can ask for. Longer ones are shortened, as a server that takes nothing for
-	// hours is better taken off the list.
-	MaxPause = time.Hour
+	// MaxPause is the longest pause that a server can ask for. Longer ones are shortened, as messages between hosts hold 32 bits
+	// of milliseconds.
+	MaxPause = 30 * 24 * time.Hour
 	// maxInstances bounds the instances whose notices are kept; the least recently noticed is removed first.
 	maxInstances = 4096
 	// tellTime is how long after a server has stated that it leaves hosts tell each other. By then, listings show it.
--- a/core/services/lavnotice/table_test.go
+++ b/core/services/lavnotice/table_test.go
@@ -31,7 +31,7 @@
 	is.Equal(table.PausedUntil(instance), start.Add(3*time.Second))
 	table.RecordPause(instance, 4*time.Second, start.Add(time.Second))
 	is.Equal(table.PausedUntil(instance), start.Add(5*time.Second))
-	table.RecordPause(instance, 48*time.Hour, start)
+	table.RecordPause(instance, 2*MaxPause, start)
 	is.Equal(table.PausedUntil(instance), start.Add(MaxPause))
 }
 
