Forget requests with which a single server ended after ten minutes

Each request that was in work at a server that ended stayed on record for an hour, and every report looked at all of them. TestHostsLearnWhichPartsEndServers also looks at a whole request, at 4, 29 and 68 hosts, also after a restart.

--- a/core/services/lavquarantine/part.go
+++ b/core/services/lavquarantine/part.go
@@ -150,12 +150,12 @@
 	return false
 }
 
-// lifetime returns how long the endings count.
+// lifetime returns how long the endings count. Most requests with which one server ended do not come again.
 func (r record) lifetime() time.Duration {
-	if r.whole {
+	if r.whole && len(r.endings) > 1 {
 		return requestLifetime
 	}
-	return partLifetime
+	return endingLifetime
 }
 
 // withoutExpired returns the record without the endings that are too old. Those of a request that is still refused count on.
--- a/core/services/lavquarantine/report.go
+++ b/core/services/lavquarantine/report.go
@@ -86,18 +86,18 @@
 func (t *Table) reports(now time.Time) []Report {
 	t.forgetEnded(now)
 	var found []dated
-	for part := range t.suspects {
-		known := t.current(part, now)
+	for key := range t.suspects {
+		known := t.current(key, now)
 		if len(known.endings) == 0 {
-			t.put(part, known) // the endings are too old
+			t.put(key, known) // the endings are too old
 			continue
 		}
-		if t.score(known) == 0 {
+		isNew := now.Sub(known.lastEnding()) < tellTime
+		if !isNew && len(known.endings) == 1 || t.score(known) == 0 {
 			continue
 		}
-		quarantined := t.isQuarantined(part, known, now)
-		if now.Sub(known.lastEnding()) < tellTime || quarantined {
-			found = append(found, dated{known.report(part, now), quarantined, known.lastEnding()})
+		if quarantined := t.isQuarantined(key, known, now); isNew || quarantined {
+			found = append(found, dated{known.report(key, now), quarantined, known.lastEnding()})
 		}
 	}
 	for part := range t.cleared {
--- a/core/services/lavquarantine/table.go
+++ b/core/services/lavquarantine/table.go
@@ -16,9 +16,9 @@
 	maxRecords   = 8192
 	maxInstances = 1024
 	maxEndings   = 8
-	// partLifetime is how long an ending counts against parts of a prompt, and requestLifetime how long it counts against the
-	// whole request, which is longer as no other request is refused because of it.
-	partLifetime    = 10 * time.Minute
+	// endingLifetime is how long an ending counts, and requestLifetime how long several endings count against a whole request,
+	// which is longer as no other request is refused because of them.
+	endingLifetime  = 10 * time.Minute
 	requestLifetime = time.Hour
 	// begunWeight is what an ending adds to the score if the server had just begun to answer, and besideWeight what it adds to
 	// that of a part if the request waited, or part of the answer had been delivered. A server that ends takes all requests
--- a/core/services/lavquarantine/table_test.go
+++ b/core/services/lavquarantine/table_test.go
@@ -363,7 +363,7 @@
 	f.end(true, "deadly")
 	f.end(true, "deadly")
 	is.True(f.quarantined("deadly"))
-	f.now = f.now.Add(partLifetime)
+	f.now = f.now.Add(endingLifetime)
 	is.True(!f.quarantined("deadly"))
 	is.Equal(len(f.Findings(f.now).Keys), 0)
 }
--- a/core/services/lavreport/node_test.go
+++ b/core/services/lavreport/node_test.go
@@ -363,13 +363,18 @@
 				host.node.ShareQuarantine(tables[host])
 			}
 			network.run(2*time.Second, nil)
-			deadly := lavquarantine.Keys{Parts: []lavquarantine.Key{lavquarantine.KeyOf("deadly")}}
+			deadly := lavquarantine.Keys{
+				Parts:   []lavquarantine.Key{lavquarantine.KeyOf("deadly")},
+				Request: lavquarantine.KeyOfRequest([]byte("deadly"), "POST", "/path"),
+			}
+			request := lavquarantine.Keys{Request: deadly.Request}
 			tables[network.hosts[0]].RecordEnding(lavquarantine.Send{Keys: deadly, Instance: 1, Begun: true}, network.now)
 			network.run(200*time.Millisecond, nil)
 			tables[network.hosts[size.hosts-1]].RecordEnding(lavquarantine.Send{Keys: deadly, Instance: 2, Begun: true}, network.now)
 			network.run(maxP99Age, nil)
 			for _, host := range network.hosts {
 				is.True(tables[host].Quarantined(deadly, network.now))
+				is.True(tables[host].Quarantined(request, network.now))
 			}
 			restarted := network.hosts[size.hosts/2]
 			network.restart(restarted)
@@ -377,6 +382,7 @@
 			restarted.node.ShareQuarantine(tables[restarted])
 			network.run(maxP99Age, nil)
 			is.True(tables[restarted].Quarantined(deadly, network.now))
+			is.True(tables[restarted].Quarantined(request, network.now))
 			tables[restarted].RecordAnswer(deadly, network.now)
 			network.run(maxP99Age, nil)
 			for _, host := range network.hosts {
