Split the list of what hosts report of endings

What speaks against keys and what was answered lately are listed by a function each; no change of behaviour, the tests of the package pass as before.

--- a/core/services/lavquarantine/report.go
+++ b/core/services/lavquarantine/report.go
@@ -85,6 +85,25 @@
 // reports returns what is known of the keys; the caller holds the lock.
 func (t *Table) reports(now time.Time) []Report {
 	t.forgetEnded(now)
+	found := append(t.suspectedReports(now), t.clearedReports(now)...)
+	slices.SortFunc(found, func(a, b dated) int {
+		if a.quarantined != b.quarantined {
+			if a.quarantined {
+				return -1
+			}
+			return 1
+		}
+		return cmp.Or(b.changedAt.Compare(a.changedAt), cmp.Compare(a.Key, b.Key))
+	})
+	reports := make([]Report, 0, min(len(found), maxReports))
+	for _, entry := range found[:min(len(found), maxReports)] {
+		reports = append(reports, entry.Report)
+	}
+	return reports
+}
+
+// suspectedReports returns what speaks against keys; the caller holds the lock.
+func (t *Table) suspectedReports(now time.Time) []dated {
 	var found []dated
 	for key := range t.suspects {
 		known := t.current(key, now)
@@ -100,30 +119,24 @@
 			found = append(found, dated{known.report(key, now), quarantined, known.lastEnding()})
 		}
 	}
-	for part := range t.cleared {
-		known := t.current(part, now)
+	return found
+}
+
+// clearedReports returns the keys that were answered lately, so that nothing speaks against them any more; the caller holds the
+// lock.
+func (t *Table) clearedReports(now time.Time) []dated {
+	var found []dated
+	for key := range t.cleared {
+		known := t.current(key, now)
 		if now.Sub(known.clearedAt) >= tellTime {
-			delete(t.cleared, part)
+			delete(t.cleared, key)
 			continue
 		}
 		if len(known.endings) == 0 {
-			found = append(found, dated{known.report(part, now), false, known.clearedAt})
+			found = append(found, dated{known.report(key, now), false, known.clearedAt})
 		}
 	}
-	slices.SortFunc(found, func(a, b dated) int {
-		if a.quarantined != b.quarantined {
-			if a.quarantined {
-				return -1
-			}
-			return 1
-		}
-		return cmp.Or(b.changedAt.Compare(a.changedAt), cmp.Compare(a.Key, b.Key))
-	})
-	reports := make([]Report, 0, min(len(found), maxReports))
-	for _, entry := range found[:min(len(found), maxReports)] {
-		reports = append(reports, entry.Report)
-	}
-	return reports
+	return found
 }
 
 // forgetEnded removes the instances without endings on record once there are too many; the caller holds the lock.
