--- a/entry/services/lavforward/quarantine.go
+++ b/entry/services/lavforward/quarantine.go
@@ -32,7 +32,8 @@
 	survived bool
 }
 
-// flights holds the sends that are cancelled once their requests are kept from servers. It is safe for concurrent use.
+// flights holds the sends that are cancelled once their requests are kept from servers: those of which nothing has been
+// delivered. It is safe for concurrent use.
 type flights struct {
 	mu      sync.Mutex
 	pending map[*flight]struct{}
@@ -52,7 +53,7 @@
 	delete(f.pending, removed)
 }
 
-// CancelQuarantined cancels the sends of requests that have been found to end servers since, unless a server has survived them.
+// CancelQuarantined cancels the sends of requests that have been found to end servers since, unless the answer is being delivered.
 // It is to be called several times a second, as other hosts may have found it.
 func (f *Forwarder) CancelQuarantined(now time.Time) {
 	if !f.Quarantine.Suspects() {
--- a/entry/services/lavforward/quarantine_test.go
+++ b/entry/services/lavforward/quarantine_test.go
@@ -455,3 +455,42 @@
 	is.True(result.Refusal == nil && !result.Broken)
 	is.Equal(answer.status, http.StatusOK)
 }
+
+// watchedBody is the body of an answer that calls a function before each read but the first.
+type watchedBody struct {
+	io.Reader
+	before func()
+	reads  int
+}
+
+func (b *watchedBody) Read(buffer []byte) (int, error) {
+	if b.reads++; b.reads > 1 {
+		b.before()
+	}
+	return b.Reader.Read(buffer)
+}
+
+// TestStreamThatIsDeliveredIsNotCancelled guards against streams that break off because a part of their prompts has been found to
+// end servers, although their own servers have begun to answer and go on.
+func TestStreamThatIsDeliveredIsNotCancelled(t *testing.T) {
+	is := is.New(t)
+	clock := &manualClock{now: time.Now()}
+	f := newFixture(1)
+	var sent context.Context
+	f.beforeSend = func(ctx context.Context, _ Dispatch) { sent = ctx }
+	body := &watchedBody{Reader: io.MultiReader(strings.NewReader("id: 1\ndata: 1\n\n"), strings.NewReader("id: 2\ndata: 2\n\n"))}
+	body.before = func() {
+		for instance := range lavserver.InstanceKey(2) {
+			now := time.Now().Add(time.Duration(instance) * time.Second)
+			f.Quarantine.RecordEnding(lavquarantine.Send{Keys: lavquarantine.Keys{Parts: []lavquarantine.Key{lavquarantine.KeyOf("shared")}}, Instance: 1000 + instance, Begun: true}, now)
+		}
+		f.CancelQuarantined(time.Now())
+		is.NoErr(sent.Err())
+	}
+	f.replies = append(f.replies, func(Dispatch) (*Reply, error) {
+		return &Reply{Status: http.StatusOK, Header: http.Header{}, Signed: true, Body: io.NopCloser(body)}, nil
+	})
+	_, result := f.serve(newPromptRequest(clock, "shared", "own"))
+	is.True(!result.Broken)
+	is.True(body.reads > 1)
+}
