--- a/entry/services/lavforward/quarantine_test.go
+++ b/entry/services/lavforward/quarantine_test.go
@@ -494,3 +494,15 @@
 	is.True(!result.Broken)
 	is.True(body.reads > 1)
 }
+
+// TestPlainRequestIsNotHeldAgainstPartsOfPrompts guards against prompts that are kept from engines because plain requests that
+// state the same parts ended servers of another service.
+func TestPlainRequestIsNotHeldAgainstPartsOfPrompts(t *testing.T) {
+	is := is.New(t)
+	clock := &manualClock{now: time.Now()}
+	prompt := newPromptRequest(clock, "shared", "own")
+	plain := newRequest(lavroute.Idempotent)
+	plain.Prompt = prompt.Prompt
+	is.Equal(len(plain.keys().Parts), 0)
+	is.Equal(len(prompt.keys().Parts), 1)
+}
--- a/entry/services/lavforward/request.go
+++ b/entry/services/lavforward/request.go
@@ -73,9 +73,12 @@
 }
 
 // keys returns the keys of the request: that of the whole request, which is the same for each try of a caller, and those of the
-// parts of the prompt that other requests may share. The last part is the request's own.
+// parts of the prompt that other requests may share. The last part is the request's own. A plain service reads no prompt.
 func (r *Request) keys() lavquarantine.Keys {
 	keys := lavquarantine.Keys{Request: lavquarantine.KeyOfRequest(r.Body, r.Method, r.HostName, r.Target, string(r.AccountID()))}
+	if r.Service.Engine == nil && r.Route.Kind != lavroute.Streaming {
+		return keys
+	}
 	for _, part := range r.Prompt.Parts[:max(len(r.Prompt.Parts)-1, 0)] {
 		keys.Parts = append(keys.Parts, lavquarantine.KeyOf(part.ID))
 	}
