Let the next host try soon where the first one does not

The same outage lasted on as trials waited: the host that ranked first was being restarted, each next one waited a whole pause more (15 s), and the first trial of the part was made with the request that ended servers, since a request beside it made it ambiguous. Each next host waits 5 s more now, and a request that has ended servers itself 5 s after others with the part, also where it is ambiguous.

--- a/core/services/lavquarantine/admission.go
+++ b/core/services/lavquarantine/admission.go
@@ -18,7 +18,7 @@
 type Rank func(key Key) int
 
 // Admit decides whether a request with the given keys may be sent. One that is kept from servers is tried again after a pause
-// by the host that is first in order, and after one more pause by each next one, as a trial may not reach the first. Where a
+// by the host that is first in order, and firstTrialPause later by each next one, as a trial may not reach the first. Where a
 // key that the request does not have explains the same endings, a trial tells which of both it is, and is not delayed. A part is
 // rather tried with a request that has not ended servers itself.
 func (t *Table) Admit(keys Keys, rank Rank, now time.Time) Admission {
@@ -36,7 +36,7 @@
 			return
 		}
 		pause := t.trialPause(found)
-		due := found.lastEnding().Add(pause * time.Duration(1+rank(key)))
+		due := found.lastEnding().Add(pause + firstTrialPause*time.Duration(rank(key)))
 		if t.isAmbiguous(keys, found, now) {
 			pause = ambiguousTrialPause
 			due = found.lastEnding().Add(pause * time.Duration(rank(key)))
@@ -44,8 +44,8 @@
 		switch {
 		case !whole && due.After(partsDue):
 			partsDue = due
-		case whole && len(held) > 0 && due.Before(partsDue.Add(pause)):
-			due = partsDue.Add(pause)
+		case whole && len(held) > 0 && due.Before(partsDue.Add(firstTrialPause)):
+			due = partsDue.Add(firstTrialPause)
 		}
 		held = append(held, key)
 		if now.Before(due) || now.Before(found.trialAt.Add(pause)) {
--- a/entry/services/lavforward/delivery.go
+++ b/entry/services/lavforward/delivery.go
@@ -173,14 +173,7 @@
 			case deliverErr != nil:
 				return stepDone, Result{Broken: true}
 			}
-			if e.flight.Begun && e.stream.events() > 0 {
-				// A server that ends with a request ends when it begins to answer.
-				e.flight.Begun = false
-				e.flights.remove(e.flight)
-			}
-			if now := e.Clock(); e.stream.events() > 0 && now.Sub(headAt) >= answerSurvivalTime {
-				e.recordSurvival(now)
-			}
+			e.recordProgress(headAt, e.Clock())
 			if e.mayResume() {
 				watchdog.reset(e.pauseTimeout())
 			}
--- a/entry/services/lavforward/quarantine.go
+++ b/entry/services/lavforward/quarantine.go
@@ -135,6 +135,21 @@
 	e.CancelQuarantined(now)
 }
 
+// recordProgress records that a part of a stream was delivered, whose head arrived at headAt. A server that ends with a request
+// ends when it begins to answer, so that the send is not cancelled any more.
+func (e *execution) recordProgress(headAt, now time.Time) {
+	if e.stream.events() == 0 {
+		return
+	}
+	if e.flight.Begun {
+		e.flight.Begun = false
+		e.flights.remove(e.flight)
+	}
+	if now.Sub(headAt) >= answerSurvivalTime {
+		e.recordSurvival(now)
+	}
+}
+
 // recordSurvival records, once for each send, that its server has survived the request.
 func (e *execution) recordSurvival(now time.Time) {
 	if e.flight.survived {
