--- a/core/services/lavquarantine/report.go
+++ b/core/services/lavquarantine/report.go
@@ -145,8 +145,8 @@
 		return
 	}
 	clear(t.ended)
-	for part := range t.suspects {
-		for _, ending := range t.current(part, now).endings {
+	for key := range t.suspects {
+		for _, ending := range t.current(key, now).endings {
 			t.ended[ending.Instance] = struct{}{}
 		}
 	}
--- a/core/services/lavquarantine/table.go
+++ b/core/services/lavquarantine/table.go
@@ -107,9 +107,9 @@
 	t := &Table{
 		suspects: make(map[Key]struct{}), cleared: make(map[Key]struct{}), ended: make(map[lavserver.InstanceKey]struct{}),
 	}
-	records, err := lru.NewWithEvict(maxRecords, func(part Key, _ record) {
-		delete(t.suspects, part)
-		delete(t.cleared, part)
+	records, err := lru.NewWithEvict(maxRecords, func(key Key, _ record) {
+		delete(t.suspects, key)
+		delete(t.cleared, key)
 	})
 	if err != nil {
 		panic(err) // only for a size that is not positive
@@ -197,11 +197,11 @@
 	known.at = before
 	if _, ended := t.ended[instance]; ended {
 		remaining := false
-		for part := range t.suspects {
-			found := t.current(part, now)
+		for key := range t.suspects {
+			found := t.current(key, now)
 			if kept := without(found.endings, instance, before); len(kept) < len(found.endings) {
 				found.endings, known.refutedAt = kept, now
-				t.put(part, found)
+				t.put(key, found)
 			}
 			remaining = remaining || found.hasInstance(instance)
 		}
@@ -247,15 +247,15 @@
 }
 
 // answer stores that a part or request was answered at a time; the caller holds the lock.
-func (t *Table) answer(part Key, changed record, answeredAt, now time.Time) {
+func (t *Table) answer(key Key, changed record, answeredAt, now time.Time) {
 	if answeredAt.After(changed.answeredAt) {
 		changed.answeredAt = answeredAt
 	}
 	if remaining := after(changed.endings, changed.answeredAt); len(remaining) < len(changed.endings) {
 		changed.endings, changed.clearedAt = remaining, now
-		t.cleared[part] = struct{}{}
+		t.cleared[key] = struct{}{}
 	}
-	t.put(part, changed)
+	t.put(key, changed)
 }
 
 // group is a number of endings that are simultaneous.
