Take what a server sends as a sign that it has not ended

Bytes of any answer now show, 50 ms after a seeming end, that the server goes on; most have streams in work all the time. TestServerThatGoesOnWithAStreamHasNotEnded failed before.

--- a/core/services/lavquarantine/table.go
+++ b/core/services/lavquarantine/table.go
@@ -68,7 +68,7 @@
 	// ended holds the instances of the endings on record, and begun those that ended with an answer that had just begun.
 	ended map[lavserver.InstanceKey]struct{}
 	begun *lru.Cache[lavserver.InstanceKey, struct{}]
-	// alive holds when a request was sent to each instance that it answered, the latest one.
+	// alive holds when each instance was last known to be alive.
 	alive *lru.Cache[lavserver.InstanceKey, proof]
 	// drops holds the latest dropped sends.
 	drops []drop
@@ -180,12 +180,12 @@
 	}
 }
 
-// RecordAlive records that an instance answered a request that was sent to it at a time. What looked like its end before was a
-// broken connection.
-func (t *Table) RecordAlive(instance lavserver.InstanceKey, sentAt, now time.Time) {
+// RecordAlive records that an instance was alive at a time, since it answered a request that was sent later, or has sent
+// something since. What looked like its end before was a broken connection.
+func (t *Table) RecordAlive(instance lavserver.InstanceKey, at, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.refute(instance, sentAt, now)
+	t.refute(instance, at, now)
 }
 
 // refute removes the endings of an instance before a time; the caller holds the lock.
--- a/entry/services/lavforward/delivery.go
+++ b/entry/services/lavforward/delivery.go
@@ -167,6 +167,7 @@
 		count, err := reply.Body.Read(buffer)
 		if count > 0 {
 			e.health.recordActivity(chosen.Instance(), e.Clock())
+			e.recordAlive(chosen, sentAt)
 			switch deliverErr := e.deliverEvents(chosen, reply, buffer[:count]); {
 			case errors.Is(deliverErr, errDamagedStream):
 				return e.handleBrokenStream(ctx, chosen, watchdog, deliverErr)
--- a/entry/services/lavforward/execution.go
+++ b/entry/services/lavforward/execution.go
@@ -196,7 +196,7 @@
 	e.health.recordActivity(chosen.Instance(), e.Clock())
 	e.recordNotices(chosen, reply)
 	if !reply.OtherServer {
-		e.Quarantine.RecordAlive(chosen.Instance(), now, e.Clock())
+		e.recordAlive(chosen, now)
 	}
 	if reply.NotRun {
 		e.flight.settled = true
--- a/entry/services/lavforward/quarantine.go
+++ b/entry/services/lavforward/quarantine.go
@@ -16,6 +16,9 @@
 // another reason.
 const answerSurvivalTime = time.Second
 
+// maxReadDelay is about how long bytes of a server may have waited at this host before they are read.
+const maxReadDelay = 50 * time.Millisecond
+
 // The reasons of refusals because of the whole request, or of a part of its prompt.
 const (
 	reasonRequestQuarantined = "backend servers ended with this request"
@@ -124,6 +127,16 @@
 	return result
 }
 
+// recordAlive records that a server sent something, of a request that was sent to it at sentAt.
+func (e *execution) recordAlive(chosen choice, sentAt time.Time) {
+	now := e.Clock()
+	at := now.Add(-maxReadDelay)
+	if sentAt.After(at) {
+		at = sentAt
+	}
+	e.Quarantine.RecordAlive(chosen.Instance(), at, now)
+}
+
 // recordEnding records that the connection to a server broke before the server had survived the request. A send that timed out,
 // or whose answer was damaged, says nothing about the end of its server.
 func (e *execution) recordEnding(err error, now time.Time) {
--- a/entry/services/lavforward/quarantine_test.go
+++ b/entry/services/lavforward/quarantine_test.go
@@ -506,3 +506,26 @@
 	is.Equal(len(plain.keys().Parts), 0)
 	is.Equal(len(prompt.keys().Parts), 1)
 }
+
+// TestServerThatGoesOnWithAStreamHasNotEnded guards against sound requests that are kept from servers because two of them broke
+// off its answers, while they go on with others.
+func TestServerThatGoesOnWithAStreamHasNotEnded(t *testing.T) {
+	is := is.New(t)
+	clock := &manualClock{now: time.Now()}
+	f := newFixture(1)
+	f.Clock, f.waiting.clock = clock.Now, clock.Now
+	broken := newPromptRequest(clock, "other", "own")
+	body := &watchedBody{Reader: io.MultiReader(strings.NewReader("id: 1\ndata: 1\n\n"), strings.NewReader("id: 2\ndata: 2\n\n"))}
+	body.before = func() {
+		if body.reads == 2 {
+			f.Quarantine.RecordEnding(lavquarantine.Send{Keys: broken.keys(), Instance: f.serverNamed("a").Instance(), Begun: true}, clock.Now())
+			is.True(f.Quarantine.Suspects())
+		}
+		clock.advance(2 * maxReadDelay)
+	}
+	f.replies = append(f.replies, func(Dispatch) (*Reply, error) {
+		return &Reply{Status: http.StatusOK, Header: http.Header{}, Signed: true, Body: io.NopCloser(body)}, nil
+	})
+	f.serve(newPromptRequest(clock, "shared", "own"))
+	is.True(!f.Quarantine.Suspects())
+}
