Leave sound requests all their attempts

A whole request is not charged with an end any more once something of its answer was delivered; a plain server that closes the connection within 10 ms counts as one that had not begun; and a request that waited counts 0.7, so that it takes three such ends. TestSoundRequestHasAllItsAttempts failed before in its three cases.

--- a/core/services/lavquarantine/table.go
+++ b/core/services/lavquarantine/table.go
@@ -20,11 +20,12 @@
 	// which is longer as no other request is refused because of them.
 	endingLifetime  = 10 * time.Minute
 	requestLifetime = time.Hour
-	// begunWeight is what an ending adds to the score if the server had just begun to answer, and besideWeight what it adds to
-	// that of a part if the request waited, or part of the answer had been delivered. A server that ends takes all requests
-	// with it. A whole request is rarely in work by chance at two servers that end.
-	begunWeight  = 1.0
-	besideWeight = 0.5
+	// begunWeight is what an ending adds to the score if the server had just begun to answer, and the others are what it adds if
+	// it had not: to a whole request that waited, and to a part of a prompt that waited or was in an answer of which something
+	// had been delivered. A server that ends takes all requests with it.
+	begunWeight          = 1.0
+	waitingRequestWeight = 0.7
+	besidePartWeight     = 0.5
 	// unansweredScore is the score from which parts and requests are kept from servers, and the others are those for one that
 	// was answered within answerMemory before its first ending. The score begins anew with each answer.
 	unansweredScore      = 2.0
@@ -324,9 +325,9 @@
 	case t.begun.Contains(ending.Instance):
 		return 0
 	case whole:
-		return begunWeight
+		return waitingRequestWeight
 	default:
-		return besideWeight
+		return besidePartWeight
 	}
 }
 
--- a/entry/services/lavforward/execution.go
+++ b/entry/services/lavforward/execution.go
@@ -153,7 +153,7 @@
 	remaining := e.request.Deadline.Sub(now)
 	ctx, cancel := context.WithTimeout(ctx, remaining)
 	defer cancel()
-	e.flight = &flight{Send: lavquarantine.Send{Keys: e.keys, Instance: chosen.Instance(), Begun: e.request.Service.Engine == nil, Repeat: e.endedServer}, cancel: cancel}
+	e.flight = &flight{Send: lavquarantine.Send{Keys: e.keys, Instance: chosen.Instance(), Repeat: e.endedServer}, sentAt: now, cancel: cancel}
 	if !e.trial {
 		e.flights.add(e.flight)
 	}
--- a/entry/services/lavforward/quarantine.go
+++ b/entry/services/lavforward/quarantine.go
@@ -16,6 +16,9 @@
 // another reason.
 const answerSurvivalTime = time.Second
 
+// maxRejectionTime is about how long a server that has too many connections takes to close a new one.
+const maxRejectionTime = 10 * time.Millisecond
+
 // maxReadDelay is about how long bytes of a server may have waited at this host before they are read.
 const maxReadDelay = 50 * time.Millisecond
 
@@ -26,10 +29,13 @@
 )
 
 // flight is a send whose server has not survived the request yet. It is begun once the answer has begun and nothing of it has
-// been delivered. A plain server begins with the arrival of the request, as it sends nothing before the whole answer.
+// been delivered.
 type flight struct {
 	lavquarantine.Send
+	sentAt time.Time
 	cancel context.CancelFunc
+	// delivered states that a part of the answer has been delivered.
+	delivered bool
 	// settled states that it is known what became of the request: it was not run, its server ended, or survived it.
 	settled  bool
 	survived bool
@@ -143,19 +149,34 @@
 	if !lavexchange.IsPeerEnd(err) {
 		return
 	}
-	e.flight.settled, e.trial, e.endedServer = true, false, true
-	e.Quarantine.RecordEnding(e.flight.Send, now)
+	e.trial, e.endedServer = false, true
+	e.Quarantine.RecordEnding(e.settle(now), now)
 	e.CancelQuarantined(now)
 }
 
+// settle returns the send as it is held against its request when its server ends. A plain server is taken to run the request from
+// its arrival on, as it sends nothing before the whole answer, but one that closes the connection at once may have too many. A
+// server that ends with a whole request ends before it delivers anything.
+func (e *execution) settle(now time.Time) lavquarantine.Send {
+	e.flight.settled = true
+	send := e.flight.Send
+	switch {
+	case e.flight.delivered:
+		send.Request = 0
+	case e.request.Service.Engine == nil && now.Sub(e.flight.sentAt) >= maxRejectionTime:
+		send.Begun = true
+	}
+	return send
+}
+
 // recordProgress records that a part of a stream was delivered, whose head arrived at headAt. A server that ends with a request
 // ends when it begins to answer, so that the send is not cancelled any more.
 func (e *execution) recordProgress(headAt, now time.Time) {
 	if e.stream.events() == 0 {
 		return
 	}
-	if e.flight.Begun {
-		e.flight.Begun = false
+	if !e.flight.delivered {
+		e.flight.Begun, e.flight.delivered = false, true
 		e.flights.remove(e.flight)
 	}
 	if now.Sub(headAt) >= answerSurvivalTime {
@@ -176,7 +197,7 @@
 // endFlight records that a send ended. If it is not known what became of its request, the server may still end with it.
 func (e *execution) endFlight() {
 	e.flights.remove(e.flight)
-	if !e.flight.settled {
-		e.Quarantine.RecordDropped(e.flight.Send, e.Clock())
+	if now := e.Clock(); !e.flight.settled {
+		e.Quarantine.RecordDropped(e.settle(now), now)
 	}
 }
--- a/entry/services/lavforward/quarantine_test.go
+++ b/entry/services/lavforward/quarantine_test.go
@@ -529,3 +529,32 @@
 	f.serve(newPromptRequest(clock, "shared", "own"))
 	is.True(!f.Quarantine.Suspects())
 }
+
+// TestSoundRequestHasAllItsAttempts guards against requests that are given up after two attempts, as if servers had ended with
+// them, because servers reset connections that were too many, or broke off streams that they had begun to deliver.
+func TestSoundRequestHasAllItsAttempts(t *testing.T) {
+	reset := func(Dispatch) (*Reply, error) { return nil, errors.Wrap(syscall.ECONNRESET, "read response") }
+	cut := func(from int) func(Dispatch) (*Reply, error) {
+		return func(Dispatch) (*Reply, error) {
+			event := fmt.Sprintf("id: %d\ndata: x\n\n", from)
+			return &Reply{Status: http.StatusOK, Header: http.Header{}, Signed: true, Body: io.NopCloser(io.MultiReader(strings.NewReader(event), endedReader{}))}, nil
+		}
+	}
+	for name, test := range map[string]struct {
+		request *Request
+		replies []func(Dispatch) (*Reply, error)
+	}{
+		"connections reset by a plain service": {newRequest(lavroute.Idempotent), []func(Dispatch) (*Reply, error){reset, reset, replyWith(http.StatusOK, "whole")}},
+		"connections reset by engines":         {newCascadeRequest(), []func(Dispatch) (*Reply, error){reset, reset, replyWithConfidence(99, "id: 1\ndata: 1\n\n")}},
+		"streams cut after events":             {newRequest(lavroute.Streaming), []func(Dispatch) (*Reply, error){cut(1), cut(2), replyWith(http.StatusOK, "id: 3\ndata: x\n\n")}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			f := newFixture(3, test.replies...)
+			answer, result := f.serve(test.request)
+			is.True(result.Refusal == nil && !result.Broken)
+			is.Equal(answer.status, http.StatusOK)
+			is.Equal(len(f.sends), 3)
+		})
+	}
+}
