Charge a request also with ends after something of its answer was delivered

It counts 0.7 like one that waited, whatever had begun beside it, so that three such ends are enough, and sound streams that are cut twice keep their last attempt (TestSoundRequestHasAllItsAttempts).

--- a/core/services/lavquarantine/table.go
+++ b/core/services/lavquarantine/table.go
@@ -20,12 +20,12 @@
 	// which is longer as no other request is refused because of them.
 	endingLifetime  = 10 * time.Minute
 	requestLifetime = time.Hour
-	// begunWeight is what an ending adds to the score if the server had just begun to answer, and the others are what it adds if
-	// it had not: to a whole request that waited, and to a part of a prompt that waited or was in an answer of which something
-	// had been delivered. A server that ends takes all requests with it.
-	begunWeight          = 1.0
-	waitingRequestWeight = 0.7
-	besidePartWeight     = 0.5
+	// begunWeight is what an ending adds to the score if the server had just begun to answer, and the others are what it adds to
+	// a whole request or a part of a prompt that waited, or of whose answer something had been delivered. A server that ends
+	// takes all requests with it.
+	begunWeight         = 1.0
+	besideRequestWeight = 0.7
+	besidePartWeight    = 0.5
 	// unansweredScore is the score from which parts and requests are kept from servers, and the others are those for one that
 	// was answered within answerMemory before its first ending. The score begins anew with each answer.
 	unansweredScore      = 2.0
@@ -317,15 +317,15 @@
 }
 
 // weight returns how much an ending speaks against a part or whole request; the caller holds the lock. One at which the answer
-// to another request had just begun says nothing about those that waited beside it.
+// to another request had just begun says nothing about the parts that waited beside it.
 func (t *Table) weight(ending Ending, whole bool) float64 {
 	switch {
 	case ending.Begun:
 		return begunWeight
+	case whole:
+		return besideRequestWeight
 	case t.begun.Contains(ending.Instance):
 		return 0
-	case whole:
-		return waitingRequestWeight
 	default:
 		return besidePartWeight
 	}
--- a/entry/services/lavforward/quarantine.go
+++ b/entry/services/lavforward/quarantine.go
@@ -155,15 +155,11 @@
 }
 
 // settle returns the send as it is held against its request when its server ends. A plain server is taken to run the request from
-// its arrival on, as it sends nothing before the whole answer, but one that closes the connection at once may have too many. A
-// server that ends with a whole request ends before it delivers anything.
+// its arrival on, as it sends nothing before the whole answer, but one that closes the connection at once may have too many.
 func (e *execution) settle(now time.Time) lavquarantine.Send {
 	e.flight.settled = true
 	send := e.flight.Send
-	switch {
-	case e.flight.delivered:
-		send.Request = 0
-	case e.request.Service.Engine == nil && now.Sub(e.flight.sentAt) >= maxRejectionTime:
+	if e.request.Service.Engine == nil && !e.flight.delivered && now.Sub(e.flight.sentAt) >= maxRejectionTime {
 		send.Begun = true
 	}
 	return send
--- a/entry/services/lavforward/quarantine_test.go
+++ b/entry/services/lavforward/quarantine_test.go
@@ -179,8 +179,9 @@
 	start   time.Time
 	servers []*crashingServer
 	hosts   []*Forwarder
-	// afterHead makes servers end after the head of the answer.
-	afterHead bool
+	// afterHead makes servers end after the head of the answer, and afterEvent after its first event.
+	afterHead  bool
+	afterEvent bool
 	// ends holds when a server ended, and deadlySends when the deadly request reached one.
 	ends        []time.Time
 	deadlySends []time.Time
@@ -202,6 +203,10 @@
 			s.deadlySends, s.ends = append(s.deadlySends, s.now), append(s.ends, s.now)
 			server.downUntil = s.now.Add(crashDowntime)
 			server.Born = server.downUntil
+			if s.afterEvent {
+				event := fmt.Sprintf("id: %d\ndata: 1\n\n", len(s.ends))
+				return &Reply{Status: http.StatusOK, Header: http.Header{}, Signed: true, Body: io.NopCloser(io.MultiReader(strings.NewReader(event), endedReader{}))}, nil
+			}
 			if s.afterHead {
 				return &Reply{Status: http.StatusOK, Header: http.Header{}, Signed: true, Body: io.NopCloser(endedReader{})}, nil
 			}
@@ -276,13 +281,14 @@
 		"waiting stream":     {lavroute.Streaming, prompt, false, 6, 2 * time.Minute},
 		"prompt of one part": {lavroute.Streaming, Prompt{Parts: prompt.Parts[1:], Input: 100}, true, 6, 2 * time.Minute},
 		"a single host":      {lavroute.Idempotent, Prompt{}, false, 1, 10 * time.Minute},
+		"begun stream":       {lavroute.Streaming, prompt, true, 6, 2 * time.Minute},
 		"tens of hosts":      {lavroute.Idempotent, Prompt{}, false, 68, 40 * time.Second},
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
 			random := rand.New(rand.NewPCG(7, uint64(test.hosts)))
 			s := newCrashSimulation(3, test.hosts)
-			s.afterHead = test.afterHead
+			s.afterHead, s.afterEvent = test.afterHead, name == "begun stream"
 			request := func(body string) *Request {
 				request := newRequest(test.kind)
 				request.ID, request.Body = lavid.RequestID(fmt.Sprint("request-", s.now.Sub(s.start))), []byte(body)
