--- a/core/services/lavquarantine/table.go
+++ b/core/services/lavquarantine/table.go
@@ -48,7 +48,7 @@
 	ambiguousTrialPause = time.Second
 	// minReturnAfter is the shortest time after which a caller is asked to come back.
 	minReturnAfter = time.Second
-	// dropTime is how long after a send was dropped a server that ends may have ended with its prompt, and maxDrops the number
+	// dropTime is how long after a send was dropped a server that ends may have ended with its request, and maxDrops the number
 	// of such sends on record.
 	dropTime = time.Second
 	maxDrops = 256
--- a/core/services/lavreport/node.go
+++ b/core/services/lavreport/node.go
@@ -82,7 +82,7 @@
 	Apply(reports []lavnotice.Report, now time.Time)
 }
 
-// Quarantine holds which parts of prompts backend servers ended with.
+// Quarantine holds which requests and parts of prompts backend servers ended with.
 type Quarantine interface {
 	Findings(now time.Time) lavquarantine.Findings
 	Apply(findings lavquarantine.Findings, now time.Time)
@@ -163,7 +163,7 @@
 // ShareNotices makes the node tell other hosts of the notices and apply theirs. It is to be called before the first Tick.
 func (n *Node) ShareNotices(notices Notices) { n.notices = notices }
 
-// ShareQuarantine makes the node tell other hosts of the parts of prompts and apply theirs. It is to be called before the first
+// ShareQuarantine makes the node tell other hosts of what is in quarantine and apply theirs. It is to be called before the first
 // Tick.
 func (n *Node) ShareQuarantine(parts Quarantine) { n.parts = parts }
 
@@ -253,7 +253,7 @@
 	return n.news(now)
 }
 
-// addFindings adds to a message what other hosts are to be told of the notices of backend servers and the parts of prompts.
+// addFindings adds to a message what other hosts are to be told of the notices of backend servers and of the quarantine.
 func (n *Node) addFindings(message *Message, now time.Time) {
 	if n.notices != nil {
 		message.Notices = n.notices.Reports(now)
@@ -263,7 +263,7 @@
 	}
 }
 
-// applyFindings takes over the notices and the parts of prompts in a message.
+// applyFindings takes over the notices and the quarantine in a message.
 func (n *Node) applyFindings(message *Message, now time.Time) {
 	if n.notices != nil {
 		n.notices.Apply(message.Notices, now)
