Even load on old knowledge: in time first, aged reports, fewer candidates

Cause: an engine that held the prompt won over any backlog below some seconds, whatever the target of the request; reports counted as if they were new; three engines were compared however old the reports were.

Change: engines at which the first event would be late cost more than reading the longest prompt again; the work in reports falls by half of what an engine can have read since; two engines are compared instead of three once other hosts have sent 0.8 requests or more to each engine that are not reported; a home is taken to hold 0.7 of a shared prefix instead of 0.5; another data centre costs 20,000 tokens instead of 2,000. No message changes.

--- a/core/services/lavbalance/choose_test.go
+++ b/core/services/lavbalance/choose_test.go
@@ -122,14 +122,14 @@
 	engines[33].AddedWork = 1000
 	drawn := make(map[int]bool)
 	for range 200 {
-		is.Equal(LeastWorkOfSample(engines, random.Float64), 33)
+		is.Equal(LeastWorkOfSample(engines, 3, random.Float64), 33)
 		engines[33].AddedWork = 9000
-		drawn[LeastWorkOfSample(engines, random.Float64)] = true
+		drawn[LeastWorkOfSample(engines, 3, random.Float64)] = true
 		engines[33].AddedWork = 1000
 	}
 	is.True(len(drawn) > 30) // equal engines are chosen by chance
-	is.Equal(LeastWorkOfSample(nil, random.Float64), -1)
-	is.Equal(LeastWorkOfSample(engines[:1], random.Float64), 0)
+	is.Equal(LeastWorkOfSample(nil, 3, random.Float64), -1)
+	is.Equal(LeastWorkOfSample(engines[:1], 3, random.Float64), 0)
 }
 
 // TestSubsetHasNoCandidateTwice guards against a host that reaches fewer servers than it may: candidates drawn at random had
--- a/core/services/lavbalance/least_loaded.go
+++ b/core/services/lavbalance/least_loaded.go
@@ -30,6 +30,8 @@
 	Cold bool
 	// Far reports whether the server is in another data centre.
 	Far bool
+	// Late reports whether the answer is expected after its target.
+	Late bool
 }
 
 // The parts of an engine's cost, in prompt tokens whose prefill takes as long.
@@ -46,9 +48,11 @@
 	failingTokens = 60000
 	// coldTokens is the cost of a cold server.
 	coldTokens = 4000
-	// farTokens is the cost of a server in another data centre. It weighs the price of transferring an answer against that
-	// of prefilling a prompt again.
-	farTokens = 2000
+	// farTokens is the cost of a server in another data centre. It weighs the price of transferring a prompt and its answer
+	// against that of prefilling the prompt again.
+	farTokens = 20000
+	// lateTokens is the cost of an answer after its target. It outweighs reading the longest prompts again.
+	lateTokens = 1_000_000
 )
 
 // LeastWork returns the index of the engine of least cost, or -1 when there is none.
@@ -63,15 +67,31 @@
 	return best
 }
 
-// sampleSize is the number of engines without a part of the prompt among which one is chosen.
-const sampleSize = 3
+const (
+	// freshSample and staleSample are the numbers of engines without a part of the prompt among which one is chosen, while few
+	// and while many requests of other hosts are not in their reports yet.
+	freshSample = 3
+	staleSample = 2
+	// staleRequests is the number of unreported requests for each engine from which knowledge counts as stale.
+	staleRequests = 0.8
+)
+
+// SampleSize returns the number of engines among which a host chooses while other hosts have sent the given number of requests to
+// each engine since their reports. A choice of few engines spreads the requests of many hosts, a choice of many follows the
+// reports, and brings all hosts to the same engines once the reports are old.
+func SampleSize(unreported float64) int {
+	if unreported >= staleRequests {
+		return staleSample
+	}
+	return freshSample
+}
 
-// LeastWorkOfSample returns the index of the engine of least cost among a random sample, or -1 when there is none. Engines
-// that have read a part of the prompt before always belong to the sample.
+// LeastWorkOfSample returns the index of the engine of least cost among a random sample of the given size, or -1 when there is
+// none. Engines that have read a part of the prompt before always belong to the sample, in addition.
 //
 // Hosts know what others have sent only some time later. If each chose the least of all engines, all would choose the same
 // ones until the next reports arrive.
-func LeastWorkOfSample(engines []Engine, random func() float64) int {
+func LeastWorkOfSample(engines []Engine, size int, random func() float64) int {
 	sampled := make([]int, 0, len(engines))
 	unread := make([]int, 0, len(engines))
 	for i := range engines {
@@ -81,7 +101,7 @@
 		}
 		unread = append(unread, i)
 	}
-	for drawn := 0; drawn < sampleSize && drawn < len(unread); drawn++ {
+	for drawn := 0; drawn < size && drawn < len(unread); drawn++ {
 		other := drawn + int(random()*float64(len(unread)-drawn))
 		unread[drawn], unread[other] = unread[other], unread[drawn]
 		sampled = append(sampled, unread[drawn])
@@ -110,6 +130,9 @@
 	if e.Far {
 		cost += farTokens
 	}
+	if e.Late {
+		cost += lateTokens
+	}
 	return cost
 }
 
--- a/core/services/lavforecast/forecaster.go
+++ b/core/services/lavforecast/forecaster.go
@@ -52,6 +52,8 @@
 	Expected time.Duration
 	// High is exceeded by about one in ten answers.
 	High time.Duration
+	// Spread is the standard deviation of the logarithm of seen over predicted times.
+	Spread float64
 	// Known is false before the first sample of the service; the times are then zero.
 	Known bool
 }
@@ -200,7 +202,52 @@
 	expected := known.seconds(query.work()) * math.Exp(f.slowness(query.Server, now))
 	// For errors with a normal distribution of the logarithm, one in ten exceeds 1.6 times the mean absolute error.
 	high := expected * math.Exp(1.6*known.meanError)
-	return Estimate{Expected: seconds(expected), High: seconds(high), Known: true}
+	spread := known.meanError * math.Sqrt(math.Pi/2)
+	return Estimate{Expected: seconds(expected), High: seconds(high), Spread: spread, Known: true}
+}
+
+// Within returns the probability that a time with the given expectation is at most limit. The spread is the standard deviation of
+// the logarithm of the time.
+func Within(expected time.Duration, spread float64, limit time.Duration) lavid.Share {
+	switch {
+	case limit <= 0:
+		return 0
+	case expected <= 0:
+		return 1
+	case spread <= 0 && expected <= limit:
+		return 1
+	case spread <= 0:
+		return 0
+	}
+	deviation := math.Log(limit.Seconds()/expected.Seconds()) / spread
+	return lavid.Share((1 + math.Erf(deviation/math.Sqrt2)) / 2)
+}
+
+// ReadRate returns the work that a server reads a second, or zero before the first sample of the service.
+func (f *Forecaster) ReadRate(service lavid.ServiceID, server lavid.BackendServerID, now time.Time) float64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	known, found := f.services[service]
+	if !found {
+		return 0
+	}
+	_, slope := known.times.line()
+	if slope <= 0 {
+		return 0
+	}
+	return math.Exp(-f.slowness(server, now)) / slope
+}
+
+// ReadTime predicts how long an engine of usual speed reads the request's own part of the prompt.
+func (f *Forecaster) ReadTime(query Query) time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	known, found := f.services[query.Service]
+	if !found {
+		return 0
+	}
+	_, slope := known.times.line()
+	return seconds(slope * query.Own)
 }
 
 // Delay predicts how much later the first event of a request comes because of work that the engine does before.
--- a/core/services/lavload/table.go
+++ b/core/services/lavload/table.go
@@ -47,8 +47,9 @@
 type Table struct {
 	mu  sync.Mutex
 	own map[lavid.BackendServerID]Load
-	// peers holds the loads of all other hosts, which count until peersUntil.
+	// peers holds the loads of all other hosts as of peersAt, which count until peersUntil.
 	peers      map[ServerKey]Load
+	peersAt    time.Time
 	peersUntil time.Time
 }
 
@@ -106,11 +107,39 @@
 	return loads
 }
 
-// SetPeers replaces the loads of all other hosts. They count until the given time. The table keeps the map.
-func (t *Table) SetPeers(loads map[ServerKey]Load, until time.Time) {
+// SetPeers replaces the loads of all other hosts, which were reported at the given time on average. They count until the given
+// time. The table keeps the map.
+func (t *Table) SetPeers(loads map[ServerKey]Load, at, until time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.peers, t.peersUntil = loads, until
+	t.peers, t.peersAt, t.peersUntil = loads, at, until
+}
+
+// PeersAge returns the mean age of the loads of the other hosts, or zero if none count.
+func (t *Table) PeersAge(now time.Time) time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if !now.Before(t.peersUntil) {
+		return 0
+	}
+	return max(now.Sub(t.peersAt), 0)
+}
+
+// unreplacedShare is the part of what a server reads that other hosts do not replace by new work meanwhile. Busy servers get nearly
+// as much as they read; with the whole of it taken off, servers that are still busy would look idle.
+const unreplacedShare = 0.5
+
+// Expected returns the load of all hosts together at a backend server that reads readRate of work a second. What the other hosts
+// reported is less by a part of what the server can have read since.
+func (t *Table) Expected(server lavid.BackendServerID, readRate float64, now time.Time) Load {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if !now.Before(t.peersUntil) {
+		return t.own[server]
+	}
+	peers := t.peers[KeyOf(server)]
+	peers.Unread = max(peers.Unread-unreplacedShare*readRate*max(now.Sub(t.peersAt), 0).Seconds(), 0)
+	return t.own[server].Plus(peers)
 }
 
 // Total returns the load of all hosts together at a backend server.
--- a/core/services/lavload/table_test.go
+++ b/core/services/lavload/table_test.go
@@ -26,11 +26,11 @@
 	table, now := New(), time.Unix(1000, 0)
 	load := Load{Requests: 2, Unread: 100}
 	until := now.Add(time.Second)
-	table.SetPeers(map[ServerKey]Load{KeyOf("server"): load, KeyOf("other"): load}, until)
+	table.SetPeers(map[ServerKey]Load{KeyOf("server"): load, KeyOf("other"): load}, now, until)
 	is.Equal(table.Total("server", now), load)
 	is.Equal(table.Total("other", until.Add(-1)), load)
 	is.Equal(table.Total("other", until), Load{})
-	table.SetPeers(map[ServerKey]Load{KeyOf("other"): load}, until)
+	table.SetPeers(map[ServerKey]Load{KeyOf("other"): load}, now, until)
 	is.Equal(table.Total("server", now), Load{})
 }
 
@@ -38,7 +38,7 @@
 	is := is.New(t)
 	table, now := New(), time.Unix(1000, 0)
 	table.Start("server", Load{Unread: 500, Memory: 700})
-	table.SetPeers(map[ServerKey]Load{KeyOf("server"): {Requests: 2, Unread: 100, Memory: 50}}, now.Add(time.Second))
+	table.SetPeers(map[ServerKey]Load{KeyOf("server"): {Requests: 2, Unread: 100, Memory: 50}}, now, now.Add(time.Second))
 	is.Equal(table.Total("server", now), Load{Requests: 3, Unread: 600, Memory: 750})
 	is.Equal(table.Total("server", now.Add(time.Second)), Load{Requests: 1, Unread: 500, Memory: 700})
 }
--- a/core/services/lavreport/receive.go
+++ b/core/services/lavreport/receive.go
@@ -155,7 +155,7 @@
 		subtractOwn(loads, speeds, own)
 	}
 	until := total.validUntil(totalLifetime)
-	n.loads.SetPeers(loads, until)
+	n.loads.SetPeers(loads, total.receivedAt.Add(-total.meanAge()), until)
 	n.speeds.SetPeerSpeeds(speeds, until)
 	n.observeAges(total.Sum)
 	for _, status := range total.Cutovers {
--- a/core/services/lavreport/sum.go
+++ b/core/services/lavreport/sum.go
@@ -26,6 +26,15 @@
 	return age
 }
 
+// meanAge returns the mean age of the reports in the sum.
+func (s Sum) meanAge() time.Duration {
+	age := time.Duration(0)
+	for _, entry := range s.Entries {
+		age += entry.Age
+	}
+	return age / time.Duration(max(len(s.Entries), 1))
+}
+
 // add adds another sum; the hosts of both must be different ones.
 func (s *Sum) add(other Sum) {
 	s.Entries = append(s.Entries, other.Entries...)
--- a/entry/services/lavforward/choose.go
+++ b/entry/services/lavforward/choose.go
@@ -14,11 +14,12 @@
 )
 
 const (
-	// modelReadFactor is how many times longer a model takes to read a prompt than the next smaller model of the route.
+	// modelReadFactor is how many times longer a model is assumed to take to read a prompt than the next smaller model of the
+	// route, until both were seen.
 	modelReadFactor = 3
 	// homeCachedShare is the share of a shared prompt prefix that the home server is assumed to have cached because
 	// other hosts sent it there.
-	homeCachedShare = 0.5
+	homeCachedShare = 0.7
 	// defaultOutputTokens is the assumed length of an answer when the request states none.
 	defaultOutputTokens = 200
 )
@@ -117,17 +118,18 @@
 	usable := make([]lavdirectory.Row, 0, len(rows))
 	meanRate := e.meanFailureRate(rows, now)
 	for _, row := range rows {
-		load := e.Loads.Total(row.ID, now)
+		load := e.Loads.Expected(row.ID, e.Forecasts.ReadRate(row.Service, row.ID, now), now)
 		if maxDelay != noLimit && e.Forecasts.Delay(lavforecast.Query{Service: row.Service, Server: row.ID, Before: load.Unread}, now) > maxDelay {
 			continue
 		}
+		added := e.promptWork(row, model, row.ID == home, now)
 		usable = append(usable, row)
 		engines = append(engines, lavbalance.Engine{
 			ID:                row.ID,
 			Requests:          load.Requests,
 			Slots:             row.Slots,
 			Unread:            load.Unread,
-			AddedWork:         e.promptWork(row, model, row.ID == home, now),
+			AddedWork:         added,
 			Slowness:          e.Forecasts.Slowness(row.ID, now),
 			WholeWork:         float64(e.request.Prompt.Input) * e.readFactor(model),
 			Memory:            load.Memory + e.memoryTokens(),
@@ -135,15 +137,28 @@
 			ExcessFailureRate: e.excessFailureRate(row, meanRate, now),
 			Cold:              row.Cold(now),
 			Far:               row.DataCentre != e.DataCentre,
+			Late:              e.isLateAt(row, load.Unread, added, now),
 		})
 	}
-	best := lavbalance.LeastWorkOfSample(engines, e.random)
+	best := lavbalance.LeastWorkOfSample(engines, lavbalance.SampleSize(e.unreported(len(rows), now)), e.random)
 	if best < 0 {
 		return choice{}, false
 	}
 	return choice{Row: usable[best], model: model, unreadTokens: engines[best].AddedWork, unreadTokensBefore: engines[best].Unread, candidateCount: len(rows)}, true
 }
 
+// isLateAt reports whether the first event of an answer is expected after its target, at an engine that reads the given work for the
+// request after other work.
+func (e *execution) isLateAt(row lavdirectory.Row, before, own float64, now time.Time) bool {
+	target := e.request.Route.LatencyTarget
+	if target <= 0 || e.answerBegun {
+		return false
+	}
+	left := e.request.Arrived.Add(target).Sub(now)
+	estimate := e.Forecasts.First(lavforecast.Query{Service: row.Service, Server: row.ID, Own: own, Before: before}, now)
+	return estimate.Expected > left
+}
+
 // homeServer returns the server that all hosts prefer for the shared prefix of the prompt, by rendezvous hashing; it is
 // empty when the prompt has no shared prefix.
 func (e *execution) homeServer(rows []lavdirectory.Row, model lavid.ModelID) lavid.BackendServerID {
@@ -260,6 +275,7 @@
 	}
 	e.Releases.RecordSend(chosen.Server, e.sessionKey(), now)
 	e.prompts.add(chosen.Instance(), model, e.request.Prompt, now)
+	e.arrivals.add(e.request.Service.ID, now)
 	return e.Loads.Start(chosen.ID, lavload.Load{Unread: chosen.unreadTokens, Memory: e.memoryTokens()}), true
 }
 
--- a/entry/services/lavforward/forwarder.go
+++ b/entry/services/lavforward/forwarder.go
@@ -79,6 +79,7 @@
 	prompts  *promptCache
 	speeds   *speedEstimates
 	waiting  *waitingRoom
+	arrivals *arrivals
 	flights  *flights
 	buffers  *bufferBudget
 	random   func() float64
@@ -94,6 +95,7 @@
 		prompts:      newPromptCache(),
 		speeds:       newSpeedEstimates(),
 		waiting:      newWaitingRoom(dependencies.Metrics, dependencies.Clock),
+		arrivals:     newArrivals(),
 		flights:      newFlights(),
 		buffers:      &bufferBudget{limit: settings.BufferBytes},
 		random:       rand.Float64,
