Decide second runs by gain and by the engine time that they take from others

Cause: two fixed bounds of the confidence and a share of the time left decided, each answer alone. The pause between events was a mean over streams, in which short streams that an engine interrupted weighed as much as long ones, so that long answers were expected to take twice as long as they did.

Change: lavescalation compares the expected gain in right answers, learned from the confidences of second answers on each route, with the engine time at a price that follows the backlog in the hosts' reports, more for less urgent requests. Pauses count by event, the reading speeds of models are observed, second runs leave a twentieth of the repeat budget to requests that failed, and a request whose first answers are nearly always dropped starts at the largest model. Each answer that is delivered although a larger model was wanted is logged and counted with its reason.

--- a/core/services/lavwaiting/allowance.go
+++ b/core/services/lavwaiting/allowance.go
@@ -49,3 +49,14 @@
 	}
 	return allowance
 }
+
+// Shortest returns the shortest latency target of the kinds that were seen lately, or zero without any.
+func (t *Targets) Shortest(now time.Time) time.Duration {
+	shortest := time.Duration(0)
+	for _, kind := range t.kinds {
+		if now.Sub(kind.seen) <= targetLifetime && (shortest == 0 || kind.target < shortest) {
+			shortest = kind.target
+		}
+	}
+	return shortest
+}
--- a/entry/services/lavforward/choose.go
+++ b/entry/services/lavforward/choose.go
@@ -201,8 +201,8 @@
 // readFactor returns how many times longer the model takes to read a prompt than the smallest model of the route.
 func (e *execution) readFactor(model lavid.ModelID) float64 {
 	for i, id := range e.request.Route.Models {
-		if id == model {
-			return math.Pow(modelReadFactor, float64(i))
+		if id == model && i > 0 {
+			return e.speeds.readFactor(model, e.request.Route.Models[0], math.Pow(modelReadFactor, float64(i)))
 		}
 	}
 	return 1
--- a/entry/services/lavforward/delivery.go
+++ b/entry/services/lavforward/delivery.go
@@ -16,7 +16,6 @@
 	"lavenderswitch/core/modules/lavevent"
 	"lavenderswitch/core/services/lavcutover"
 	"lavenderswitch/core/services/lavload"
-	"lavenderswitch/core/services/lavplan"
 )
 
 // streamReadBytes is the size of the buffer into which a stream is read.
@@ -153,9 +152,11 @@
 	e.timing.Answered(e.Clock())
 	if e.request.Service.Engine != nil {
 		e.observeFirst(chosen, e.Clock().Sub(sentAt), e.Clock())
+		if chosen.unreadTokensBefore == 0 {
+			e.speeds.recordRead(model, chosen.unreadTokens/e.readFactor(model), e.Clock().Sub(sentAt))
+		}
 	}
-	if e.shouldEscalate(reply) {
-		e.escalate(chosen, reply)
+	if e.runsLarger(chosen, model, reply) {
 		return stepRepeat, Result{}
 	}
 	e.answeringModel = model
@@ -287,7 +288,7 @@
 	e.Releases.Observe(chosen.Server, lavcutover.Outcome{Kind: e.outcomeKind(chosen)})
 	if e.stream.laterEvents > 0 {
 		pause := now.Sub(e.stream.firstEventAt) / time.Duration(e.stream.laterEvents)
-		e.speeds.recordPause(e.answeringModel, pause)
+		e.speeds.recordPauses(e.answeringModel, now.Sub(e.stream.firstEventAt), e.stream.laterEvents)
 		e.Releases.ObserveDuration(chosen.Server, "pause/"+string(e.answeringModel), pause)
 	}
 }
@@ -346,58 +347,6 @@
 	return e.request.Route.Repeatable() && e.runs < e.request.Route.Attempts
 }
 
-// shouldEscalate reports whether the answer of a smaller model is dropped in favour of the largest model of the route. If
-// it is, shouldEscalate takes one send from the repeat budget.
-func (e *execution) shouldEscalate(reply *Reply) bool {
-	models := e.request.Route.Models
-	if e.answerBegun || e.request.Model != "" || e.answeringModel != "" || e.modelIndex >= len(models)-1 {
-		return false
-	}
-	if !reply.HasConfidence || e.runs >= e.request.Route.Attempts {
-		return false
-	}
-	forecast, ok := e.forecast(models[len(models)-1])
-	if !ok || lavplan.Accept(lavplan.Confidence(reply.Confidence), forecast) {
-		return false
-	}
-	return e.takeRepeat()
-}
-
-// forecast returns the expected times of an answer from the model, or false when no server may take the request.
-func (e *execution) forecast(model lavid.ModelID) (lavplan.Forecast, bool) {
-	now := e.Clock()
-	chosen, ok := e.choose(model, now)
-	if !ok {
-		return lavplan.Forecast{}, false
-	}
-	// The high estimate counts, as a run that turns out late delays others besides.
-	first := e.estimate(chosen, now).High
-	last := first + e.speeds.expectEvents(model, e.expectedEvents())
-	return lavplan.Forecast{
-		FirstEvent:   first,
-		LastEvent:    last,
-		TargetLeft:   e.request.Arrived.Add(e.request.Route.LatencyTarget).Sub(now),
-		DeadlineLeft: e.request.Deadline.Sub(now),
-	}, true
-}
-
-// expectedEvents returns the expected number of events of the answer, or zero if the tokens per event are not known.
-func (e *execution) expectedEvents() float64 {
-	engine := e.request.Service.Engine
-	if engine == nil || engine.EventTokens <= 0 {
-		return 0
-	}
-	return float64(e.memoryTokens()-e.request.Prompt.Input) / engine.EventTokens
-}
-
-// escalate selects the largest model for the next send.
-func (e *execution) escalate(chosen choice, reply *Reply) {
-	e.modelIndex = len(e.request.Route.Models) - 1
-	e.Metrics.escalations.WithLabelValues(string(chosen.Service)).Inc()
-	e.Metrics.countSend(chosen, sendDropped)
-	e.logDecision("larger model", chosen.ID, logrus.Fields{"confidence": reply.Confidence})
-}
-
 // outcomeKind returns the kind of a send, as lavcutover.Outcome defines it. Sends of the same route and model are compared.
 func (e *execution) outcomeKind(chosen choice) string {
 	return e.request.Route.Name + "/" + string(chosen.model)
--- a/entry/services/lavforward/execution.go
+++ b/entry/services/lavforward/execution.go
@@ -140,6 +140,8 @@
 		return ""
 	case e.request.Route.Attempts < 2:
 		return models[len(models)-1]
+	case e.modelIndex == 0 && e.runs == 0 && e.startsLarge():
+		return models[len(models)-1]
 	default:
 		return models[e.modelIndex]
 	}
@@ -295,9 +297,12 @@
 }
 
 // takeRepeat takes one send from this host's share of the repeat budget and reports whether one was left.
-func (e *execution) takeRepeat() bool {
+func (e *execution) takeRepeat() bool { return e.takeRepeatWithin(1) }
+
+// takeRepeatWithin takes one send from the given part of this host's share of the repeat budget and reports whether one was left.
+func (e *execution) takeRepeatWithin(part float64) bool {
 	now := e.Clock()
-	allowed := e.repeats.take(e.request.Service.ID, len(e.Hosts.Hosts(now)), now)
+	allowed := e.repeats.take(e.request.Service.ID, len(e.Hosts.Hosts(now)), part, now)
 	e.Metrics.countRepeat(e.request.Service.ID, allowed)
 	return allowed
 }
--- a/entry/services/lavforward/forwarder.go
+++ b/entry/services/lavforward/forwarder.go
@@ -79,6 +79,7 @@
 	prompts  *promptCache
 	speeds   *speedEstimates
 	waiting  *waitingRoom
+	seconds  *secondRuns
 	arrivals *arrivals
 	flights  *flights
 	buffers  *bufferBudget
@@ -95,6 +96,7 @@
 		prompts:      newPromptCache(),
 		speeds:       newSpeedEstimates(),
 		waiting:      newWaitingRoom(dependencies.Metrics, dependencies.Clock),
+		seconds:      newSecondRuns(),
 		arrivals:     newArrivals(),
 		flights:      newFlights(),
 		buffers:      &bufferBudget{limit: settings.BufferBytes},
@@ -111,6 +113,7 @@
 	f.Metrics.inProgress.Inc()
 	defer f.Metrics.inProgress.Dec()
 	defer e.releaseBuffer()
+	defer f.seconds.forget(request.ID)
 	result := e.run(ctx)
 	e.reportEnd(ctx, result)
 	return result
--- a/entry/services/lavforward/forwarder_test.go
+++ b/entry/services/lavforward/forwarder_test.go
@@ -241,13 +241,13 @@
 	}
 	taken := 0
 	for range 10 {
-		if budget.take(service, 1, now) {
+		if budget.take(service, 1, 1, now) {
 			taken++
 		}
 	}
 	is.Equal(taken, 4) // half of the four requests plus a slack of two
-	is.True(!budget.take(service, 1, now.Add(9*time.Second)))
-	is.True(budget.take(service, 1, now.Add(11*time.Second))) // the window has passed
+	is.True(!budget.take(service, 1, 1, now.Add(9*time.Second)))
+	is.True(budget.take(service, 1, 1, now.Add(11*time.Second))) // the window has passed
 }
 
 func TestFailedServerIsUnusableForAWhile(t *testing.T) {
@@ -454,7 +454,7 @@
 	taken := 0
 	for range hosts {
 		budget := newRepeatBudget(Settings{RepeatShare: 0.5, RepeatSlack: 88, RepeatWindow: 10 * time.Second})
-		for budget.take(service, hosts, now) {
+		for budget.take(service, hosts, 1, now) {
 			taken++
 		}
 	}
--- a/entry/services/lavforward/metrics.go
+++ b/entry/services/lavforward/metrics.go
@@ -17,6 +17,7 @@
 	labelOutcome = "outcome"
 	labelService = "service"
 	labelServer  = "backend_server"
+	labelReason  = "reason"
 	labelResult  = "result"
 	labelStatus  = "status"
 )
@@ -56,6 +57,8 @@
 	sends             *prometheus.CounterVec
 	repeats           *prometheus.CounterVec
 	escalations       *prometheus.CounterVec
+	withheldRuns      *prometheus.CounterVec
+	enginePrice       *prometheus.GaugeVec
 	notices           *prometheus.CounterVec
 	quarantine        *prometheus.CounterVec
 	inProgress        prometheus.Gauge
@@ -95,6 +98,8 @@
 		sends:             counter("sends_total", "Sends to each backend server, by result.", labelService, labelServer, labelResult),
 		repeats:           counter("repeats_total", "Requests to the repeat budget for a further send; the result refused means that it was used up.", labelService, labelResult),
 		escalations:       counter("escalations_total", "Answers of smaller models that were dropped in favour of a larger model.", labelService),
+		withheldRuns:      counter("withheld_second_runs_total", "Answers of smaller models that were delivered although a larger model was wanted, by reason: time, engines, budget or runs.", labelService, labelReason),
+		enginePrice:       factory.NewGaugeVec(prometheus.GaugeOpts{Name: "lavenderswitch_engine_time_price", Help: "Right answers that a second run by a larger model has to bring for each second that an engine reads for it."}, []string{labelService}),
 		notices:           counter("server_notices_total", "Answers in which a backend server first stated that it leaves, asked for a pause, or stated another limit.", labelService, labelResult),
 		quarantine:        counter("quarantine_decisions_total", "Requests that backend servers ended with, or with a part of their prompts: refused, or sent as a trial.", labelService, labelResult),
 		inProgress:        factory.NewGauge(prometheus.GaugeOpts{Name: "lavenderswitch_requests_in_progress", Help: "Requests that are being forwarded."}),
--- a/entry/services/lavforward/repeat_budget.go
+++ b/entry/services/lavforward/repeat_budget.go
@@ -44,8 +44,12 @@
 	window.requests[window.currentSlot%windowSlots]++
 }
 
-// take counts one further send if this host's share of the budget for the window allows it, and reports whether it does.
-func (r *repeatBudget) take(service lavid.ServiceID, hosts int, now time.Time) bool {
+// secondRunShare is the part of the budget that second runs by larger models may take. The rest is for requests that failed and
+// streams that broke off, which get no answer otherwise.
+const secondRunShare = 0.95
+
+// take counts one further send if it fits into the given part of this host's budget for the window, and reports whether it does.
+func (r *repeatBudget) take(service lavid.ServiceID, hosts int, part float64, now time.Time) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	window := r.window(service, now)
@@ -54,7 +58,7 @@
 		requests += window.requests[i]
 		repeats += window.repeats[i]
 	}
-	if repeats+1 > r.share*requests+r.slack/float64(max(hosts, 1)) {
+	if repeats+1 > part*(r.share*requests+r.slack/float64(max(hosts, 1))) {
 		return false
 	}
 	window.repeats[window.currentSlot%windowSlots]++
--- a/entry/services/lavforward/waiting.go
+++ b/entry/services/lavforward/waiting.go
@@ -227,3 +227,14 @@
 	}
 	return chosen, job, ""
 }
+
+// shortestTarget returns the shortest latency target of the requests that a service got lately, or zero without any.
+func (w *waitingRoom) shortestTarget(id lavid.ServiceID, now time.Time) time.Duration {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	service, found := w.services[id]
+	if !found {
+		return 0
+	}
+	return service.targets.Shortest(now)
+}
