Read streams on for slow callers within a bound; leave streams that trickle

What callers would see: a caller who reads slowly stops the reading of its stream, so that the server cuts the answer off after some seconds and the host runs it again elsewhere; a server that sends a byte of an event now and then kept its caller waiting until the deadline.

Cause: the next bytes were read once the last ones were written, and each byte of a server restarted the time after which a stream goes on elsewhere.

The time restarts with whole events only, and a part of an event that is not ended within two pause targets counts as lost. A stream that waits for its caller does not count as silent.

--- a/core/services/lavbalance/stale_test.go
+++ b/core/services/lavbalance/stale_test.go
@@ -159,6 +159,7 @@
 // by the same old reports. With reports of 0.8 s and older, the work ahead of a request and the differences between servers are
 // less than without regard to the age, and with fresh reports they are no larger.
 func TestSampleFollowsTheAgeOfReports(t *testing.T) {
+	t.Parallel()
 	for _, hosts := range []int{6, 29, 68, 420} {
 		for _, every := range []float64{0.05, 0.3, 0.8, 2} {
 			t.Run(fmt.Sprintf("%d hosts, %v s", hosts, every), func(t *testing.T) {
--- a/core/services/lavescalation/load_test.go
+++ b/core/services/lavescalation/load_test.go
@@ -219,6 +219,7 @@
 // of unlike length, at 29 hosts that know of each other's work 0.4 s late, also while one half of them does not hear the other. More
 // right answers arrive in time than with fixed bounds, and no kind is served less than half as well as all.
 func TestSecondRunsServeMoreCallersUnderOverload(t *testing.T) {
+	t.Parallel()
 	for name, halves := range map[string]bool{"connected": false, "halves cut off": true} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
--- a/entry/services/lavforward/delivery.go
+++ b/entry/services/lavforward/delivery.go
@@ -14,6 +14,8 @@
 	"lavenderswitch/core/models/lavid"
 	"lavenderswitch/core/models/lavroute"
 	"lavenderswitch/core/modules/lavevent"
+	"lavenderswitch/core/modules/lavlog"
+	"lavenderswitch/core/services/lavbuffer"
 	"lavenderswitch/core/services/lavcutover"
 	"lavenderswitch/core/services/lavload"
 )
@@ -150,12 +152,7 @@
 	}
 	job.MarkPromptRead()
 	e.timing.Answered(e.Clock())
-	if e.request.Service.Engine != nil {
-		e.observeFirst(chosen, e.Clock().Sub(sentAt), e.Clock())
-		if chosen.unreadTokensBefore == 0 {
-			e.speeds.recordRead(model, chosen.unreadTokens/e.readFactor(model), e.Clock().Sub(sentAt))
-		}
-	}
+	e.recordFirstEvent(chosen, model, sentAt)
 	if e.runsLarger(chosen, model, reply) {
 		return stepRepeat, Result{}
 	}
@@ -164,31 +161,85 @@
 	e.stream = streamState{}
 	buffer := make([]byte, streamReadBytes)
 	headAt := e.Clock()
+	ahead := e.startReadAhead(chosen, reply)
+	defer e.stopReadAhead(ahead)
 	for {
-		count, err := reply.Body.Read(buffer)
+		count, err := ahead.Read(buffer)
 		if count > 0 {
-			e.health.recordActivity(chosen.Instance(), e.Clock())
 			e.recordAlive(chosen, sentAt)
-			switch deliverErr := e.deliverEvents(chosen, reply, buffer[:count]); {
+			delivered := e.deliveredEvents
+			caughtUp := ahead.watch()
+			deliverErr := e.deliverEvents(chosen, reply, buffer[:count])
+			caughtUp()
+			switch {
 			case errors.Is(deliverErr, errDamagedStream):
 				return e.handleBrokenStream(ctx, chosen, watchdog, deliverErr)
 			case deliverErr != nil:
 				return stepDone, Result{Broken: true}
 			}
 			e.recordProgress(headAt, e.Clock())
-			if e.mayResume() {
+			if e.endsEvent(delivered) && e.mayResume() {
 				watchdog.reset(e.pauseTimeout())
 			}
 		}
-		if err == io.EOF {
+		switch {
+		case err == nil:
+		case errors.Is(err, io.EOF):
 			return e.finishStream(chosen, reply)
-		}
-		if err != nil {
+		case errors.Is(err, errCallerTooSlow):
+			return stepDone, Result{Broken: true}
+		default:
 			return e.handleBrokenStream(ctx, chosen, watchdog, err)
 		}
 	}
 }
 
+// endsEvent notes since when the server has sent a part of an event without its end, and reports whether what was read last ends one.
+// Deliveries counts the events delivered before.
+func (e *execution) endsEvent(deliveries int) bool {
+	partial := e.stream.splitter.Partial()
+	ends := !partial || e.deliveredEvents > deliveries
+	switch {
+	case !partial:
+		e.flight.partialSince.Store(0)
+	case ends || e.flight.partialSince.Load() == 0:
+		e.flight.partialSince.Store(e.Clock().UnixNano())
+	}
+	return ends
+}
+
+// startReadAhead starts to read the stream on while its caller is behind.
+func (e *execution) startReadAhead(chosen choice, reply *Reply) *readAhead {
+	stream := &lavbuffer.Stream{Account: e.request.AccountID(), End: func() {
+		e.Metrics.slowCallers.WithLabelValues(string(chosen.Service)).Inc()
+		e.Log.WithFields(logrus.Fields{lavlog.FieldRequest: e.request.ID, lavlog.FieldAccount: e.request.AccountID()}).Info("slow caller ended")
+		e.answer.Abort()
+	}}
+	ahead := startReadAhead(reply.Body, e.held, stream, e.Clock, e.flight.cancel, func() {
+		e.health.recordActivity(chosen.Instance(), e.Clock())
+	})
+	e.flight.ahead.Store(ahead)
+	return ahead
+}
+
+// stopReadAhead ends what startReadAhead began.
+func (e *execution) stopReadAhead(ahead *readAhead) {
+	ahead.stop()
+	e.Metrics.heldBytes.Set(float64(e.held.Held()))
+}
+
+// recordFirstEvent records how long an engine took to the head of a stream, which it sends with the first event.
+func (e *execution) recordFirstEvent(chosen choice, model lavid.ModelID, sentAt time.Time) {
+	if e.request.Service.Engine == nil {
+		return
+	}
+	now := e.Clock()
+	e.observeFirst(chosen, now.Sub(sentAt), now)
+	if chosen.unreadTokensBefore == 0 {
+		e.speeds.recordRead(model, chosen.unreadTokens/e.readFactor(model), now.Sub(sentAt))
+	}
+}
+
 // errDamagedStream is the cause of errors about bytes that are no events.
 var errDamagedStream = errors.New("server's event stream is damaged")
 
--- a/entry/services/lavforward/execution.go
+++ b/entry/services/lavforward/execution.go
@@ -165,8 +165,12 @@
 	awaitingHead.Store(true)
 	others := maps.Clone(e.excluded)
 	others[chosen.ID] = true
+	flight := e.flight
 	watchdog := newWatchdog(cancel, func(since time.Time) bool {
-		lost := e.health.silentSince(chosen.Instance(), since)
+		if flight.waitsForCaller() {
+			return false
+		}
+		lost := e.health.silentSince(chosen.Instance(), since) || flight.isOverdue(e.pauseTimeout(), e.Clock())
 		if awaitingHead.Load() {
 			lost = e.isLost(chosen, rank, now, e.Clock())
 		}
--- a/entry/services/lavforward/fixture_test.go
+++ b/entry/services/lavforward/fixture_test.go
@@ -54,7 +54,7 @@
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	self := lavring.Member{ID: "host-a", DataCentre: "centre-a"}
-	f.Forwarder = New(Settings{ColdOverage: 1, RepeatShare: 0.7, RepeatSlack: 10, RepeatWindow: 10 * time.Second, BufferBytes: 16 << 20}, Dependencies{
+	f.Forwarder = New(Settings{HeldBytes: 1 << 20, ColdOverage: 1, RepeatShare: 0.7, RepeatSlack: 10, RepeatWindow: 10 * time.Second, BufferBytes: 16 << 20}, Dependencies{
 		Directory:  f.directory,
 		Loads:      lavload.New(),
 		Forecasts:  lavforecast.New(),
@@ -127,6 +127,8 @@
 	return nil
 }
 
+func (r *recordedAnswer) Abort() {}
+
 func newRequest(kind lavroute.Kind) *Request {
 	now := time.Now()
 	return &Request{
--- a/entry/services/lavforward/forwarder.go
+++ b/entry/services/lavforward/forwarder.go
@@ -10,6 +10,7 @@
 	"lavenderswitch/core/models/lavid"
 	"lavenderswitch/core/models/lavserver"
 	"lavenderswitch/core/modules/lavring"
+	"lavenderswitch/core/services/lavbuffer"
 	"lavenderswitch/core/services/lavcold"
 	"lavenderswitch/core/services/lavcutover"
 	"lavenderswitch/core/services/lavdirectory"
@@ -30,6 +31,8 @@
 	RepeatWindow time.Duration
 	// BufferBytes bounds what all requests together buffer of answers that are larger than a few ten KiB.
 	BufferBytes int64
+	// HeldBytes bounds what all streams together hold for callers who read slowly.
+	HeldBytes int64
 }
 
 // Releases decides which releases of a service may serve a session, and records how they answer; lavcutover.Cutovers
@@ -83,6 +86,7 @@
 	arrivals *arrivals
 	flights  *flights
 	buffers  *bufferBudget
+	held     *lavbuffer.Budget
 	random   func() float64
 }
 
@@ -100,6 +104,7 @@
 		arrivals:     newArrivals(),
 		flights:      newFlights(),
 		buffers:      &bufferBudget{limit: settings.BufferBytes},
+		held:         lavbuffer.New(settings.HeldBytes, min(settings.HeldBytes, maxHeldBytes)),
 		random:       rand.Float64,
 	}
 }
--- a/entry/services/lavforward/metrics.go
+++ b/entry/services/lavforward/metrics.go
@@ -59,6 +59,8 @@
 	escalations       *prometheus.CounterVec
 	withheldRuns      *prometheus.CounterVec
 	enginePrice       *prometheus.GaugeVec
+	slowCallers       *prometheus.CounterVec
+	heldBytes         prometheus.Gauge
 	notices           *prometheus.CounterVec
 	quarantine        *prometheus.CounterVec
 	inProgress        prometheus.Gauge
@@ -100,6 +102,8 @@
 		escalations:       counter("escalations_total", "Answers of smaller models that were dropped in favour of a larger model.", labelService),
 		withheldRuns:      counter("withheld_second_runs_total", "Answers of smaller models that were delivered although a larger model was wanted, by reason: time, engines, budget or runs.", labelService, labelReason),
 		enginePrice:       factory.NewGaugeVec(prometheus.GaugeOpts{Name: "lavenderswitch_engine_time_price", Help: "Right answers that a second run by a larger model has to bring for each second that an engine reads for it."}, []string{labelService}),
+		slowCallers:       counter("slow_callers_ended_total", "Streams that were ended as their callers read too slowly and the bytes held for all callers were used up.", labelService),
+		heldBytes:         factory.NewGauge(prometheus.GaugeOpts{Name: "lavenderswitch_held_bytes", Help: "Bytes of streams that this host holds for callers who read slowly."}),
 		notices:           counter("server_notices_total", "Answers in which a backend server first stated that it leaves, asked for a pause, or stated another limit.", labelService, labelResult),
 		quarantine:        counter("quarantine_decisions_total", "Requests that backend servers ended with, or with a part of their prompts: refused, or sent as a trial.", labelService, labelResult),
 		inProgress:        factory.NewGauge(prometheus.GaugeOpts{Name: "lavenderswitch_requests_in_progress", Help: "Requests that are being forwarded."}),
--- a/entry/services/lavforward/quarantine.go
+++ b/entry/services/lavforward/quarantine.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -39,6 +40,22 @@
 	// settled states that it is known what became of the request: it was not run, its server ended, or survived it.
 	settled  bool
 	survived bool
+	// partialSince is the time in nanoseconds since which the server has sent a part of an event without its end; zero if there is
+	// none. ahead reads the stream; it is nil before the head of a stream.
+	partialSince atomic.Int64
+	ahead        atomic.Pointer[readAhead]
+}
+
+// isOverdue reports whether the server has not ended an event for so long although it sends.
+func (f *flight) isOverdue(timeout time.Duration, now time.Time) bool {
+	since := f.partialSince.Load()
+	return since != 0 && now.UnixNano()-since >= int64(timeout)
+}
+
+// waitsForCaller reports whether the stream is not read because its caller is too far behind.
+func (f *flight) waitsForCaller() bool {
+	ahead := f.ahead.Load()
+	return ahead != nil && ahead.isFull()
 }
 
 // flights holds the sends that are cancelled once their requests are kept from servers: those of which nothing has been
--- a/entry/services/lavforward/request.go
+++ b/entry/services/lavforward/request.go
@@ -143,6 +143,8 @@
 	Begin(status int, header http.Header, length int) error
 	// Write writes a part of the body without buffering it.
 	Write(data []byte) error
+	// Abort makes the current and all further writes fail. It may be called while another goroutine writes.
+	Abort()
 }
 
 // Refusal is an answer that this host gives instead of one from a backend server.
