Send no engine more than its memory holds

What callers would see: an engine that ends with all its streams, as the requests that it holds exceed its memory (new on the wire).

Cause: exceeding the memory was a cost among others, and loads are as old as the reports, so that several hosts fill the same engine.

Change: an engine takes a request only if its memory holds that, what is in progress, and what other hosts have probably sent since their reports. Beyond half of its memory one host alone sends to it. A request that no engine can hold is refused at once.

Evidence: TestHostsTogetherStayWithinTheMemoryOfEngines (6, 29 and 68 hosts, reports of 0.3 and 0.8 s, 1.3 times the memory): engines exceed their memory without the reserve and the keeper, none with them. TestEngineGetsNoMoreThanItsMemoryHolds fails without the check. Rejected: a reserve alone (7 to 64 engines exceeded), keepers beyond 0.6 of the memory (2 to 16).

--- a/entry/services/lavforward/choose.go
+++ b/entry/services/lavforward/choose.go
@@ -117,11 +117,15 @@
 	engines := make([]lavbalance.Engine, 0, len(rows))
 	usable := make([]lavdirectory.Row, 0, len(rows))
 	meanRate := e.meanFailureRate(rows, now)
+	arrivals := e.memoryArrivals(rows, now)
 	for _, row := range rows {
 		load := e.Loads.Expected(row.ID, e.Forecasts.ReadRate(row.Service, row.ID, now), now)
 		if maxDelay != noLimit && e.Forecasts.Delay(lavforecast.Query{Service: row.Service, Server: row.ID, Before: load.Unread}, now) > maxDelay {
 			continue
 		}
+		if !e.fitsMemory(row, load.Memory, arrivals, now) {
+			continue
+		}
 		added := e.promptWork(row, model, row.ID == home, now)
 		usable = append(usable, row)
 		engines = append(engines, lavbalance.Engine{
@@ -275,7 +279,7 @@
 	}
 	e.Releases.RecordSend(chosen.Server, e.sessionKey(), now)
 	e.prompts.add(chosen.Instance(), model, e.request.Prompt, now)
-	e.arrivals.add(e.request.Service.ID, now)
+	e.arrivals.add(e.request.Service.ID, e.memoryTokens(), now)
 	return e.Loads.Start(chosen.ID, lavload.Load{Unread: chosen.unreadTokens, Memory: e.memoryTokens()}), true
 }
 
--- a/entry/services/lavforward/waiting.go
+++ b/entry/services/lavforward/waiting.go
@@ -216,6 +216,9 @@
 	if len(rows) == 0 {
 		return choice{}, nil, "no server may take the request"
 	}
+	if capacity := e.request.Service.Engine.Capacity; capacity > 0 && e.memoryTokens() > capacity {
+		return choice{}, nil, "request exceeds the memory of every server"
+	}
 	model := e.chooseModel()
 	chosen, ok := e.chooseEngine(rows, model, allowance, now)
 	if !ok {
