Choose the first model of a request once; report held bytes each second

Cause: whether a request starts at the largest model was asked again at each choice of an engine, while the share of dropped answers that decides it moves, so that a request could be placed for one model and sent to another. The gauge of held bytes was set only when a stream ended, and so showed what is left.

Change: run decides once; the gauge is set once a second.

--- a/entry/services/lavforward/delivery.go
+++ b/entry/services/lavforward/delivery.go
@@ -162,7 +162,7 @@
 	buffer := make([]byte, streamReadBytes)
 	headAt := e.Clock()
 	ahead := e.startReadAhead(chosen, reply)
-	defer e.stopReadAhead(ahead)
+	defer ahead.stop()
 	for {
 		count, err := ahead.Read(buffer)
 		if count > 0 {
@@ -222,12 +222,6 @@
 	return ahead
 }
 
-// stopReadAhead ends what startReadAhead began.
-func (e *execution) stopReadAhead(ahead *readAhead) {
-	ahead.stop()
-	e.Metrics.heldBytes.Set(float64(e.held.Held()))
-}
-
 // recordFirstEvent records how long an engine took to the head of a stream, which it sends with the first event.
 func (e *execution) recordFirstEvent(chosen choice, model lavid.ModelID, sentAt time.Time) {
 	if e.request.Service.Engine == nil {
--- a/entry/services/lavforward/execution.go
+++ b/entry/services/lavforward/execution.go
@@ -86,6 +86,9 @@
 
 // run sends the request until it is answered or fails.
 func (e *execution) run(ctx context.Context) Result {
+	if e.startsLarge() {
+		e.modelIndex = len(e.request.Route.Models) - 1
+	}
 	for {
 		now := e.Clock()
 		if e.request.Deadline.Sub(now) < minRemaining {
@@ -140,8 +143,6 @@
 		return ""
 	case e.request.Route.Attempts < 2:
 		return models[len(models)-1]
-	case e.modelIndex == 0 && e.runs == 0 && e.startsLarge():
-		return models[len(models)-1]
 	default:
 		return models[e.modelIndex]
 	}
--- a/entry/services/lavforward/forwarder.go
+++ b/entry/services/lavforward/forwarder.go
@@ -109,6 +109,9 @@
 	}
 }
 
+// UpdateMetrics updates the metrics of what the forwarder holds. It is to be called about once a second.
+func (f *Forwarder) UpdateMetrics() { f.Metrics.heldBytes.Set(float64(f.held.Held())) }
+
 // Serve forwards the request, writes the answer and returns how the request ended; it stops when ctx ends.
 func (f *Forwarder) Serve(ctx context.Context, request *Request, answer AnswerWriter) Result {
 	f.repeats.countRequest(request.Service.ID, f.Clock())
--- a/entry/services/lavforward/second_run.go
+++ b/entry/services/lavforward/second_run.go
@@ -67,8 +67,7 @@
 	return models[len(models)-1], true
 }
 
-// startsLarge reports whether the request goes to the largest model without asking a smaller one. The choice is the same each
-// time for a request.
+// startsLarge reports whether the request goes to the largest model without asking a smaller one.
 func (e *execution) startsLarge() bool {
 	largest, ok := e.largest()
 	if !ok {
