Expect unreported requests at all engines of the service

What callers would see: sessions of a release on trial that no engine takes, so that they wait or are refused.

Cause: what other hosts are expected to have sent since their reports was spread over the engines that this request may go to. On trial those are few, while the requests of other hosts go to all of the service, so that the reserve for them filled the memory.

Change: the expectation counts all usable engines of the service.

Evidence: TestEnginesOfATrialDoNotLookFull.

--- a/entry/services/lavforward/arrivals.go
+++ b/entry/services/lavforward/arrivals.go
@@ -71,9 +71,10 @@
 }
 
 // memoryArrivals returns what other hosts are expected to have sent to each of the engines that they may fill, since their reports.
-func (e *execution) memoryArrivals(rows []lavdirectory.Row, now time.Time) lavbalance.Arrivals {
+// Their requests go to all engines of the service, also where this request may go to few.
+func (e *execution) memoryArrivals(now time.Time) lavbalance.Arrivals {
 	open := 0
-	for _, row := range rows {
+	for _, row := range e.Directory.Usable(e.request.Service.ID, now) {
 		if lavbalance.IsShared(e.Loads.Total(row.ID, now).Memory, e.request.Service.Engine.Capacity) {
 			open++
 		}
--- a/entry/services/lavforward/choose.go
+++ b/entry/services/lavforward/choose.go
@@ -117,7 +117,7 @@
 	engines := make([]lavbalance.Engine, 0, len(rows))
 	usable := make([]lavdirectory.Row, 0, len(rows))
 	meanRate := e.meanFailureRate(rows, now)
-	arrivals := e.memoryArrivals(rows, now)
+	arrivals := e.memoryArrivals(now)
 	for _, row := range rows {
 		load := e.Loads.Expected(row.ID, e.Forecasts.ReadRate(row.Service, row.ID, now), now)
 		if maxDelay != noLimit && e.Forecasts.Delay(lavforecast.Query{Service: row.Service, Server: row.ID, Before: load.Unread}, now) > maxDelay {
--- a/entry/services/lavforward/memory_test.go
+++ b/entry/services/lavforward/memory_test.go
@@ -1,6 +1,7 @@
 package lavforward
 
 import (
+	"fmt"
 	"net/http"
 	"testing"
 	"time"
@@ -9,6 +10,7 @@
 
 	"lavenderswitch/core/models/lavid"
 	"lavenderswitch/core/models/lavroute"
+	"lavenderswitch/core/modules/lavring"
 	"lavenderswitch/core/services/lavload"
 )
 
@@ -47,3 +49,27 @@
 	is.True(time.Since(request.Arrived) < time.Second)
 	is.Equal(len(f.sends), 0)
 }
+
+// TestEnginesOfATrialDoNotLookFull guards against sessions of a release on trial that no engine takes, because the requests of all
+// hosts to the whole service are expected at its few engines.
+func TestEnginesOfATrialDoNotLookFull(t *testing.T) {
+	is := is.New(t)
+	now := time.Now()
+	f := newFixture(20)
+	var members hosts
+	for i := range 24 {
+		members = append(members, lavring.Member{ID: lavid.HostID(fmt.Sprint("host-", i))})
+	}
+	f.Hosts = members
+	f.Loads.SetPeers(map[lavload.ServerKey]lavload.Load{}, now.Add(-400*time.Millisecond), now.Add(time.Second))
+	for range 40 {
+		f.arrivals.add(service, 10, now)
+	}
+	e := &execution{Forwarder: f.Forwarder, request: newMemoryRequest(100)}
+	arrivals := e.memoryArrivals(now)
+	is.Equal(arrivals.Memory, lavid.Tokens(10))
+	is.True(arrivals.Requests > 0)
+	trial := f.Directory.Usable(service, now)[0]
+	is.True(e.fitsMemory(trial, 100, arrivals, now))
+	is.Equal(arrivals.Requests, e.unreported(20, now)) // not those of the trial's engines alone
+}
