Do not count bytes that a caller is waiting for as held

What callers saw: nothing on the users' platform, where some memory is for slow callers; a host without any ended each stream at its first event.

Cause: each read of a stream counted as held for a slow caller, also while its caller waited for it.

Change: only what is read while a write takes long counts.

--- a/entry/services/lavforward/read_ahead.go
+++ b/entry/services/lavforward/read_ahead.go
@@ -63,9 +63,9 @@
 		count, err := r.body.Read(buffer)
 		if count > 0 {
 			r.onRead()
-			if !r.budget.Take(r.stream, int64(count), r.clock()) {
-				err = errCallerTooSlow
-			}
+		}
+		if ahead := r.isAhead(); ahead && count > 0 && !r.budget.Take(r.stream, int64(count), r.clock()) {
+			err = errCallerTooSlow
 		}
 		r.mu.Lock()
 		r.held = append(r.held, buffer[:count]...)
@@ -79,6 +79,13 @@
 	}
 }
 
+// isAhead reports whether nobody waits for what was read, so that it counts as held.
+func (r *readAhead) isAhead() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return !r.asked
+}
+
 // end makes Read return if the stream ends in another way than by an error of the body.
 func (r *readAhead) end() {
 	r.mu.Lock()
--- a/entry/services/lavforward/read_ahead_test.go
+++ b/entry/services/lavforward/read_ahead_test.go
@@ -223,3 +223,14 @@
 func newHeld(limit int64) *lavbuffer.Budget { return lavbuffer.New(limit, maxHeldBytes) }
 
 func newHeldStream() *lavbuffer.Stream { return &lavbuffer.Stream{End: func() {}} }
+
+// TestCallerWhoKeepsUpNeedsNoRoom guards against streams that end, or wait for ever, as the bytes that are being delivered count as
+// held for a slow caller.
+func TestCallerWhoKeepsUpNeedsNoRoom(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(1, replyWith(http.StatusOK, events(20)))
+	f.held = newHeld(0)
+	answer, result := f.serve(newRequest(lavroute.Streaming))
+	is.Equal(result, Result{})
+	is.Equal(answer.body.String(), events(20))
+}
