Relay reports and read the store on the hosts with the best links first

Cause, first part: the two relays of a data centre, which read the store and serve its content to all hosts there, were chosen by rendezvous order alone. Hosts that state none, such as earlier builds, count as the weakest: hosts that rank differently cost messages and count no report twice, as before.

--- a/core/modules/lavring/owner.go
+++ b/core/modules/lavring/owner.go
@@ -14,8 +14,14 @@
 	ID         lavid.HostID
 	DataCentre lavid.DataCentreID
 	Address    string
+	// Capacity is the class of the host's link and processor. Hosts of a higher class work for others first.
+	Capacity Capacity
 }
 
+// Capacity is a class of hosts with about the same link and processor, of which each takes twice as much as the one below. Zero is the
+// lowest class, and that of hosts that state none.
+type Capacity int
+
 // Owners returns the owner of a key and its backup: the highest-ranked member and the next one in another data centre. If
 // all members are in one data centre, the backup is the second-ranked member.
 func Owners(members []Member, key string) []Member {
--- a/core/services/lavreport/node_test.go
+++ b/core/services/lavreport/node_test.go
@@ -408,3 +408,23 @@
 	merged := mergeStatuses(cutovers.Statuses(), []lavcutover.Status{{Progress: progress, Version: 1, Earlier: none.With("session-2")}})
 	is.Equal(merged[0].Earlier, none.With("session-1").With("session-2"))
 }
+
+// TestStrongHostsRelayFirst guards against relays on hosts with weak links, which the listings of the store and the totals for hundreds
+// of hosts fill, while stronger hosts are live.
+func TestStrongHostsRelayFirst(t *testing.T) {
+	is := is.New(t)
+	var members []lavring.Member
+	for i := range 100 {
+		member := lavring.Member{ID: lavid.HostID(fmt.Sprint("host-", i))}
+		if i >= 97 {
+			member.Capacity = 2
+		}
+		members = append(members, member)
+	}
+	relays := rankRelays(members)
+	is.Equal(len(relays), relayCount)
+	for _, relay := range relays {
+		is.Equal(relay.Capacity, lavring.Capacity(2))
+	}
+	is.Equal(len(rankRelays(members[:50])), relayCount) // without a strong host, weak ones relay
+}
--- a/core/services/lavreport/peers.go
+++ b/core/services/lavreport/peers.go
@@ -168,7 +168,7 @@
 		last = relays[len(relays)-1].ID
 	}
 	var silent []lavring.Member
-	for _, member := range lavring.Ranked(all, relayKey) {
+	for _, member := range relayOrder(all) {
 		if member.ID == last {
 			break
 		}
--- a/core/services/lavreport/relays.go
+++ b/core/services/lavreport/relays.go
@@ -1,6 +1,7 @@
 package lavreport
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -20,7 +21,7 @@
 	// probeInterval separates two messages to hosts that would be relays but are silent. Two parts of a data centre that could
 	// not reach each other find each other again in this way.
 	probeInterval = time.Second
-	// relayKey is the key of the rendezvous order of relays.
+	// relayKey is the key of the rendezvous order of relays of one capacity.
 	relayKey = "relay"
 )
 
@@ -38,10 +39,18 @@
 
 // rankRelays returns the first relayCount members in the order of relays.
 func rankRelays(candidates []lavring.Member) []lavring.Member {
-	ranked := lavring.Ranked(candidates, relayKey)
+	ranked := relayOrder(candidates)
 	return ranked[:min(len(ranked), relayCount)]
 }
 
+// relayOrder returns the members in the order in which they serve as relays: those of the highest capacity first, as the totals and
+// the content of the store for a large data centre fill a weak link.
+func relayOrder(members []lavring.Member) []lavring.Member {
+	ranked := lavring.Ranked(members, relayKey)
+	slices.SortStableFunc(ranked, func(a, b lavring.Member) int { return cmp.Compare(b.Capacity, a.Capacity) })
+	return ranked
+}
+
 // choose returns the relays of this host's data centre from the live hosts there, and updates which of them do not answer.
 func (c *relayChoice) choose(self lavid.HostID, candidates []lavring.Member, now time.Time) []lavring.Member {
 	for id, since := range c.since {
--- a/entry/services/lavbroadcast/decode.go
+++ b/entry/services/lavbroadcast/decode.go
@@ -23,7 +23,7 @@
 // decode returns the message of a datagram.
 func decode(state *lavwire.HostState) (*lavreport.Message, error) {
 	message := &lavreport.Message{
-		From:      lavring.Member{ID: lavid.HostID(state.GetHostId()), DataCentre: lavid.DataCentreID(state.GetDataCentreId()), Address: state.GetAddress()},
+		From:      lavring.Member{ID: lavid.HostID(state.GetHostId()), DataCentre: lavid.DataCentreID(state.GetDataCentreId()), Address: state.GetAddress(), Capacity: lavring.Capacity(state.GetCapacity())},
 		Sequence:  lavreport.Sequence(state.GetSequence()),
 		Leaving:   state.GetLeaving(),
 		IsRelay:   state.GetRelay(),
--- a/entry/services/lavbroadcast/encode.go
+++ b/entry/services/lavbroadcast/encode.go
@@ -81,6 +81,7 @@
 		HostId:       string(message.From.ID),
 		DataCentreId: string(message.From.DataCentre),
 		Address:      message.From.Address,
+		Capacity:     uint32(message.From.Capacity),
 		Leaving:      message.Leaving,
 		Parts:        1,
 		Kind:         kinds[message.Kind],
@@ -163,7 +164,7 @@
 }
 
 func encodeMember(member lavring.Member) *lavwire.HostMember {
-	return &lavwire.HostMember{HostId: string(member.ID), DataCentreId: string(member.DataCentre), Address: member.Address}
+	return &lavwire.HostMember{HostId: string(member.ID), DataCentreId: string(member.DataCentre), Address: member.Address, Capacity: uint32(member.Capacity)}
 }
 
 func encodeSum(sum lavreport.Sum) *lavwire.HostSum {
