--- /dev/null
+++ b/core/models/lavrevision/doc.go
@@ -0,0 +1,2 @@
+// Package lavrevision numbers the states of the platform's store.
+package lavrevision
--- a/core/services/lavcutover/cutover_test.go
+++ b/core/services/lavcutover/cutover_test.go
@@ -9,6 +9,7 @@
 	"github.com/matryer/is"
 
 	"lavenderswitch/core/models/lavid"
+	"lavenderswitch/core/models/lavrevision"
 	"lavenderswitch/core/models/lavserver"
 	"lavenderswitch/core/services/lavrollout"
 )
@@ -20,6 +21,11 @@
 
 var start = time.Unix(1000, 0)
 
+// at returns the revision with a version before the store states an era.
+func at(version int) lavrevision.Revision {
+	return lavrevision.Revision{Version: lavrevision.Version(version)}
+}
+
 func newCutovers() *Cutovers {
 	c := New(Settings{TrialShare: trialShare, Exposure: Exposure{Share: 0.15, Slack: 30}, MaxSessionPause: 5 * time.Second, Test: lavrollout.DefaultSettings(), StopEvidence: 100, DoubtEvidence: 5, MaxCompleteEvidence: 1})
 	c.SetStoreClock(0, start)
@@ -31,7 +37,7 @@
 func runningCutovers() *Cutovers {
 	c := newCutovers()
 	c.SetOrders([]Order{{Service: pool, To: "v2", Duration: 24 * time.Second}}, start)
-	c.ApplyRow(Progress{Service: pool, To: "v2", State: Running, Duration: 24 * time.Second}, 1, start)
+	c.ApplyRow(Progress{Service: pool, To: "v2", State: Running, Duration: 24 * time.Second}, at(1), start)
 	return c
 }
 
@@ -119,10 +125,10 @@
 func TestStoppedReleaseServesNothingAndACompleteOneIsPreferred(t *testing.T) {
 	is := is.New(t)
 	c := runningCutovers()
-	c.ApplyRow(Progress{Service: pool, To: "v2", State: Stopped}, 2, start)
+	c.ApplyRow(Progress{Service: pool, To: "v2", State: Stopped}, at(2), start)
 	is.Equal(c.Preferences(pool, "s", start)("v2"), Never)
 	c = runningCutovers()
-	c.ApplyRow(Progress{Service: pool, To: "v2", State: Complete}, 2, start)
+	c.ApplyRow(Progress{Service: pool, To: "v2", State: Complete}, at(2), start)
 	is.Equal(c.Preferences(pool, "s", start)("v2"), Preferred)
 	is.Equal(c.Preferences(pool, "s", start)("v1"), Fallback)
 }
@@ -130,8 +136,8 @@
 func TestOlderRowIsIgnored(t *testing.T) {
 	is := is.New(t)
 	c := runningCutovers()
-	is.True(c.ApplyRow(Progress{Service: pool, To: "v2", State: Stopped}, 3, start))
-	is.True(!c.ApplyRow(Progress{Service: pool, To: "v2", State: Running}, 2, start))
+	is.True(c.ApplyRow(Progress{Service: pool, To: "v2", State: Stopped}, at(3), start))
+	is.True(!c.ApplyRow(Progress{Service: pool, To: "v2", State: Running}, at(2), start))
 	is.Equal(c.Preferences(pool, "s", start)("v2"), Never)
 }
 
@@ -154,7 +160,7 @@
 	changes := c.Tick(firstRank, idle, start.Add(time.Second))
 	is.Equal(len(changes), 1)
 	is.Equal(changes[0].Progress.State, Stopped)
-	is.Equal(changes[0].Version, 1.0)
+	is.Equal(changes[0].Revision, at(1))
 	// The host stops the release even if the row cannot be written.
 	is.Equal(c.Preferences(pool, "s", start)("v2"), Never)
 }
@@ -220,7 +226,7 @@
 	is.Equal(len(c.Tick(second, idle, start)), 0)
 	changes := c.Tick(second, idle, start.Add(time.Second)) // the first host did not write
 	is.Equal(changes[0].Progress.State, Running)
-	is.Equal(changes[0].Version, 0.0)
+	is.Equal(changes[0].Revision, at(0))
 }
 
 // TestNothingIsWrittenBeforeTheRowsAreRead guards against a host that has not read the stored rows and begins a
@@ -235,12 +241,12 @@
 func TestNewOrderReplacesTheRowOfTheEarlierOne(t *testing.T) {
 	is := is.New(t)
 	c := runningCutovers()
-	c.ApplyRow(Progress{Service: pool, To: "v2", State: Complete}, 7, start)
+	c.ApplyRow(Progress{Service: pool, To: "v2", State: Complete}, at(7), start)
 	c.SetOrders([]Order{{Service: pool, To: "v3", Duration: 24 * time.Second}}, start)
 	is.Equal(c.Preferences(pool, "s", start)("v3"), Never)
 	changes := c.Tick(firstRank, idle, start)
 	is.Equal(changes[0].Progress.To, lavid.ReleaseID("v3"))
-	is.Equal(changes[0].Version, 7.0)
+	is.Equal(changes[0].Revision, at(7))
 }
 
 // TestRowOfAnEarlierOrderDoesNotStartTheNewOne guards against a complete row of the last cutover, read after a new
@@ -249,10 +255,10 @@
 	is := is.New(t)
 	c := newCutovers()
 	c.SetOrders([]Order{{Service: pool, To: "v3", Duration: 24 * time.Second}}, start)
-	is.True(!c.ApplyRow(Progress{Service: pool, To: "v2", State: Complete}, 7, start))
+	is.True(!c.ApplyRow(Progress{Service: pool, To: "v2", State: Complete}, at(7), start))
 	changes := c.Tick(firstRank, idle, start.Add(time.Second))
 	is.Equal(changes[0].Progress.To, lavid.ReleaseID("v3"))
-	is.Equal(changes[0].Version, 7.0)
+	is.Equal(changes[0].Revision, at(7))
 }
 
 func TestReleaseThatIsSlowAsOftenAsTheOldOneIsNotStopped(t *testing.T) {
--- a/core/services/lavcutover/cutovers.go
+++ b/core/services/lavcutover/cutovers.go
@@ -7,6 +7,7 @@
 	lru "github.com/hashicorp/golang-lru/v2"
 
 	"lavenderswitch/core/models/lavid"
+	"lavenderswitch/core/models/lavrevision"
 	"lavenderswitch/core/models/lavserver"
 	"lavenderswitch/core/services/lavrollout"
 )
@@ -71,8 +72,12 @@
 // cutover is the state of one service's cutover on this host.
 type cutover struct {
 	progress Progress
-	// version is the row version of the stored row, or zero if there is none.
-	version float64
+	// revision is that of the stored row, with a version of zero if there is none.
+	revision lavrevision.Revision
+	// writtenAt is the revision in which the progress was stored. It precedes that of the stored row while the store lacks the progress.
+	writtenAt lavrevision.Revision
+	// restore states that the store lacks the progress since it came back from a copy, so that it has to be written again.
+	restore bool
 	// ordered reports whether the operator's order is still in force.
 	ordered bool
 	// stopped reports whether this host has stopped the release, even if the stored row does not state it yet.
@@ -102,6 +107,9 @@
 	clockOffset time.Duration
 	// rowsRead reports whether the rows in the store have been read.
 	rowsRead bool
+	// era is the store's era as far as this host knows, since eraSince.
+	era      lavrevision.Era
+	eraSince time.Time
 }
 
 // New returns cutovers without orders.
@@ -141,14 +149,14 @@
 			continue
 		}
 		c.statistics.clear(order.Service)
-		version := 0.0
+		revision := lavrevision.Revision{Era: c.era}
 		if found {
-			version = row.version
+			revision = row.revision
 		}
 		progress := Progress{Service: order.Service, To: order.To, Duration: order.Duration}
 		c.rows[order.Service] = &cutover{
 			ordered:   true,
-			version:   version,
+			revision:  revision,
 			dueSince:  now,
 			learnedAt: now,
 			earlier:   c.earlierSessions(progress, now),
@@ -162,7 +170,7 @@
 
 // ApplyRow applies a row from the store or a peer if it is newer than the current one, and reports whether that
 // changed the cutover.
-func (c *Cutovers) ApplyRow(progress Progress, version float64, now time.Time) bool {
+func (c *Cutovers) ApplyRow(progress Progress, revision lavrevision.Revision, now time.Time) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	row, found := c.rows[progress.Service]
@@ -170,16 +178,19 @@
 		row = &cutover{}
 		c.rows[progress.Service] = row
 	}
-	if version <= row.version {
+	if row.mayBeCopy(progress, revision) {
+		return row.applyAfterReturn(progress, revision, now)
+	}
+	if !row.revision.Before(revision) {
 		return false
 	}
 	ordered := row.ordered
 	if found && row.progress.To != "" && row.progress.To != progress.To && row.ordered && row.progress.State == "" {
 		// The row is of an earlier order, which the new order replaces. Its version is needed to overwrite it.
-		row.version = version
+		row.revision = revision
 		return false
 	}
-	next := cutover{progress: progress, version: version, ordered: ordered, dueSince: now}
+	next := cutover{progress: progress, revision: revision, writtenAt: revision, ordered: ordered, dueSince: now}
 	if row.progress.To == progress.To {
 		next.stopped, next.learnedAt, next.earlier = row.stopped, row.learnedAt, row.earlier
 	} else {
--- a/core/services/lavcutover/decisions.go
+++ b/core/services/lavcutover/decisions.go
@@ -4,13 +4,14 @@
 	"time"
 
 	"lavenderswitch/core/models/lavid"
+	"lavenderswitch/core/models/lavrevision"
 )
 
 // Change is a row to write if the stored row still has the given row version.
 type Change struct {
 	Progress Progress
-	// Version is the row version to replace; zero if there must be no row.
-	Version float64
+	// Revision is that of the row to replace; its version is zero if there must be no row.
+	Revision lavrevision.Revision
 	// Evidence is the evidence against the release, for the log.
 	Evidence float64
 }
@@ -47,7 +48,13 @@
 
 // step returns the change of one cutover that is due, if any.
 func (c *Cutovers) step(row *cutover, rank Rank, busy Busy, now time.Time) (Change, bool) {
-	if !row.ordered || !c.rowsRead {
+	if !c.rowsRead {
+		return Change{}, false
+	}
+	if row.restore {
+		return row.restored(rank, now)
+	}
+	if !row.ordered {
 		return Change{}, false
 	}
 	switch row.progress.State {
@@ -60,15 +67,20 @@
 	}
 }
 
+// isTurn reports whether this host is to write the change that is due: the hosts write in the order of their ranks.
+func (r *cutover) isTurn(rank Rank, now time.Time) bool {
+	return now.Sub(r.dueSince) >= time.Duration(rank(r.progress.Service))*takeoverDelay
+}
+
 // begin returns the first row of a cutover.
 func (c *Cutovers) begin(row *cutover, rank Rank, now time.Time) (Change, bool) {
-	if now.Sub(row.dueSince) < time.Duration(rank(row.progress.Service))*takeoverDelay {
+	if !row.isTurn(rank, now) || c.mayLackRows(now) {
 		return Change{}, false
 	}
 	next := row.progress
 	next.State = Running
 	next.Began = c.storeTime(now)
-	return Change{Progress: next, Version: row.version}, true
+	return Change{Progress: next, Revision: row.revision}, true
 }
 
 // stopOrComplete stops a release with evidence against it, and completes one that has taken all traffic.
@@ -82,7 +94,7 @@
 		row.stopped = true
 		next := row.progress
 		next.State = Stopped
-		return Change{Progress: next, Version: row.version, Evidence: evidence}, true
+		return Change{Progress: next, Revision: row.revision, Evidence: evidence}, true
 	}
 	row.takesAll = c.mayTakeAll(row, evidence, elapsed)
 	if !row.takesAll {
@@ -99,12 +111,12 @@
 		row.dueSince = now
 		return Change{}, false
 	}
-	if evidence > c.settings.MaxCompleteEvidence || now.Sub(row.dueSince) < time.Duration(rank(row.progress.Service))*takeoverDelay {
+	if evidence > c.settings.MaxCompleteEvidence || !row.isTurn(rank, now) {
 		return Change{}, false
 	}
 	next := row.progress
 	next.State = Complete
-	return Change{Progress: next, Version: row.version, Evidence: evidence}, true
+	return Change{Progress: next, Revision: row.revision, Evidence: evidence}, true
 }
 
 // mayTakeAll reports whether the release may take all traffic: its trial is over, the evidence is below DoubtEvidence, and
@@ -124,7 +136,7 @@
 // Counts are set only while the cutover is running.
 type Status struct {
 	Progress Progress
-	Version  float64
+	lavrevision.Revision
 	Ordered  bool
 	Stopped  bool
 	Evidence float64
@@ -139,7 +151,7 @@
 	defer c.mu.Unlock()
 	statuses := make([]Status, 0, len(c.rows))
 	for service, row := range c.rows {
-		status := Status{Progress: row.progress, Version: row.version, Ordered: row.ordered, Stopped: row.stopped}
+		status := Status{Progress: row.progress, Revision: row.writtenAt, Ordered: row.ordered, Stopped: row.stopped}
 		if row.progress.State == "" || row.progress.State == Running {
 			status.Earlier = row.earlier
 		}
--- a/core/services/lavcutover/session_test.go
+++ b/core/services/lavcutover/session_test.go
@@ -20,7 +20,7 @@
 
 func startCutover(c *Cutovers, learned time.Time) {
 	c.SetOrders([]Order{{Service: pool, To: "v2", Duration: 24 * time.Second}}, learned)
-	c.ApplyRow(Progress{Service: pool, To: "v2", State: Running, Duration: 24 * time.Second}, 1, learned)
+	c.ApplyRow(Progress{Service: pool, To: "v2", State: Running, Duration: 24 * time.Second}, at(1), learned)
 }
 
 // trialSessions returns sessions that fall into the trial share of v2.
--- a/core/services/lavdirectory/directory.go
+++ b/core/services/lavdirectory/directory.go
@@ -72,8 +72,13 @@
 	listingFailed bool
 	// storeReturned is when the first listing after an outage was applied.
 	storeReturned time.Time
+	// gone holds when instances were removed, for goneTime.
+	gone map[lavserver.InstanceKey]time.Time
 }
 
+// goneTime is how long a removed instance is remembered. It is longer than a copy from which the store comes back is old.
+const goneTime = time.Minute
+
 // New returns a directory without backend servers.
 func New(settings Settings) *Directory {
 	return &Directory{
@@ -81,6 +86,7 @@
 		notices:   lavnotice.New(),
 		rows:      make(map[lavid.BackendServerID]Row),
 		evacuated: make(map[lavid.DataCentreID]bool),
+		gone:      make(map[lavserver.InstanceKey]time.Time),
 	}
 }
 
@@ -122,6 +128,7 @@
 		d.storeReturned = now
 	}
 	d.listingFailed, d.lastListing = false, now
+	maps.DeleteFunc(d.gone, func(_ lavserver.InstanceKey, at time.Time) bool { return now.Sub(at) > goneTime })
 	var changes []Change
 	listed := make(map[lavid.BackendServerID]bool, len(servers))
 	for _, server := range servers {
@@ -144,11 +151,28 @@
 			continue
 		}
 		delete(d.rows, id)
+		d.gone[row.instance] = now
 		changes = append(changes, Change{row.Server, ChangeGone})
 	}
 	return changes
 }
 
+// StoreReturned records that the store came back from a copy, before the first listing from it is applied. Servers that drained or had
+// left take no more work, whatever the copy shows, and those that it lacks are used until ReturnGrace has passed.
+func (d *Directory) StoreReturned(now time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.listingFailed = true
+	for _, row := range d.rows {
+		if row.Draining {
+			d.notices.RecordLeaving(row.instance, now)
+		}
+	}
+	for instance := range d.gone {
+		d.notices.RecordLeaving(instance, now)
+	}
+}
+
 // displaceEarlier marks the servers whose addresses have later ones as displaced; the caller holds the lock. A server that
 // ended without notice stays listed until its entry expires, and another one may have started at its address meanwhile.
 func (d *Directory) displaceEarlier() {
@@ -198,6 +222,7 @@
 		row.ColdUntil = now.Add(server.ColdFor)
 	}
 	d.rows[server.ID] = row
+	delete(d.gone, row.instance)
 	switch {
 	case !exists || !old.SameInstance(server):
 		return Change{server, ChangeAppeared}, true
--- a/core/services/lavnews/knowledge.go
+++ b/core/services/lavnews/knowledge.go
@@ -5,18 +5,16 @@
 	"time"
 
 	"lavenderswitch/core/models/lavid"
+	"lavenderswitch/core/models/lavrevision"
 )
 
-// Version is a version of the store. It rises with each change of any row.
-type Version float64
-
 // Digest identifies the content of a part of the store.
 type Digest uint64
 
 // Edition is what a host knows of a part of the store.
 type Edition struct {
-	Version Version
-	Digest  Digest
+	lavrevision.Revision
+	Digest Digest
 	// Age is the time since the read that confirmed the edition began.
 	Age time.Duration
 }
@@ -47,10 +45,12 @@
 
 // Knowledge is what this host knows of a part of the store. It is safe for concurrent use.
 type Knowledge struct {
-	mu      sync.Mutex
-	known   bool
-	version Version
-	digest  Digest
+	mu       sync.Mutex
+	known    bool
+	revision lavrevision.Revision
+	digest   Digest
+	// applied is the digest of what is in force, if that differs from what was read.
+	applied Digest
 	// readAt is when the read that confirmed the content began, on any host.
 	readAt time.Time
 	// source is the host that made this read; empty for this host.
@@ -69,9 +69,9 @@
 	switch {
 	case !k.known:
 		return Fetch
-	case edition.Version < k.version || !readAt.After(k.readAt):
+	case edition.Before(k.revision) || !readAt.After(k.readAt):
 		return Ignore
-	case edition.Digest == k.digest:
+	case k.matches(edition.Digest):
 		return Confirm
 	default:
 		return Fetch
@@ -79,14 +79,14 @@
 }
 
 // Learn takes an edition over and reports whether it did. What another host has read, unlike an own read, never replaces a
-// higher version: the store may have been replaced by another one, which only an own read shows.
-func (k *Knowledge) Learn(version Version, digest Digest, readAt time.Time, source lavid.HostID) bool {
+// later revision: the store may have been replaced by another one, which only an own read shows.
+func (k *Knowledge) Learn(revision lavrevision.Revision, digest Digest, readAt time.Time, source lavid.HostID) bool {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	if k.known && source != "" && (version < k.version || !readAt.After(k.readAt)) {
+	if k.known && source != "" && (revision.Before(k.revision) || !readAt.After(k.readAt)) {
 		return false
 	}
-	k.known, k.version, k.digest, k.source, k.failures = true, version, digest, source, 0
+	k.known, k.revision, k.digest, k.applied, k.source, k.failures = true, revision, digest, digest, source, 0
 	if readAt.After(k.readAt) {
 		k.readAt = readAt
 	}
@@ -100,7 +100,42 @@
 	if !k.known {
 		return nil
 	}
-	return &Edition{Version: k.version, Digest: k.digest, Age: now.Sub(k.readAt)}
+	return &Edition{Revision: k.revision, Digest: k.applied, Age: now.Sub(k.readAt)}
+}
+
+// Confirms reports whether an edition that another host or the store confirms is the known one.
+func (k *Knowledge) Confirms(digest Digest) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.known && k.matches(digest)
+}
+
+func (k *Knowledge) matches(digest Digest) bool { return digest == k.digest || digest == k.applied }
+
+// Confirm takes over that what is known was still the newest at readAt, and reports whether it did.
+func (k *Knowledge) Confirm(revision lavrevision.Revision, readAt time.Time, source lavid.HostID) bool {
+	k.mu.Lock()
+	digest, applied := k.digest, k.applied
+	k.mu.Unlock()
+	if !k.Learn(revision, digest, readAt, source) {
+		return false
+	}
+	k.Apply(applied)
+	return true
+}
+
+// Apply records that something else than what was learnt last is in force, as this host keeps what a copy of the store lacks.
+func (k *Knowledge) Apply(digest Digest) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.applied = digest
+}
+
+// Era returns the era of what is known, or zero.
+func (k *Knowledge) Era() lavrevision.Era {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.revision.Era
 }
 
 // Source returns the host whose read confirmed what is known; empty for this host.
--- a/core/services/lavnews/news_test.go
+++ b/core/services/lavnews/news_test.go
@@ -9,20 +9,26 @@
 	"pgregory.net/rapid"
 
 	"lavenderswitch/core/models/lavid"
+	"lavenderswitch/core/models/lavrevision"
 )
 
 var start = time.Unix(1000, 0)
 
+// at returns the revision with a version in the first era.
+func at(version int) lavrevision.Revision {
+	return lavrevision.Revision{Version: lavrevision.Version(version)}
+}
+
 func TestEditionIsJudgedByVersionDigestAndAge(t *testing.T) {
 	is := is.New(t)
 	var k Knowledge
-	is.Equal(k.Judge(Edition{Version: 1, Digest: 1}, start), Fetch)
-	is.True(k.Learn(5, 10, start, ""))
+	is.Equal(k.Judge(Edition{Revision: at(1), Digest: 1}, start), Fetch)
+	is.True(k.Learn(at(5), 10, start, ""))
 	now := start.Add(time.Second)
-	is.Equal(k.Judge(Edition{Version: 4, Digest: 9}, now), Ignore)                          // older than the known one
-	is.Equal(k.Judge(Edition{Version: 6, Digest: 9, Age: 2 * time.Second}, now), Ignore)    // read earlier
-	is.Equal(k.Judge(Edition{Version: 6, Digest: 10, Age: time.Millisecond}, now), Confirm) // other rows have changed
-	is.Equal(k.Judge(Edition{Version: 6, Digest: 11, Age: time.Millisecond}, now), Fetch)
+	is.Equal(k.Judge(Edition{Revision: at(4), Digest: 9}, now), Ignore)                          // older than the known one
+	is.Equal(k.Judge(Edition{Revision: at(6), Digest: 9, Age: 2 * time.Second}, now), Ignore)    // read earlier
+	is.Equal(k.Judge(Edition{Revision: at(6), Digest: 10, Age: time.Millisecond}, now), Confirm) // other rows have changed
+	is.Equal(k.Judge(Edition{Revision: at(6), Digest: 11, Age: time.Millisecond}, now), Fetch)
 }
 
 // TestNoHostActsOnALowerVersion guards against an old listing of a relay that was suspended, and against a host that stays
@@ -30,13 +36,29 @@
 func TestNoHostActsOnALowerVersion(t *testing.T) {
 	is := is.New(t)
 	var k Knowledge
-	is.True(k.Learn(5, 10, start, ""))
-	is.True(!k.Learn(4, 11, start.Add(time.Second), "relay"))
-	is.True(!k.Learn(6, 11, start.Add(-time.Second), "relay"))
-	is.True(k.Learn(6, 11, start.Add(time.Second), "relay"))
+	is.True(k.Learn(at(5), 10, start, ""))
+	is.True(!k.Learn(at(4), 11, start.Add(time.Second), "relay"))
+	is.True(!k.Learn(at(6), 11, start.Add(-time.Second), "relay"))
+	is.True(k.Learn(at(6), 11, start.Add(time.Second), "relay"))
 	is.Equal(k.Source(), lavid.HostID("relay"))
-	is.True(k.Learn(2, 12, start.Add(2*time.Second), "")) // an own read shows another store
-	is.Equal(k.Edition(start.Add(2*time.Second)).Version, Version(2))
+	is.True(k.Learn(at(2), 12, start.Add(2*time.Second), "")) // an own read shows another store
+	is.Equal(k.Edition(start.Add(2*time.Second)).Version, lavrevision.Version(2))
+}
+
+// TestLaterEraReplacesHigherVersions guards against hosts that keep to what they know after the store came back from a copy, until its
+// versions have caught up, and against news of a host that has not heard of the return.
+func TestLaterEraReplacesHigherVersions(t *testing.T) {
+	is := is.New(t)
+	var k Knowledge
+	is.True(k.Learn(lavrevision.Revision{Era: 1, Version: 90}, 1, start, ""))
+	now := start.Add(time.Second)
+	returned := Edition{Revision: lavrevision.Revision{Era: 2, Version: 40}, Digest: 2, Age: time.Millisecond}
+	is.Equal(k.Judge(returned, now), Fetch)
+	is.True(k.Learn(returned.Revision, returned.Digest, now, "relay"))
+	is.Equal(k.Era(), lavrevision.Era(2))
+	late := Edition{Revision: lavrevision.Revision{Era: 1, Version: 95}, Digest: 3}
+	is.Equal(k.Judge(late, now.Add(time.Second)), Ignore)
+	is.True(!k.Learn(late.Revision, late.Digest, now.Add(time.Second), "relay"))
 }
 
 func TestReadersReadBeforeOthersAndRetryMoreOften(t *testing.T) {
@@ -45,11 +67,11 @@
 	var k Knowledge
 	is.True(!schedule.Due(&k, NotReader).After(start)) // nothing is known
 	k.Attempted(start)
-	is.True(k.Learn(1, 1, start, ""))
+	is.True(k.Learn(at(1), 1, start, ""))
 	reader, other := schedule.Due(&k, 0).Sub(start), schedule.Due(&k, NotReader).Sub(start)
 	is.True(reader >= 800*time.Millisecond && reader <= 1200*time.Millisecond)
 	is.True(other >= 2200*time.Millisecond && other <= 2600*time.Millisecond)
-	is.True(k.Learn(1, 1, start.Add(3500*time.Millisecond), "b"))
+	is.True(k.Learn(at(1), 1, start.Add(3500*time.Millisecond), "b"))
 	is.Equal(schedule.Due(&k, 0), start.Add(4*time.Second)) // a reader reads by itself once in the bound
 	for range 5 {
 		k.Attempted(start.Add(10 * time.Second))
@@ -143,7 +165,7 @@
 	}
 	h.knowledge.Attempted(now)
 	h.reads++
-	if h.reaches && h.knowledge.Learn(Version(version), Digest(version), now, "") {
+	if h.reaches && h.knowledge.Learn(at(version), Digest(version), now, "") {
 		h.set(t, version)
 	}
 }
@@ -166,7 +188,7 @@
 			if host == reader || host.knowledge.Judge(*edition, now) == Ignore {
 				continue
 			}
-			if host.knowledge.Learn(edition.Version, edition.Digest, now.Add(-edition.Age), reader.id) {
+			if host.knowledge.Learn(edition.Revision, edition.Digest, now.Add(-edition.Age), reader.id) {
 				host.set(t, reader.stored)
 			}
 		}
--- a/core/services/lavreport/node_test.go
+++ b/core/services/lavreport/node_test.go
@@ -13,6 +13,7 @@
 	"pgregory.net/rapid"
 
 	"lavenderswitch/core/models/lavid"
+	"lavenderswitch/core/models/lavrevision"
 	"lavenderswitch/core/models/lavserver"
 	"lavenderswitch/core/modules/lavring"
 	"lavenderswitch/core/services/lavcutover"
@@ -403,9 +404,9 @@
 	node := NewNode(NewPeers(lavring.Member{ID: "a", DataCentre: "centre-a"}), lavload.New(), lavforecast.New(), cutovers, nil, nil, now)
 	node.Receive(&Message{
 		Kind: KindExchange, From: lavring.Member{ID: "b", DataCentre: "centre-b", Address: "10.0.0.2:1"}, Sequence: 1,
-		Sum: Sum{Cutovers: []lavcutover.Status{{Progress: progress, Version: 1, Earlier: none.With("session-1")}}},
+		Sum: Sum{Cutovers: []lavcutover.Status{{Progress: progress, Revision: lavrevision.Revision{Version: 1}, Earlier: none.With("session-1")}}},
 	}, now)
-	merged := mergeStatuses(cutovers.Statuses(), []lavcutover.Status{{Progress: progress, Version: 1, Earlier: none.With("session-2")}})
+	merged := mergeStatuses(cutovers.Statuses(), []lavcutover.Status{{Progress: progress, Revision: lavrevision.Revision{Version: 1}, Earlier: none.With("session-2")}})
 	is.Equal(merged[0].Earlier, none.With("session-1").With("session-2"))
 }
 
--- a/core/services/lavreport/receive.go
+++ b/core/services/lavreport/receive.go
@@ -55,7 +55,7 @@
 		receipt.Replies = append(receipt.Replies, forwarded...)
 	}
 	for _, status := range cutovers {
-		if status.Progress.State != "" && n.cutovers.ApplyRow(status.Progress, status.Version, now) {
+		if status.Progress.State != "" && n.cutovers.ApplyRow(status.Progress, status.Revision, now) {
 			receipt.Changed = append(receipt.Changed, status.Progress)
 		}
 		n.cutovers.AddEarlierSessions(status)
--- a/core/services/lavreport/sum.go
+++ b/core/services/lavreport/sum.go
@@ -132,10 +132,10 @@
 		case newest.Progress.To == status.Progress.To:
 			counts = sumCounts(counts, status.Counts)
 			earlier = earlier.Union(status.Earlier)
-		case status.Version > newest.Version:
+		case status.Supersedes(newest):
 			counts, earlier = status.Counts, status.Earlier
 		}
-		if status.Version > newest.Version {
+		if status.Supersedes(newest) {
 			newest = status
 		}
 		newest.Counts, newest.Earlier = counts, earlier
--- a/entry/services/lavbroadcast/broadcaster_test.go
+++ b/entry/services/lavbroadcast/broadcaster_test.go
@@ -13,6 +13,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"lavenderswitch/core/models/lavid"
+	"lavenderswitch/core/models/lavrevision"
 	"lavenderswitch/core/models/lavserver"
 	"lavenderswitch/core/modules/lavring"
 	"lavenderswitch/core/services/lavcutover"
@@ -114,7 +115,7 @@
 	now := time.Now()
 	progress := lavcutover.Progress{Service: "pool", To: "v2", State: lavcutover.Running, Duration: 20 * time.Second}
 	a.Cutovers.SetOrders([]lavcutover.Order{{Service: "pool", To: "v2", Duration: 20 * time.Second}}, now)
-	a.Cutovers.ApplyRow(progress, 4, now)
+	a.Cutovers.ApplyRow(progress, lavrevision.Revision{Version: 4}, now)
 	for range 4 {
 		a.Cutovers.Observe(lavserver.Server{Service: "pool", Release: "v2"}, lavcutover.Outcome{Kind: "chat", Failed: true})
 	}
@@ -175,7 +176,7 @@
 		Loads:   map[lavload.ServerKey]lavload.Load{11: load},
 		Speeds:  map[lavload.ServerKey]lavforecast.Speed{11: {Sum: -1.25, Weight: 2.5}},
 		Cutovers: []lavcutover.Status{{
-			Progress: lavcutover.Progress{Service: "pool", To: "v2", State: lavcutover.Running, Began: time.Minute, Duration: 20 * time.Second}, Version: 4,
+			Progress: lavcutover.Progress{Service: "pool", To: "v2", State: lavcutover.Running, Began: time.Minute, Duration: 20 * time.Second}, Revision: lavrevision.Revision{Era: 2, Version: 4},
 			Counts:  map[lavcutover.Key]lavcutover.Counts{{Service: "pool", Release: "v2", Kind: "chat"}: counts},
 			Earlier: lavcutover.SessionSet(nil).With("session"),
 		}},
@@ -185,7 +186,7 @@
 		Kind: lavreport.KindTotal, From: member, Sequence: 65_535, Leaving: true, IsRelay: true, Sum: sum,
 		Loads: map[lavid.BackendServerID]lavload.Load{"server": load}, Speeds: sum.Speeds, Cutovers: sum.Cutovers,
 		Exchanged: []lavreport.CentreSum{{DataCentre: "centre-b", Sum: sum}}, Members: []lavring.Member{member}, ForwardTo: []string{"127.0.0.1:2"},
-		News:    &lavnews.News{Servers: &lavnews.Edition{Version: 7, Digest: 1 << 63, Age: time.Second}, CutoversRead: true, Address: "127.0.0.1:3"},
+		News:    &lavnews.News{Servers: &lavnews.Edition{Revision: lavrevision.Revision{Era: 2, Version: 7}, Digest: 1 << 63, Age: time.Second}, CutoversRead: true, Address: "127.0.0.1:3"},
 		Notices: []lavnotice.Report{{Instance: 1 << 63, Leaving: true, LeavingFor: time.Second, Pause: 2 * time.Second, LimitKnown: true, Limit: lavnotice.Limit{Stated: true, Rate: 1.2}, LimitFor: time.Minute}},
 		PromptParts: lavquarantine.Findings{
 			Keys: []lavquarantine.Report{{
--- a/entry/services/lavbroadcast/decode.go
+++ b/entry/services/lavbroadcast/decode.go
@@ -7,6 +7,7 @@
 	"github.com/pkg/errors"
 
 	"lavenderswitch/core/models/lavid"
+	"lavenderswitch/core/models/lavrevision"
 	"lavenderswitch/core/models/lavserver"
 	"lavenderswitch/core/modules/lavring"
 	"lavenderswitch/core/services/lavcutover"
@@ -148,9 +149,9 @@
 		return nil
 	}
 	return &lavnews.Edition{
-		Version: lavnews.Version(edition.GetVersion()),
-		Digest:  lavnews.Digest(edition.GetDigest()),
-		Age:     time.Duration(edition.GetAgeMillis()) * time.Millisecond,
+		Revision: lavrevision.Revision{Era: lavrevision.Era(edition.GetEra()), Version: lavrevision.Version(edition.GetVersion())},
+		Digest:   lavnews.Digest(edition.GetDigest()),
+		Age:      time.Duration(edition.GetAgeMillis()) * time.Millisecond,
 	}
 }
 
@@ -217,9 +218,9 @@
 			Began:    time.Duration(state.GetBeganMillis()) * time.Millisecond,
 			Duration: time.Duration(state.GetDurationMillis()) * time.Millisecond,
 		},
-		Version: state.GetRowVersion(),
-		Earlier: state.GetEarlierSessions(),
-		Counts:  make(map[lavcutover.Key]lavcutover.Counts, len(state.GetCounts())),
+		Revision: lavrevision.Revision{Era: lavrevision.Era(state.GetRowEra()), Version: lavrevision.Version(state.GetRowVersion())},
+		Earlier:  state.GetEarlierSessions(),
+		Counts:   make(map[lavcutover.Key]lavcutover.Counts, len(state.GetCounts())),
 	}
 	for _, count := range state.GetCounts() {
 		key := lavcutover.Key{Service: status.Progress.Service, Release: lavid.ReleaseID(count.GetReleaseId()), Kind: count.GetKind()}
--- a/entry/services/lavbroadcast/encode.go
+++ b/entry/services/lavbroadcast/encode.go
@@ -160,7 +160,7 @@
 	if edition == nil {
 		return nil
 	}
-	return &lavwire.StoreEdition{Version: float64(edition.Version), Digest: uint64(edition.Digest), AgeMillis: uint32(edition.Age.Milliseconds())}
+	return &lavwire.StoreEdition{Era: uint64(edition.Era), Version: float64(edition.Version), Digest: uint64(edition.Digest), AgeMillis: uint32(edition.Age.Milliseconds())}
 }
 
 func encodeMember(member lavring.Member) *lavwire.HostMember {
@@ -217,7 +217,8 @@
 		State:           string(row.Progress.State),
 		BeganMillis:     row.Progress.Began.Milliseconds(),
 		DurationMillis:  row.Progress.Duration.Milliseconds(),
-		RowVersion:      row.Version,
+		RowVersion:      float64(row.Version),
+		RowEra:          uint64(row.Era),
 		EarlierSessions: row.Earlier,
 	}
 	for key, counts := range row.Counts {
--- a/entry/services/lavsnapshot/client.go
+++ b/entry/services/lavsnapshot/client.go
@@ -11,6 +11,7 @@
 	"github.com/pkg/errors"
 	"google.golang.org/protobuf/proto"
 
+	"lavenderswitch/core/models/lavrevision"
 	"lavenderswitch/core/services/lavnews"
 	"lavenderswitch/entry/services/lavwatch"
 	"lavenderswitch/wire/lavwire"
@@ -85,6 +86,7 @@
 		return lavwatch.Snapshot{}, 0, errors.Errorf("content of the snapshot is larger than %d bytes", maxDataBytes)
 	}
 	edition := reply.GetEdition()
-	snapshot := lavwatch.Snapshot{Version: lavnews.Version(edition.GetVersion()), Digest: lavnews.Digest(edition.GetDigest()), Data: data}
+	revision := lavrevision.Revision{Era: lavrevision.Era(edition.GetEra()), Version: lavrevision.Version(edition.GetVersion())}
+	snapshot := lavwatch.Snapshot{Revision: revision, Digest: lavnews.Digest(edition.GetDigest()), Data: data}
 	return snapshot, time.Duration(edition.GetAgeMillis()) * time.Millisecond, nil
 }
--- a/entry/services/lavsnapshot/handler.go
+++ b/entry/services/lavsnapshot/handler.go
@@ -12,6 +12,7 @@
 	"github.com/sirupsen/logrus"
 	"google.golang.org/protobuf/proto"
 
+	"lavenderswitch/core/models/lavrevision"
 	"lavenderswitch/core/services/lavnews"
 	"lavenderswitch/entry/services/lavwatch"
 	"lavenderswitch/wire/lavwire"
@@ -40,9 +41,9 @@
 }
 
 type compressedPart struct {
-	digest  lavnews.Digest
-	version lavnews.Version
-	data    []byte
+	digest lavnews.Digest
+	era    lavrevision.Era
+	data   []byte
 }
 
 // ServeHTTP implements http.Handler.
@@ -59,7 +60,7 @@
 		return
 	}
 	body, err := proto.Marshal(&lavwire.StoreSnapshot{
-		Edition: &lavwire.StoreEdition{Version: float64(snapshot.Version), Digest: uint64(snapshot.Digest), AgeMillis: uint32(age.Milliseconds())},
+		Edition: &lavwire.StoreEdition{Era: uint64(snapshot.Era), Version: float64(snapshot.Version), Digest: uint64(snapshot.Digest), AgeMillis: uint32(age.Milliseconds())},
 		Data:    h.compress(part, snapshot),
 	})
 	if err != nil {
@@ -77,7 +78,7 @@
 func (h *Handler) compress(part lavwatch.Part, snapshot lavwatch.Snapshot) []byte {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if kept, found := h.compressed[part]; found && kept.digest == snapshot.Digest && kept.version == snapshot.Version {
+	if kept, found := h.compressed[part]; found && kept.digest == snapshot.Digest && kept.era == snapshot.Era {
 		return kept.data
 	}
 	var buffer bytes.Buffer
@@ -88,6 +89,6 @@
 	if h.compressed == nil {
 		h.compressed = make(map[lavwatch.Part]compressedPart)
 	}
-	h.compressed[part] = compressedPart{digest: snapshot.Digest, version: snapshot.Version, data: buffer.Bytes()}
+	h.compressed[part] = compressedPart{digest: snapshot.Digest, era: snapshot.Era, data: buffer.Bytes()}
 	return buffer.Bytes()
 }
--- a/entry/services/lavsnapshot/snapshot_test.go
+++ b/entry/services/lavsnapshot/snapshot_test.go
@@ -13,6 +13,7 @@
 	"github.com/sirupsen/logrus"
 	"google.golang.org/protobuf/proto"
 
+	"lavenderswitch/core/models/lavrevision"
 	"lavenderswitch/entry/services/lavwatch"
 	"lavenderswitch/wire/lavwire"
 )
@@ -40,7 +41,7 @@
 
 func TestSnapshotArrivesWholeWithItsAge(t *testing.T) {
 	is := is.New(t)
-	stored := lavwatch.Snapshot{Version: 7, Digest: 1 << 63, Data: []byte(strings.Repeat("row ", 5000))}
+	stored := lavwatch.Snapshot{Revision: lavrevision.Revision{Era: 2, Version: 7}, Digest: 1 << 63, Data: []byte(strings.Repeat("row ", 5000))}
 	address := serve(t, fixedSnapshots{lavwatch.PartServers: stored}, true)
 	client := NewClient()
 	for range 2 { // the second reply is compressed already
@@ -56,7 +57,7 @@
 // TestOnlyEntryHostsGetSnapshots guards against API keys that leave the system: the operators' rows hold them.
 func TestOnlyEntryHostsGetSnapshots(t *testing.T) {
 	is := is.New(t)
-	address := serve(t, fixedSnapshots{lavwatch.PartOperations: {Version: 1, Data: []byte("key")}}, false)
+	address := serve(t, fixedSnapshots{lavwatch.PartOperations: {Revision: lavrevision.Revision{Version: 1}, Data: []byte("key")}}, false)
 	_, _, err := NewClient().Fetch(t.Context(), address, lavwatch.PartOperations)
 	is.True(err != nil)
 	is.True(strings.Contains(err.Error(), "403"))
--- a/entry/services/lavwatch/cutover.go
+++ b/entry/services/lavwatch/cutover.go
@@ -6,6 +6,8 @@
 
 	"github.com/sirupsen/logrus"
 
+	"lavenderswitch/core/models/lavid"
+	"lavenderswitch/core/models/lavrevision"
 	"lavenderswitch/core/modules/lavlife"
 	"lavenderswitch/core/services/lavcutover"
 )
@@ -13,15 +15,17 @@
 // CutoverRow is the stored state of a cutover.
 type CutoverRow struct {
 	Progress lavcutover.Progress
-	Version  float64
+	Revision lavrevision.Revision
 }
 
 // CutoverStore keeps the rows of cutovers, which all entry hosts read and write.
 type CutoverStore interface {
-	Cutovers(ctx context.Context) ([]CutoverRow, error)
-	// WriteCutover writes a changed row, and the values shown to operators, if the row still has the version that the
-	// change states. It returns the new version.
-	WriteCutover(ctx context.Context, change lavcutover.Change) (float64, error)
+	// Cutovers returns all rows, and the revision at which they were read.
+	Cutovers(ctx context.Context) ([]CutoverRow, lavrevision.Revision, error)
+	// WriteCutover writes a changed row, and the values shown to operators, if the row still has the revision that the
+	// change states. It returns the new revision. If the store turns out to be in another era than the row was read in, it fails, and
+	// it is not known whether the row was written.
+	WriteCutover(ctx context.Context, change lavcutover.Change) (lavrevision.Revision, error)
 }
 
 const (
@@ -56,11 +60,12 @@
 	defer c.Finish()
 	for ctx.Err() == nil {
 		now := c.Clock()
+		unknown := !c.Cutovers.RowsRead() || c.Cutovers.RowsUnknown(c.Rank, now)
 		interval := cutoverReadInterval
-		if !c.Cutovers.RowsRead() {
+		if unknown {
 			interval = cutoverFirstReadInterval
 		}
-		if (!c.Cutovers.RowsRead() || c.Cutovers.Running() && c.Reads()) && now.Sub(c.lastRead) >= interval {
+		if (unknown || c.Cutovers.Running() && c.Reads()) && now.Sub(c.lastRead) >= interval {
 			c.readRows(ctx)
 		}
 		for _, change := range c.Cutovers.Tick(c.Rank, c.Busy, c.Clock()) {
@@ -75,19 +80,23 @@
 	c.lastRead = c.Clock()
 	readCtx, cancel := context.WithTimeout(ctx, c.CallTimeout)
 	defer cancel()
-	rows, err := c.Store.Cutovers(readCtx)
+	rows, read, err := c.Store.Cutovers(readCtx)
 	if err != nil {
 		c.Log.WithError(err).Debug("reading the cutovers failed")
 		return
 	}
+	c.Cutovers.StoreReturned(read.Era, c.Clock())
+	stored := make(map[lavid.ServiceID]bool, len(rows))
 	for _, row := range rows {
+		stored[row.Progress.Service] = true
 		c.apply(row)
 	}
+	c.Cutovers.ConfirmRows(stored, read, c.Clock())
 	c.Cutovers.MarkRowsRead()
 }
 
 func (c *CutoverDriver) apply(row CutoverRow) {
-	if c.Cutovers.ApplyRow(row.Progress, row.Version, c.Clock()) {
+	if c.Cutovers.ApplyRow(row.Progress, row.Revision, c.Clock()) {
 		c.Log.WithFields(logrus.Fields{
 			"service": row.Progress.Service,
 			"release": row.Progress.To,
@@ -100,7 +109,7 @@
 func (c *CutoverDriver) writeChange(ctx context.Context, change lavcutover.Change) {
 	writeCtx, cancel := context.WithTimeout(ctx, c.CallTimeout)
 	defer cancel()
-	version, err := c.Store.WriteCutover(writeCtx, change)
+	revision, err := c.Store.WriteCutover(writeCtx, change)
 	log := c.Log.WithFields(logrus.Fields{
 		"service":  change.Progress.Service,
 		"release":  change.Progress.To,
@@ -114,5 +123,5 @@
 		return
 	}
 	log.Info("cutover written")
-	c.apply(CutoverRow{Progress: change.Progress, Version: version})
+	c.apply(CutoverRow{Progress: change.Progress, Revision: revision})
 }
--- a/entry/services/lavwatch/metrics.go
+++ b/entry/services/lavwatch/metrics.go
@@ -17,16 +17,24 @@
 
 // Metrics holds the ages and sources of what this host learns of the store.
 type Metrics struct {
-	ages *prometheus.HistogramVec
+	ages    *prometheus.HistogramVec
+	returns *prometheus.CounterVec
 }
 
 // NewMetrics registers the metrics of a watcher.
 func NewMetrics(registerer prometheus.Registerer) *Metrics {
-	return &Metrics{ages: promauto.With(registerer).NewHistogramVec(prometheus.HistogramOpts{
-		Name:    "lavenderswitch_store_knowledge_age_seconds",
-		Help:    "Age of what is known of a part of the store when it is learnt or confirmed, by source: an own read, or another entry host.",
-		Buckets: []float64{0.01, 0.03, 0.1, 0.3, 0.5, 0.8, 1.2, 1.6, 2, 3, 4},
-	}, []string{"part", "source"})}
+	factory := promauto.With(registerer)
+	return &Metrics{
+		ages: factory.NewHistogramVec(prometheus.HistogramOpts{
+			Name:    "lavenderswitch_store_knowledge_age_seconds",
+			Help:    "Age of what is known of a part of the store when it is learnt or confirmed, by source: an own read, or another entry host.",
+			Buckets: []float64{0.01, 0.03, 0.1, 0.3, 0.5, 0.8, 1.2, 1.6, 2, 3, 4},
+		}, []string{"part", "source"}),
+		returns: factory.NewCounterVec(prometheus.CounterOpts{
+			Name: "lavenderswitch_store_returns_total",
+			Help: "Returns of the store from a copy that lacks what was written last, by source: an own read, or another entry host.",
+		}, []string{"source"}),
+	}
 }
 
 // observe records the age of a part; the source is empty for an own read. The metrics may be nil.
@@ -34,9 +42,19 @@
 	if m == nil {
 		return
 	}
-	label := sourceStore
-	if source != "" {
-		label = sourcePeer
+	m.ages.WithLabelValues(string(part), sourceLabel(source)).Observe(age.Seconds())
+}
+
+// countReturn counts a return of the store; the source is empty for an own read. The metrics may be nil.
+func (m *Metrics) countReturn(source lavid.HostID) {
+	if m != nil {
+		m.returns.WithLabelValues(sourceLabel(source)).Inc()
+	}
+}
+
+func sourceLabel(source lavid.HostID) string {
+	if source == "" {
+		return sourceStore
 	}
-	m.ages.WithLabelValues(string(part), label).Observe(age.Seconds())
+	return sourcePeer
 }
--- a/entry/services/lavwatch/news.go
+++ b/entry/services/lavwatch/news.go
@@ -108,6 +108,6 @@
 		return Snapshot{}, 0, false
 	}
 	snapshot := part.snapshot
-	snapshot.Version = edition.Version
+	snapshot.Revision = edition.Revision
 	return snapshot, edition.Age, true
 }
--- a/entry/services/lavwatch/news_test.go
+++ b/entry/services/lavwatch/news_test.go
@@ -10,6 +10,7 @@
 	"github.com/pkg/errors"
 
 	"lavenderswitch/core/models/lavid"
+	"lavenderswitch/core/models/lavrevision"
 	"lavenderswitch/core/models/lavserver"
 	"lavenderswitch/core/services/lavcutover"
 	"lavenderswitch/core/services/lavdirectory"
@@ -104,7 +105,7 @@
 	is.True(other.Directory.All()[0].Cold(*now))
 	for range 5 {
 		*now = now.Add(500 * time.Millisecond)
-		reader.servers.Learn(1, 1, *now, "") // the reader has confirmed the list
+		reader.servers.Learn(lavrevision.Revision{Version: 1}, 1, *now, "") // the reader has confirmed the list
 		hear(t.Context(), reader, other)
 	}
 	is.True(!other.Directory.All()[0].Cold(*now))
@@ -138,7 +139,7 @@
 	_, other, _, now := newPair(source)
 	other.listServers(t.Context())
 	*now = now.Add(time.Second)
-	other.applyServers(Snapshot{Version: 9, Digest: 9, Data: []byte("damaged")}, *now, "reader")
+	other.applyServers(Snapshot{Revision: lavrevision.Revision{Version: 9}, Digest: 9, Data: []byte("damaged")}, *now, "reader")
 	is.Equal(len(other.Directory.Usable("pool", *now)), 1)
-	is.Equal(other.servers.Edition(*now).Version, Version(1))
+	is.Equal(other.servers.Edition(*now).Version, lavrevision.Version(1))
 }
--- a/entry/services/lavwatch/quarantine.go
+++ b/entry/services/lavwatch/quarantine.go
@@ -6,6 +6,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"lavenderswitch/core/models/lavrevision"
 	"lavenderswitch/core/modules/lavlife"
 	"lavenderswitch/core/services/lavquarantine"
 )
@@ -29,6 +30,8 @@
 	Reads func() bool
 	// Writes reports whether this host writes changes.
 	Writes func() bool
+	// Era returns the era of the store. After a rise, the row may hold an earlier state.
+	Era func() lavrevision.Era
 	// CallTimeout bounds one call to the store.
 	CallTimeout time.Duration
 	Log         logrus.FieldLogger
@@ -39,6 +42,7 @@
 	// stored is the digest of the row. It is known from a read, and as long as no other host writes.
 	stored      uint64
 	storedKnown bool
+	era         lavrevision.Era
 }
 
 // Run reads the row, then writes changes until ctx ends.
@@ -54,7 +58,9 @@
 // servers.
 func (k *QuarantineKeeper) step(ctx context.Context) {
 	writes := k.Writes()
-	k.storedKnown = k.storedKnown && writes
+	era := k.Era()
+	k.storedKnown = k.storedKnown && writes && era == k.era
+	k.era = era
 	if writes && !k.storedKnown || !k.hasRead && k.Reads() {
 		k.readRow(ctx)
 	}
--- a/entry/services/lavwatch/quarantine_test.go
+++ b/entry/services/lavwatch/quarantine_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/matryer/is"
 
+	"lavenderswitch/core/models/lavrevision"
 	"lavenderswitch/core/models/lavserver"
 	"lavenderswitch/core/services/lavquarantine"
 )
@@ -53,6 +54,7 @@
 // start returns a keeper of a host that has just started.
 func (k *keepers) start(reads, writes bool) *QuarantineKeeper {
 	return &QuarantineKeeper{
+		Era:   func() lavrevision.Era { return 0 },
 		Table: lavquarantine.New(), Store: k.store, Reads: func() bool { return reads }, Writes: func() bool { return writes },
 		CallTimeout: time.Second, Log: discardLogger(), Clock: func() time.Time { return k.now },
 	}
--- a/entry/services/lavwatch/registrar.go
+++ b/entry/services/lavwatch/registrar.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/sirupsen/logrus"
 
 	"lavenderswitch/core/models/lavid"
+	"lavenderswitch/core/models/lavrevision"
 	"lavenderswitch/core/modules/lavlife"
 	"lavenderswitch/core/modules/lavring"
 	"lavenderswitch/core/services/lavreport"
@@ -18,6 +20,10 @@
 	secondReadDelay = 3 * time.Second
 	// hostReadInterval separates later reads. The datagrams of new hosts usually arrive earlier.
 	hostReadInterval = 30 * time.Second
+	// eraCheckInterval is how often the registrar looks whether the store came back from a copy.
+	eraCheckInterval = 500 * time.Millisecond
+	// maxRestorers is the number of hosts that look one after the other whether the host list has to be written again.
+	maxRestorers = 3
 	// storeRetryPause separates two tries while the store does not answer.
 	storeRetryPause = time.Second
 )
@@ -25,7 +31,7 @@
 // HostStore keeps the list of entry hosts.
 type HostStore interface {
 	Hosts(ctx context.Context) ([]lavring.Member, error)
-	PutHost(ctx context.Context, member lavring.Member) error
+	PutHosts(ctx context.Context, members []lavring.Member) error
 	DropHost(ctx context.Context, id lavid.HostID) error
 }
 
@@ -36,6 +42,8 @@
 	Store HostStore
 	// Reads reports whether this host reads the list repeatedly. Others hear of new hosts from it.
 	Reads func() bool
+	// Era returns the era of the store. After a rise, the list may lack hosts.
+	Era func() lavrevision.Era
 	// CallTimeout bounds one call to the store.
 	CallTimeout time.Duration
 	Log         logrus.FieldLogger
@@ -54,18 +62,59 @@
 			lavlife.Sleep(ctx, storeRetryPause)
 			continue
 		}
-		lavlife.Sleep(ctx, pause)
+		r.await(ctx, r.Clock().Add(pause))
 		pause = hostReadInterval
 	}
 }
 
+// await returns at the given time. It writes the list again if the store comes back from a copy meanwhile.
+func (r *Registrar) await(ctx context.Context, until time.Time) {
+	era, returnedAt := r.Era(), time.Time{}
+	for ctx.Err() == nil {
+		now := r.Clock()
+		left := until.Sub(now)
+		if left <= 0 {
+			return
+		}
+		if current := r.Era(); current > era {
+			era, returnedAt = current, now
+		}
+		rank := r.Peers.Rank("hosts", now)
+		if !returnedAt.IsZero() && rank < maxRestorers && now.Sub(returnedAt) >= time.Duration(rank+1)*eraCheckInterval && r.callStore(ctx, r.restore) {
+			returnedAt = time.Time{}
+		}
+		lavlife.Sleep(ctx, min(left, eraCheckInterval))
+	}
+}
+
+// restore registers the live hosts that the list lacks.
+func (r *Registrar) restore(ctx context.Context) error {
+	stored, err := r.Store.Hosts(ctx)
+	if err != nil {
+		return err
+	}
+	listed := make(map[lavid.HostID]bool, len(stored))
+	for _, member := range stored {
+		listed[member.ID] = true
+	}
+	missing := slices.DeleteFunc(r.Peers.Live(r.Clock()), func(member lavring.Member) bool { return listed[member.ID] })
+	if len(missing) == 0 {
+		return nil
+	}
+	if err := r.Store.PutHosts(ctx, missing); err != nil {
+		return err
+	}
+	r.Log.WithField("count", len(missing)).Info("entry hosts that the store lacked registered again")
+	return nil
+}
+
 // Deregister removes this host from the list.
 func (r *Registrar) Deregister(ctx context.Context) {
 	r.callStore(ctx, func(ctx context.Context) error { return r.Store.DropHost(ctx, r.Peers.Self().ID) })
 }
 
 func (r *Registrar) register(ctx context.Context) error {
-	return r.Store.PutHost(ctx, r.Peers.Self())
+	return r.Store.PutHosts(ctx, []lavring.Member{r.Peers.Self()})
 }
 
 func (r *Registrar) readHosts(ctx context.Context) error {
--- a/entry/services/lavwatch/watcher.go
+++ b/entry/services/lavwatch/watcher.go
@@ -9,17 +9,16 @@
 	"github.com/sourcegraph/conc"
 
 	"lavenderswitch/core/models/lavid"
+	"lavenderswitch/core/models/lavrevision"
 	"lavenderswitch/core/models/lavserver"
 	"lavenderswitch/core/modules/lavlife"
 	"lavenderswitch/core/modules/lavlog"
 	"lavenderswitch/core/services/lavcutover"
 	"lavenderswitch/core/services/lavdirectory"
 	"lavenderswitch/core/services/lavnews"
+	"lavenderswitch/core/services/lavrestore"
 )
 
-// Version numbers the states of the store's tables. A caller requests the changes after a version.
-type Version = lavnews.Version
-
 // Part names a part of the store that all hosts need.
 type Part string
 
@@ -31,8 +30,8 @@
 
 // Snapshot is the content of a part of the store.
 type Snapshot struct {
-	Version Version
-	Digest  lavnews.Digest
+	lavrevision.Revision
+	Digest lavnews.Digest
 	// Data holds the rows in the encoding of the Source.
 	Data []byte
 }
@@ -45,9 +44,14 @@
 	// is damaged, and skip unreadable rows.
 	DecodeServers(data []byte) ([]lavserver.Server, error)
 	DecodeOperations(data []byte) (Operations, error)
-	// WaitForChange waits for a change of the operators' rows after a version. It reports whether there was one, and
-	// returns the version to continue from. It fails when the store no longer has the changes since that version.
-	WaitForChange(ctx context.Context, after Version, wait time.Duration) (bool, Version, error)
+	// OperatorRows returns the rows in a snapshot of the operators' rows, and EncodeOperatorRows the snapshot of rows. Both are used
+	// only if the store states eras.
+	OperatorRows(snapshot Snapshot) ([]lavrestore.Row, error)
+	EncodeOperatorRows(rows []lavrestore.Row) (Snapshot, error)
+	// WaitForChange waits for a change of the operators' rows after a revision. It reports whether there was one, and
+	// returns the revision to continue from. It fails when the store no longer has the changes since that revision, also because it
+	// came back from a copy.
+	WaitForChange(ctx context.Context, after lavrevision.Revision, wait time.Duration) (bool, lavrevision.Revision, error)
 }
 
 // Fetcher fetches what another host knows of a part of the store, and the age of that knowledge.
@@ -77,6 +81,8 @@
 	Source    Source
 	Current   *Current
 	Directory *lavdirectory.Directory
+	// OnEra is called with the era of the store, after each rise and before anything that was read in it is applied. It may be nil.
+	OnEra func(era lavrevision.Era, now time.Time)
 	// OnOrders is called after each change of the operators' rows, with the cutovers that operators have ordered.
 	OnOrders func(orders []lavcutover.Order, now time.Time)
 	// Rank returns the place of this host among the readers of its data centre. Fetcher may be nil if there are no others.
@@ -87,8 +93,11 @@
 	Clock   func() time.Time
 
 	storeLost  bool
+	eras       eraState
 	servers    knownPart
 	operations knownPart
+	// keeper holds the operators' rows; it is used while the operations are applied.
+	keeper lavrestore.Keeper
 	// listed holds the servers of the latest listing, which was read at listedAt.
 	listed   []lavserver.Server
 	listedAt time.Time
@@ -164,9 +173,11 @@
 		w.Log.WithError(err).WithField(lavlog.FieldPeer, source).Warn("list of backend servers cannot be decoded; it is not used")
 		return
 	}
-	if !w.servers.Learn(snapshot.Version, snapshot.Digest, readAt, source) {
+	known := w.servers.Edition(readAt)
+	if !w.servers.Learn(snapshot.Revision, snapshot.Digest, readAt, source) {
 		return
 	}
+	w.observeEra(known, snapshot.Revision, source)
 	w.servers.snapshot, w.listed, w.listedAt = snapshot, servers, readAt
 	w.applyListing(servers, readAt, source)
 }
@@ -175,9 +186,11 @@
 func (w *Watcher) confirmServers(edition lavnews.Edition, readAt time.Time, source lavid.HostID) {
 	w.servers.applying.Lock()
 	defer w.servers.applying.Unlock()
-	if w.servers.snapshot.Digest != edition.Digest || !w.servers.Learn(edition.Version, edition.Digest, readAt, source) {
+	known := w.servers.Edition(readAt)
+	if !w.servers.Confirms(edition.Digest) || !w.servers.Confirm(edition.Revision, readAt, source) {
 		return
 	}
+	w.observeEra(known, edition.Revision, source)
 	servers := make([]lavserver.Server, len(w.listed))
 	for i, server := range w.listed {
 		server.ColdFor = max(server.ColdFor-readAt.Sub(w.listedAt), 0)
@@ -214,7 +227,7 @@
 // watchOperations keeps the operators' rows up to date. Readers let the store wait for changes; other hosts read the rows when
 // what they know is too old.
 func (w *Watcher) watchOperations(ctx context.Context) {
-	upToDate, after := false, Version(0)
+	upToDate, after := false, lavrevision.Revision{}
 	backoff := w.newBackoff()
 	for ctx.Err() == nil {
 		rank := w.Rank()
@@ -225,7 +238,7 @@
 			}
 			continue
 		}
-		if !upToDate {
+		if !upToDate || w.operationsExpired() {
 			if after, upToDate = w.readOperations(ctx); !upToDate {
 				backoff.wait(ctx)
 				continue
@@ -242,11 +255,12 @@
 			continue
 		}
 		backoff.reset()
-		if !changed && next >= after {
-			w.confirmOperations(lavnews.Edition{Version: next, Digest: w.operations.digest()}, w.Clock(), "")
+		unchanged := !changed && !next.Before(after)
+		if unchanged {
+			w.confirmOperations(lavnews.Edition{Revision: next, Digest: w.operations.digest()}, w.Clock(), "")
 		}
 		// A lower version means that this is another store, for instance after a change of its address.
-		after, upToDate = next, !changed && next >= after
+		after, upToDate = next, unchanged
 	}
 }
 
@@ -256,8 +270,8 @@
 	return p.snapshot.Digest
 }
 
-// readOperations applies the operators' rows. It returns their version and whether the store answered.
-func (w *Watcher) readOperations(ctx context.Context) (Version, bool) {
+// readOperations applies the operators' rows. It returns their revision and whether the store answered.
+func (w *Watcher) readOperations(ctx context.Context) (lavrevision.Revision, bool) {
 	readCtx, cancel := context.WithTimeout(ctx, w.Settings.CallTimeout)
 	defer cancel()
 	began := w.Clock()
@@ -265,9 +279,9 @@
 	snapshot, err := w.Source.ReadOperations(readCtx)
 	if err != nil {
 		w.Log.WithError(err).Debug("reading the operators' rows failed")
-		return 0, false
+		return lavrevision.Revision{}, false
 	}
-	return snapshot.Version, w.applyOperations(snapshot, began, "")
+	return snapshot.Revision, w.applyOperations(snapshot, began, "")
 }
 
 // applyOperations applies operators' rows that a host has read, and reports whether they are valid.
@@ -279,11 +293,19 @@
 		w.Log.WithError(err).WithField(lavlog.FieldPeer, source).Warn("operators' rows cannot be decoded; they are not used")
 		return false
 	}
-	if !w.operations.Learn(snapshot.Version, snapshot.Digest, readAt, source) {
+	known := w.operations.Edition(readAt)
+	if !w.operations.Learn(snapshot.Revision, snapshot.Digest, readAt, source) {
 		return true
 	}
-	w.operations.snapshot = snapshot
+	w.observeEra(known, snapshot.Revision, source)
 	now := w.Clock()
+	if snapshot.Era > 0 {
+		snapshot, operations = w.keepOperations(snapshot, operations, now)
+	}
+	w.operations.snapshot = snapshot
+	if source != "" {
+		w.heardPeers()
+	}
 	w.Metrics.observe(PartOperations, now.Sub(readAt), source)
 	w.Current.Confirm(readAt)
 	if w.Current.Update(operations.Table) {
@@ -298,7 +320,12 @@
 func (w *Watcher) confirmOperations(edition lavnews.Edition, readAt time.Time, source lavid.HostID) {
 	w.operations.applying.Lock()
 	defer w.operations.applying.Unlock()
-	if w.operations.snapshot.Digest == edition.Digest && w.operations.Learn(edition.Version, edition.Digest, readAt, source) {
+	known := w.operations.Edition(readAt)
+	if w.operations.Confirms(edition.Digest) && w.operations.Confirm(edition.Revision, readAt, source) {
+		w.observeEra(known, edition.Revision, source)
+		if source != "" {
+			w.heardPeers()
+		}
 		w.Metrics.observe(PartOperations, w.Clock().Sub(readAt), source)
 		w.Current.Confirm(readAt)
 	}
--- a/entry/services/lavwatch/watcher_test.go
+++ b/entry/services/lavwatch/watcher_test.go
@@ -14,11 +14,13 @@
 	"github.com/sirupsen/logrus/hooks/test"
 
 	"lavenderswitch/core/models/lavid"
+	"lavenderswitch/core/models/lavrevision"
 	"lavenderswitch/core/models/lavroute"
 	"lavenderswitch/core/models/lavserver"
 	"lavenderswitch/core/services/lavcutover"
 	"lavenderswitch/core/services/lavdirectory"
 	"lavenderswitch/core/services/lavnews"
+	"lavenderswitch/core/services/lavrestore"
 	"lavenderswitch/core/services/lavrollout"
 )
 
@@ -37,10 +39,11 @@
 	mu         sync.Mutex
 	down       bool
 	operations Operations
-	version    Version
+	era        lavrevision.Era
+	version    lavrevision.Version
 	servers    []lavserver.Server
 	// oldestVersion is the oldest version from which changes can be requested.
-	oldestVersion Version
+	oldestVersion lavrevision.Version
 	// contents holds the content of each snapshot by its type and data, and reads the number of reads.
 	contents map[string]any
 	reads    int
@@ -82,7 +85,7 @@
 	}
 	name := fmt.Sprint(s.version)
 	s.contents[fmt.Sprintf("%T", content)+name] = content
-	return Snapshot{Version: s.version, Digest: lavnews.Digest(s.version), Data: []byte(name)}
+	return Snapshot{Revision: lavrevision.Revision{Era: s.era, Version: s.version}, Digest: lavnews.Digest(s.version), Data: []byte(name)}
 }
 
 func (s *fakeSource) DecodeServers(data []byte) ([]lavserver.Server, error) {
@@ -105,16 +108,22 @@
 	return operations, nil
 }
 
-func (s *fakeSource) WaitForChange(ctx context.Context, after Version, _ time.Duration) (bool, Version, error) {
+// OperatorRows and EncodeOperatorRows are not used, as the operations of this source have no rows.
+func (s *fakeSource) OperatorRows(Snapshot) ([]lavrestore.Row, error) { return nil, nil }
+
+func (s *fakeSource) EncodeOperatorRows([]lavrestore.Row) (Snapshot, error) { return Snapshot{}, nil }
+
+func (s *fakeSource) WaitForChange(ctx context.Context, after lavrevision.Revision, _ time.Duration) (bool, lavrevision.Revision, error) {
 	for ctx.Err() == nil {
 		s.mu.Lock()
-		down, version, gone := s.down, s.version, after < s.oldestVersion
+		down, now := s.down, lavrevision.Revision{Era: s.era, Version: s.version}
+		gone := after.Version < s.oldestVersion || after.Era != s.era
 		s.mu.Unlock()
 		if down || gone {
-			return false, 0, errDown
+			return false, lavrevision.Revision{}, errDown
 		}
-		if version != after {
-			return true, version, nil
+		if now != after {
+			return true, now, nil
 		}
 		time.Sleep(time.Millisecond)
 	}
@@ -222,28 +231,28 @@
 type fakeCutoverStore struct {
 	mu          sync.Mutex
 	rows        []CutoverRow
-	version     float64
+	version     lavrevision.Version
 	loseReplies bool
 }
 
-func (c *fakeCutoverStore) Cutovers(context.Context) ([]CutoverRow, error) {
+func (c *fakeCutoverStore) Cutovers(context.Context) ([]CutoverRow, lavrevision.Revision, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return append([]CutoverRow(nil), c.rows...), nil
+	return append([]CutoverRow(nil), c.rows...), lavrevision.Revision{Version: c.version}, nil
 }
 
-func (c *fakeCutoverStore) WriteCutover(_ context.Context, change lavcutover.Change) (float64, error) {
+func (c *fakeCutoverStore) WriteCutover(_ context.Context, change lavcutover.Change) (lavrevision.Revision, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if len(c.rows) > 0 && c.rows[0].Version != change.Version {
-		return 0, errors.New("conflict")
+	if len(c.rows) > 0 && c.rows[0].Revision != change.Revision {
+		return lavrevision.Revision{}, errors.New("conflict")
 	}
 	c.version++
-	c.rows = []CutoverRow{{Progress: change.Progress, Version: c.version}}
+	c.rows = []CutoverRow{{Progress: change.Progress, Revision: lavrevision.Revision{Version: c.version}}}
 	if c.loseReplies {
-		return 0, errors.New("reply lost")
+		return lavrevision.Revision{}, errors.New("reply lost")
 	}
-	return c.version, nil
+	return c.rows[0].Revision, nil
 }
 
 // TestCutoverIsWrittenOnceWhenTheReplyIsLost guards against a second write of a cutover whose first write succeeded
@@ -271,14 +280,14 @@
 	})
 	cancel()
 	<-driver.Done()
-	is.Equal(store.version, 1.0) // The driver reads the row again instead of writing it a second time.
+	is.Equal(store.version, lavrevision.Version(1)) // The driver reads the row again instead of writing it a second time.
 }
 
 // failingCutoverStore rejects every write.
 type failingCutoverStore struct{ fakeCutoverStore }
 
-func (*failingCutoverStore) WriteCutover(context.Context, lavcutover.Change) (float64, error) {
-	return 0, errDown
+func (*failingCutoverStore) WriteCutover(context.Context, lavcutover.Change) (lavrevision.Revision, error) {
+	return lavrevision.Revision{}, errDown
 }
 
 // TestFailedWriteIsNotLoggedAsWritten guards against a log that shows a roll-out as begun or stopped although its row was not
