Date confirmations of the operators' rows by the store's clock

Cause: a reader lets the store wait for changes, and took an answer without a change for valid at the time at which it arrived. On a link that a listing of 1 MB fills the answer is on its way for seconds. The reader told all hosts of its data centre that nothing had changed until now; each of them put its own read off by 0.75 to 0.85 of the bound from that moment on. Ruled out: a host that lags by itself (the cases are on hosts that are no relays, in the data centre whose first relay is a host of 10 Mbit/s); the load of the machine.

--- a/entry/services/lavwatch/news_test.go
+++ b/entry/services/lavwatch/news_test.go
@@ -143,3 +143,18 @@
 	is.Equal(len(other.Directory.Usable("pool", *now)), 1)
 	is.Equal(other.servers.Edition(*now).Version, lavrevision.Version(1))
 }
+
+// TestDelayedConfirmationKeepsItsAge guards against hosts that do not read a new configuration as a reader tells them that nothing has
+// changed until now, although the store's answer to the reader was on its way for seconds. On weak links of large fleets this broke the
+// bound of configurations.
+func TestDelayedConfirmationKeepsItsAge(t *testing.T) {
+	is := is.New(t)
+	source := &fakeSource{version: 1, operations: Operations{Table: table(2)}}
+	reader, _, _, now := newPair(source)
+	_, ok := reader.readOperations(t.Context())
+	is.True(ok)
+	answeredAt := now.Add(time.Second)
+	*now = now.Add(3 * time.Second)
+	reader.confirmOperations(lavnews.Edition{Revision: lavrevision.Revision{Version: 1}, Digest: reader.operations.digest()}, answeredAt, "")
+	is.Equal(reader.News("address", true, *now).Operations.Age, 2*time.Second)
+}
--- a/entry/services/lavwatch/watcher.go
+++ b/entry/services/lavwatch/watcher.go
@@ -48,10 +48,19 @@
 	// only if the store states eras.
 	OperatorRows(snapshot Snapshot) ([]lavrestore.Row, error)
 	EncodeOperatorRows(rows []lavrestore.Row) (Snapshot, error)
-	// WaitForChange waits for a change of the operators' rows after a revision. It reports whether there was one, and
-	// returns the revision to continue from. It fails when the store no longer has the changes since that revision, also because it
-	// came back from a copy.
-	WaitForChange(ctx context.Context, after lavrevision.Revision, wait time.Duration) (bool, lavrevision.Revision, error)
+	// WaitForChange waits for a change of the operators' rows after a revision. It fails when the store no longer has the changes since
+	// that revision, also because it came back from a copy.
+	WaitForChange(ctx context.Context, after lavrevision.Revision, wait time.Duration) (Change, error)
+}
+
+// Change is the end of a wait for a change of the operators' rows.
+type Change struct {
+	// Changed reports whether the rows have changed.
+	Changed bool
+	// Next is the revision to continue from.
+	Next lavrevision.Revision
+	// AnsweredAt is when the store answered. The answer may have been on its way for long.
+	AnsweredAt time.Time
 }
 
 // Fetcher fetches what another host knows of a part of the store, and the age of that knowledge.
@@ -246,7 +255,7 @@
 		}
 		wait := w.Settings.Operations.PollWait(rank)
 		waitCtx, cancel := context.WithTimeout(ctx, wait+w.Settings.CallTimeout)
-		changed, next, err := w.Source.WaitForChange(waitCtx, after, wait)
+		change, err := w.Source.WaitForChange(waitCtx, after, wait)
 		cancel()
 		if err != nil {
 			// A new read of the rows includes any missed changes.
@@ -255,12 +264,12 @@
 			continue
 		}
 		backoff.reset()
-		unchanged := !changed && !next.Before(after)
+		unchanged := !change.Changed && !change.Next.Before(after)
 		if unchanged {
-			w.confirmOperations(lavnews.Edition{Revision: next, Digest: w.operations.digest()}, w.Clock(), "")
+			w.confirmOperations(lavnews.Edition{Revision: change.Next, Digest: w.operations.digest()}, change.AnsweredAt, "")
 		}
 		// A lower version means that this is another store, for instance after a change of its address.
-		after, upToDate = next, unchanged
+		after, upToDate = change.Next, unchanged
 	}
 }
 
--- a/entry/services/lavwatch/watcher_test.go
+++ b/entry/services/lavwatch/watcher_test.go
@@ -113,21 +113,21 @@
 
 func (s *fakeSource) EncodeOperatorRows([]lavrestore.Row) (Snapshot, error) { return Snapshot{}, nil }
 
-func (s *fakeSource) WaitForChange(ctx context.Context, after lavrevision.Revision, _ time.Duration) (bool, lavrevision.Revision, error) {
+func (s *fakeSource) WaitForChange(ctx context.Context, after lavrevision.Revision, _ time.Duration) (Change, error) {
 	for ctx.Err() == nil {
 		s.mu.Lock()
 		down, now := s.down, lavrevision.Revision{Era: s.era, Version: s.version}
 		gone := after.Version < s.oldestVersion || after.Era != s.era
 		s.mu.Unlock()
 		if down || gone {
-			return false, lavrevision.Revision{}, errDown
+			return Change{}, errDown
 		}
 		if now != after {
-			return true, now, nil
+			return Change{Changed: true, Next: now}, nil
 		}
 		time.Sleep(time.Millisecond)
 	}
-	return false, after, ctx.Err()
+	return Change{}, ctx.Err()
 }
 
 func startWatcher(t *testing.T, source *fakeSource) *Watcher {
