Serve with the part of a long list of servers that a starting host has read

What callers saw: after all 300 hosts were killed, the first request was served 9.0 s later (0.5 s at 30 and 100 hosts); after a data centre was lost, 6.0 s. Cause: a host that knows nothing reads the whole list of 3,003 servers, about 1 MB in seven parts, and used nothing of it before the end. Change: the first listing may take four times as long, its parts are used as they arrive, and the rest is not read once another host has told the whole list. Test: TestStartingHostServesWithThePartsOfALongList.

--- a/entry/services/lavwatch/news_test.go
+++ b/entry/services/lavwatch/news_test.go
@@ -158,3 +158,26 @@
 	reader.confirmOperations(lavnews.Edition{Revision: lavrevision.Revision{Version: 1}, Digest: reader.operations.digest()}, answeredAt, "")
 	is.Equal(reader.News("address", true, *now).Operations.Age, 2*time.Second)
 }
+
+// TestStartingHostServesWithThePartsOfALongList guards against hosts that serve nothing for many seconds after all have ended, as each
+// reads a list of thousands of servers over a weak link, and against one that reads on although another host has told it the list.
+func TestStartingHostServesWithThePartsOfALongList(t *testing.T) {
+	is := is.New(t)
+	all := []lavserver.Server{{ID: "a", Service: "pool"}, {ID: "b", Service: "pool"}, {ID: "c", Service: "pool"}}
+	source := &fakeSource{version: 1, servers: all, parts: [][]lavserver.Server{all[:1], all[:2]}}
+	reader, other, _, now := newPair(source)
+	reader.listServers(t.Context())
+	is.Equal(len(reader.Directory.All()), 3)
+
+	read := 0
+	_, err := source.ReadServers(t.Context(), func(servers []lavserver.Server) bool {
+		read = len(servers)
+		more := other.usePart(servers, *now)
+		is.Equal(len(other.Directory.Usable("pool", *now)), 1)
+		hear(t.Context(), reader, other)
+		return more && other.usePart(servers, *now)
+	})
+	is.Equal(err, ErrNotNeeded)
+	is.Equal(read, 1)
+	is.Equal(len(other.Directory.All()), 3) // a part does not replace the whole list
+}
--- a/entry/services/lavwatch/watcher.go
+++ b/entry/services/lavwatch/watcher.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
 	"github.com/sourcegraph/conc"
 
@@ -38,7 +39,9 @@
 
 // Source reads the store. Its reads return an error when the store does not answer.
 type Source interface {
-	ReadServers(ctx context.Context) (Snapshot, error)
+	// ReadServers reads the list of backend servers. A store sends a long list in parts; onPart gets all servers read so far after each
+	// part but the last. If it returns false, ReadServers ends with ErrNotNeeded.
+	ReadServers(ctx context.Context, onPart func([]lavserver.Server) bool) (Snapshot, error)
 	ReadOperations(ctx context.Context) (Snapshot, error)
 	// DecodeServers and DecodeOperations return the content of a snapshot, which may come from another host. They fail if it
 	// is damaged, and skip unreadable rows.
@@ -53,6 +56,9 @@
 	WaitForChange(ctx context.Context, after lavrevision.Revision, wait time.Duration) (Change, error)
 }
 
+// ErrNotNeeded is returned by Source.ReadServers if the rest of the list was not wanted any more.
+var ErrNotNeeded = errors.New("the rest of the list is not needed")
+
 // Change is the end of a wait for a change of the operators' rows.
 type Change struct {
 	// Changed reports whether the rows have changed.
@@ -159,12 +165,22 @@
 
 // listServers reads the list of backend servers.
 func (w *Watcher) listServers(ctx context.Context) {
-	listCtx, cancel := context.WithTimeout(ctx, w.Settings.CallTimeout)
+	timeout := w.Settings.CallTimeout
+	first := w.servers.Edition(w.Clock()) == nil
+	if first {
+		timeout *= firstListingCalls
+	}
+	listCtx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	began := w.Clock()
 	w.servers.Attempted(began)
-	snapshot, err := w.Source.ReadServers(listCtx)
-	if err != nil {
+	snapshot, err := w.Source.ReadServers(listCtx, func(servers []lavserver.Server) bool {
+		return !first || w.usePart(servers, began)
+	})
+	switch {
+	case errors.Is(err, ErrNotNeeded):
+		return
+	case err != nil:
 		w.Directory.ListingFailed()
 		w.logStoreState(err)
 		return
@@ -173,6 +189,22 @@
 	w.applyServers(snapshot, began, "")
 }
 
+// firstListingCalls is how many times longer than a call the first listing may take. Of a long list over a weak link a host uses the
+// parts that it has, and a listing that is given up begins anew.
+const firstListingCalls = 4
+
+// usePart uses the first part of the list that a host reads when it has just started, so that it can serve with that. It returns false
+// if the host has learnt the whole list from another one meanwhile.
+func (w *Watcher) usePart(servers []lavserver.Server, readAt time.Time) bool {
+	w.servers.applying.Lock()
+	defer w.servers.applying.Unlock()
+	if w.servers.Edition(readAt) != nil {
+		return false
+	}
+	w.applyListing(servers, readAt, "")
+	return true
+}
+
 // applyServers applies a listing that was read at readAt by a host; the source is empty for this one.
 func (w *Watcher) applyServers(snapshot Snapshot, readAt time.Time, source lavid.HostID) {
 	w.servers.applying.Lock()
--- a/entry/services/lavwatch/watcher_test.go
+++ b/entry/services/lavwatch/watcher_test.go
@@ -42,6 +42,8 @@
 	era        lavrevision.Era
 	version    lavrevision.Version
 	servers    []lavserver.Server
+	// parts are the parts of the list that arrive before the whole of it.
+	parts [][]lavserver.Server
 	// oldestVersion is the oldest version from which changes can be requested.
 	oldestVersion lavrevision.Version
 	// contents holds the content of each snapshot by its type and data, and reads the number of reads.
@@ -58,7 +60,12 @@
 
 var errDown = errors.New("store is down")
 
-func (s *fakeSource) ReadServers(context.Context) (Snapshot, error) {
+func (s *fakeSource) ReadServers(_ context.Context, onPart func([]lavserver.Server) bool) (Snapshot, error) {
+	for _, part := range s.parts {
+		if !onPart(part) {
+			return Snapshot{}, ErrNotNeeded
+		}
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.down {
