--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 GOFLAGS_LINK := -ldflags "-X main.version=$(VERSION)"
 export PATH := $(TOOLS):$(PATH)
 
-.PHONY: build test smoke unit race tools lint format generate check-generated tidy clean demo up down
+.PHONY: build test check-links smoke unit race tools lint format generate check-generated tidy clean demo up down
 
 build: ## build the programs into bin/; the platform program goes into target/, where deploy/system.toml expects it
 	@mkdir -p $(BIN)
@@ -15,7 +15,7 @@
 	go build -ldflags=-linkmode=external -o target/lavenderswitch-platform ./platform
 	go build $(GOFLAGS_LINK) -o $(BIN)/lavenderfake ./fake
 
-test: check-generated lint build race smoke ## run everything that CI runs
+test: check-generated check-links lint build race smoke ## run everything that CI runs
 
 smoke: build ## start a small fleet with TLS, send a request through each entry host, and stop the fleet
 	TLS=1 scripts/fleet.sh up
@@ -58,6 +58,9 @@
 	@for f in .generated/lavplatformwire/*.go; do cmp $$f platform/lavplatformwire/$$(basename $$f) || { echo "run make generate and commit"; exit 1; }; done
 	@rm -rf .generated
 
+check-links: ## fail if a page links to a file that does not exist
+	scripts/links.sh
+
 tidy:
 	@for m in $(MODULES); do (cd $$m && GOWORK=off go mod tidy) || exit 1; done
 
--- a/core/services/lavdirectory/directory_test.go
+++ b/core/services/lavdirectory/directory_test.go
@@ -245,3 +245,38 @@
 	is.True(!d.Usable(pool, start.Add(time.Second))[0].Relieve)
 	is.Equal(d.PauseLeft(pool, start), time.Duration(0))
 }
+
+// TestServersThatHadLeftAreNotUsedAfterTheStoresReturn guards against servers that drained or had left, and that take work again because
+// the store came back from a copy in which they are ready, and against servers that the copy lacks and that are dropped at once.
+func TestServersThatHadLeftAreNotUsedAfterTheStoresReturn(t *testing.T) {
+	is := is.New(t)
+	d := New(Settings{ReturnGrace: 2 * time.Second, OutageGap: 3 * time.Second})
+	server := func(id string) lavserver.Server {
+		return lavserver.Server{ID: lavid.BackendServerID(id), Service: "pool", Address: id, Born: time.Unix(500, 0)}
+	}
+	now := time.Unix(1000, 0)
+	draining := server("draining")
+	d.ApplyListing([]lavserver.Server{server("left"), draining, server("sound")}, now)
+	draining.Draining = true
+	now = now.Add(time.Second)
+	d.ApplyListing([]lavserver.Server{draining, server("sound"), server("new")}, now)
+	now = now.Add(time.Second)
+	d.StoreReturned(now)
+	copied := []lavserver.Server{server("left"), server("draining"), server("sound")}
+	d.ApplyListing(copied, now)
+	usable := func() []lavid.BackendServerID {
+		ids := []lavid.BackendServerID{}
+		for _, row := range d.Usable("pool", now) {
+			ids = append(ids, row.ID)
+		}
+		return ids
+	}
+	is.Equal(usable(), []lavid.BackendServerID{"new", "sound"})
+	now = now.Add(3 * time.Second)
+	d.ApplyListing(copied, now)
+	is.Equal(usable(), []lavid.BackendServerID{"sound"}) // it did not write its row again
+	started := server("left")
+	started.Born = now
+	d.ApplyListing(append(copied, started)[1:], now)
+	is.Equal(usable(), []lavid.BackendServerID{"left", "sound"}) // a new instance
+}
