lavenderctl losses: where requests were late, failed or refused

Operators, and the work on decisions, had to write a script for each question about a bad hour. The pure part is lavlosses. The line of a request's end gains what was missing: length, target, deadline, expected and seen first events of each run, the dropped confidence, why a second run was withheld, and the host's data centre. No earlier key changed.

--- a/ctl/cmd/explain.go
+++ b/ctl/cmd/explain.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
 	"maps"
 	"os"
 	"path/filepath"
@@ -62,7 +63,13 @@
 	return printTable(command, explainRows(lines))
 }
 
-func readLogs(command *cli.Command, reader *lavexplain.Reader, files []string) error {
+// logReader reads the log of a source.
+type logReader interface {
+	Read(log io.Reader, source string) error
+}
+
+// readLogs reads the files, or standard input if there are none.
+func readLogs(command *cli.Command, reader logReader, files []string) error {
 	if len(files) == 0 {
 		return reader.Read(command.Root().Reader, "standard input")
 	}
@@ -74,7 +81,7 @@
 	return nil
 }
 
-func readLog(reader *lavexplain.Reader, name string) error {
+func readLog(reader logReader, name string) error {
 	file, err := os.Open(name) //nolint:gosec // the operator names the file
 	if err != nil {
 		return errors.Wrap(err, "open the log")
--- a/ctl/cmd/root.go
+++ b/ctl/cmd/root.go
@@ -71,7 +71,7 @@
 		},
 		Commands: []*cli.Command{
 			configCommand(), patchCommand(), fleetCommand(), rolloutCommand(), dataCentreCommand(), serverCommand(),
-			callsCommand(), dumpCommand(), varsCommand(), explainCommand(), hashKeyCommand(),
+			callsCommand(), dumpCommand(), varsCommand(), explainCommand(), lossesCommand(), hashKeyCommand(),
 		},
 	}
 	markUsageErrors(root)
--- a/entry/services/lavforward/delivery.go
+++ b/entry/services/lavforward/delivery.go
@@ -153,6 +153,7 @@
 	job.MarkPromptRead()
 	e.timing.Answered(e.Clock())
 	e.recordFirstEvent(chosen, model, sentAt)
+	e.updateRecord(func(record *sendRecord) { record.headAfter = e.Clock().Sub(sentAt) })
 	if e.runsLarger(chosen, model, reply) {
 		return stepRepeat, Result{}
 	}
--- a/entry/services/lavforward/second_run.go
+++ b/entry/services/lavforward/second_run.go
@@ -107,6 +107,7 @@
 	switch {
 	case decision.Made():
 		e.seconds.drop(e.request.ID, confidence)
+		e.updateRecord(func(record *sendRecord) { record.dropped, record.confidence = true, reply.Confidence })
 		e.modelIndex = len(e.request.Route.Models) - 1
 		e.Metrics.escalations.WithLabelValues(string(chosen.Service)).Inc()
 		e.Metrics.countSend(chosen, sendDropped)
@@ -114,6 +115,7 @@
 		return true
 	case decision.Wanted:
 		fields["reason"] = decision.Reason
+		e.updateRecord(func(record *sendRecord) { record.withheld = decision.Reason })
 		e.Metrics.withheldRuns.WithLabelValues(string(chosen.Service), string(decision.Reason)).Inc()
 		e.logDecision("larger model withheld", chosen.ID, fields)
 	}
--- a/entry/services/lavforward/send_log.go
+++ b/entry/services/lavforward/send_log.go
@@ -11,6 +11,7 @@
 	"lavenderswitch/core/models/lavid"
 	"lavenderswitch/core/models/lavroute"
 	"lavenderswitch/core/modules/lavlog"
+	"lavenderswitch/core/services/lavescalation"
 )
 
 // The outcomes of a request.
@@ -35,8 +36,13 @@
 	remaining       time.Duration
 	excludedServers int
 	resumeAfter     string
-	// expectedFirst is the expected time to the first event of an engine's answer.
+	// expectedFirst is the expected time to the first event of an engine's answer, and headAfter the seen one; zero if there was none.
 	expectedFirst time.Duration
+	headAfter     time.Duration
+	// confidence is that of an answer that was dropped in favour of a larger model, and withheld why a wanted one was not run.
+	dropped    bool
+	confidence int
+	withheld   lavescalation.Reason
 }
 
 // recordSend keeps a send for the log until the outcome of the request is known.
@@ -57,6 +63,36 @@
 	})
 }
 
+// updateRecord changes the record of the current send, if it is kept.
+func (e *execution) updateRecord(change func(*sendRecord)) {
+	if last := len(e.sendRecords) - 1; last >= 0 && e.sendRecords[last].number == e.sends {
+		change(&e.sendRecords[last])
+	}
+}
+
+// engineFields adds to the fields of a request's end what decided about its runs at engines: its length, its bounds, and what its runs
+// took. A second run is one that replaced a dropped answer.
+func (e *execution) engineFields(fields logrus.Fields) {
+	if e.request.Service.Engine == nil {
+		return
+	}
+	fields["input_tokens"] = int64(e.request.Prompt.Input)
+	fields["output_tokens"] = int64(e.memoryTokens() - e.request.Prompt.Input)
+	fields["deadline_ms"] = e.request.Deadline.Sub(e.request.Arrived).Milliseconds()
+	for _, send := range e.sendRecords {
+		switch {
+		case send.dropped:
+			fields["first_run_ms"], fields["dropped_confidence"] = send.headAfter.Milliseconds(), send.confidence
+		case send.headAfter > 0:
+			fields["last_run_ms"] = send.headAfter.Milliseconds()
+			fields["expected_first_ms"] = send.expectedFirst.Milliseconds()
+		}
+		if send.withheld != "" {
+			fields["withheld"] = send.withheld
+		}
+	}
+}
+
 // logSends logs the recorded sends, each with its age, because the time of a log line is that of logging.
 func (e *execution) logSends(now time.Time) {
 	for _, send := range e.sendRecords {
@@ -136,7 +172,10 @@
 		"took_ms":           took.Milliseconds(),
 		lavlog.FieldConfig:  e.request.Config,
 		"listing_age_ms":    now.Sub(e.Directory.LastListing()).Milliseconds(),
+		"data_centre":       e.DataCentre,
+		"target_ms":         e.request.Route.LatencyTarget.Milliseconds(),
 	}
+	e.engineFields(fields)
 	if result.Refusal != nil {
 		fields["status"] = result.Refusal.Status
 		fields["reason"] = result.Refusal.Reason
