--- a/core/services/lavrestore/keeper.go
+++ b/core/services/lavrestore/keeper.go
@@ -10,8 +10,9 @@
 	"lavenderswitch/core/models/lavrevision"
 )
 
-// HoldTime is how long after the store's return a row that it lacks stays in force. It allows operators to write what was lost again.
-const HoldTime = 30 * time.Second
+// HoldTime is how long after the store's return a row that it lacks stays in force. Operators write what was lost again within seconds, and a
+// data centre that an operator has taken back meanwhile has to serve again within the time in which hosts have to recover.
+const HoldTime = 10 * time.Second
 
 // Row is a row that an operator has written.
 type Row struct {
