Look at few engines for each choice; keep the usable servers between changes

Cause: a choice of an engine copied and sorted all servers, asked the tables of loads, forecasts and health for each of them one by one, sorted them all again for the home of the prompt, and was made up to three times a request; requests that wait were looked at each 20 ms. Change: the directory keeps the usable servers of a service for a second or until a listing, an evacuation, a displacement, a notice or the end of a pause changes them; the engines that may hold the prompt come from an index of the prompt cache; of the others, random ones are looked at until two or three can take the request, at most 96. The distribution of the choice is the same as before for up to 96 engines.

--- a/core/modules/lavring/owner.go
+++ b/core/modules/lavring/owner.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"iter"
 	"slices"
 
 	"github.com/cespare/xxhash/v2"
@@ -43,6 +44,22 @@
 	return rank(members, key)
 }
 
+// First returns the ID of the first of the members in the order of Ranked; empty without members.
+func First(ids iter.Seq[lavid.HostID], key string) lavid.HostID {
+	first, highest := lavid.HostID(""), uint64(0)
+	digest := xxhash.New()
+	for id := range ids {
+		digest.Reset()
+		_, _ = digest.WriteString(string(id))
+		_, _ = digest.WriteString("\x00")
+		_, _ = digest.WriteString(key)
+		if score := digest.Sum64(); first == "" || score > highest {
+			first, highest = id, score
+		}
+	}
+	return first
+}
+
 func rank(members []Member, key string) []Member {
 	type scored struct {
 		member Member
--- a/core/services/lavbalance/memory.go
+++ b/core/services/lavbalance/memory.go
@@ -34,6 +34,14 @@
 	return capacity <= 0 || float64(used) <= sharedMemory*float64(capacity)
 }
 
+// SharedMemory returns the memory of an engine up to which IsShared holds.
+func SharedMemory(capacity lavid.Tokens) lavid.Tokens {
+	if capacity <= 0 {
+		return math.MaxInt64
+	}
+	return lavid.Tokens(sharedMemory * float64(capacity))
+}
+
 // FitsMemory reports whether an engine has the memory for a request, with that of the requests in progress and of those that other
 // hosts have sent meanwhile. Used includes the request. The keeper is the one host that sends to an engine whose memory is nearly
 // full. An engine ends once its requests exceed its memory. A capacity of zero is not known, and fits all.
--- a/core/services/lavdirectory/directory.go
+++ b/core/services/lavdirectory/directory.go
@@ -74,6 +74,9 @@
 	storeReturned time.Time
 	// gone holds when instances were removed, for goneTime.
 	gone map[lavserver.InstanceKey]time.Time
+	// usable keeps the usable servers of each service for usableLifetime, and changes counts the changes of the fields above.
+	usable  map[lavid.ServiceID]usableRows
+	changes uint64
 }
 
 // goneTime is how long a removed instance is remembered. It is longer than a copy from which the store comes back is old.
@@ -87,6 +90,7 @@
 		rows:      make(map[lavid.BackendServerID]Row),
 		evacuated: make(map[lavid.DataCentreID]bool),
 		gone:      make(map[lavserver.InstanceKey]time.Time),
+		usable:    make(map[lavid.ServiceID]usableRows),
 	}
 }
 
@@ -128,6 +132,8 @@
 		d.storeReturned = now
 	}
 	d.listingFailed, d.lastListing = false, now
+	d.changes++
+	clear(d.usable)
 	maps.DeleteFunc(d.gone, func(_ lavserver.InstanceKey, at time.Time) bool { return now.Sub(at) > goneTime })
 	var changes []Change
 	listed := make(map[lavid.BackendServerID]bool, len(servers))
@@ -245,22 +251,51 @@
 	defer d.mu.Unlock()
 	changed := !maps.Equal(d.evacuated, evacuated)
 	d.evacuated = evacuated
+	d.changes++
 	return changed
 }
 
-// Usable returns the backend servers of a service that may take new work, ordered by id.
-func (d *Directory) Usable(service lavid.ServiceID, now time.Time) []Row {
+// usableRows are the usable servers of a service as of a time and of a state of the directory and the notices.
+type usableRows struct {
+	rows    []*Row
+	at      time.Time
+	until   time.Time
+	changes uint64
+	noticed uint64
+}
+
+// usableLifetime is how long the usable servers of a service are kept at most while neither a listing nor a notice changes them, and no
+// pause or grace ends.
+const usableLifetime = time.Second
+
+// Usable returns the backend servers of a service that may take new work, ordered by id. The rows are not to be changed.
+func (d *Directory) Usable(service lavid.ServiceID, now time.Time) []*Row {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	var usable []Row
+	noticed := d.notices.Changes()
+	kept, found := d.usable[service]
+	if found && kept.changes == d.changes && kept.noticed == noticed && !now.Before(kept.at) && now.Before(kept.until) {
+		return kept.rows
+	}
+	usable := make([]*Row, 0, len(kept.rows))
+	until := now.Add(usableLifetime)
+	ends := func(at time.Time) bool {
+		if at.After(now) && at.Before(until) {
+			until = at
+		}
+		return at.After(now)
+	}
+	ends(d.storeReturned.Add(d.settings.ReturnGrace))
 	for _, row := range d.rows {
-		if row.Service == service && d.isUsable(row, now) && !d.isPaused(row, now) {
-			row.Relieve = now.Before(d.notices.AdvisedUntil(row.instance))
-			row.Limit = d.notices.Limit(row.instance)
-			usable = append(usable, row)
+		if row.Service != service || !d.isUsable(row, now) || ends(d.notices.PausedUntil(row.instance)) {
+			continue
 		}
+		row.Relieve = ends(d.notices.AdvisedUntil(row.instance))
+		row.Limit = d.notices.Limit(row.instance)
+		usable = append(usable, &row)
 	}
-	slices.SortFunc(usable, func(a, b Row) int { return cmp.Compare(a.ID, b.ID) })
+	slices.SortFunc(usable, func(a, b *Row) int { return cmp.Compare(a.ID, b.ID) })
+	d.usable[service] = usableRows{rows: usable, at: now, until: until, changes: d.changes, noticed: noticed}
 	return usable
 }
 
@@ -345,6 +380,7 @@
 	if exists && row.SameInstance(server) {
 		row.Displaced = true
 		d.rows[server.ID] = row
+		d.changes++
 	}
 }
 
--- a/core/services/lavdirectory/directory_test.go
+++ b/core/services/lavdirectory/directory_test.go
@@ -280,3 +280,33 @@
 	d.ApplyListing(append(copied, started)[1:], now)
 	is.Equal(usable(), []lavid.BackendServerID{"left", "sound"}) // a new instance
 }
+
+// TestUsableServersFollowEachChangeAtOnce guards against a server that is used after it drained, was displaced or evacuated, left or asked
+// for a pause, because the usable servers are kept for the next choices.
+func TestUsableServersFollowEachChangeAtOnce(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	server := lavserver.Server{ID: "a", Service: "pool", Address: "a", DataCentre: "centre"}
+	for _, change := range []func(*Directory){
+		func(d *Directory) {
+			draining := server
+			draining.Draining = true
+			d.ApplyListing([]lavserver.Server{draining}, now)
+		},
+		func(d *Directory) { d.ApplyListing(nil, now) },
+		func(d *Directory) { d.SetEvacuated([]lavid.DataCentreID{"centre"}) },
+		func(d *Directory) { d.Displace(server) },
+		func(d *Directory) { d.Leave(server, now) },
+		func(d *Directory) { d.Pause(server, time.Second, now) },
+		func(d *Directory) {
+			d.Notices().Apply([]lavnotice.Report{{Instance: server.Instance(), Leaving: true}}, now)
+		},
+	} {
+		d := New(Settings{ReturnGrace: 2 * time.Second, OutageGap: 3 * time.Second})
+		d.ApplyListing([]lavserver.Server{server}, now)
+		is.Equal(len(d.Usable("pool", now)), 1)
+		is.Equal(len(d.Usable("pool", now)), 1)
+		change(d)
+		is.Equal(len(d.Usable("pool", now)), 0)
+	}
+}
--- a/core/services/lavload/table.go
+++ b/core/services/lavload/table.go
@@ -1,6 +1,7 @@
 package lavload
 
 import (
+	"iter"
 	"sync"
 	"time"
 
@@ -142,6 +143,24 @@
 	return t.own[server].Plus(peers)
 }
 
+// CountWithin returns for how many of the servers the memory held by all hosts together is at most the given one.
+func (t *Table) CountWithin(servers iter.Seq[lavid.BackendServerID], memory lavid.Tokens, now time.Time) int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	valid := now.Before(t.peersUntil)
+	count := 0
+	for server := range servers {
+		used := t.own[server].Memory
+		if valid {
+			used += t.peers[KeyOf(server)].Memory
+		}
+		if used <= memory {
+			count++
+		}
+	}
+	return count
+}
+
 // Total returns the load of all hosts together at a backend server.
 func (t *Table) Total(server lavid.BackendServerID, now time.Time) Load {
 	t.mu.Lock()
--- a/core/services/lavnotice/table.go
+++ b/core/services/lavnotice/table.go
@@ -5,6 +5,7 @@
 	"math"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	lru "github.com/hashicorp/golang-lru/v2"
@@ -66,6 +67,9 @@
 
 // Table holds the notices of backend servers; it is safe for concurrent use.
 type Table struct {
+	// changes counts the changes of the notices.
+	changes atomic.Uint64
+
 	mu      sync.Mutex
 	notices *lru.Cache[lavserver.InstanceKey, notice]
 }
@@ -85,8 +89,12 @@
 	row, _ := t.notices.Peek(instance)
 	change(&row)
 	t.notices.Add(instance, row)
+	t.changes.Add(1)
 }
 
+// Changes returns the number of changes of the notices so far. It rises also if a change has no effect.
+func (t *Table) Changes() uint64 { return t.changes.Load() }
+
 // RecordLeaving records that an instance leaves and reports whether that is new. An instance that leaves does not come back.
 func (t *Table) RecordLeaving(instance lavserver.InstanceKey, now time.Time) bool {
 	t.mu.Lock()
@@ -196,6 +204,7 @@
 		}
 		if row != before {
 			t.notices.Add(report.Instance, row)
+			t.changes.Add(1)
 		}
 	}
 }
--- a/entry/services/lavforward/arrivals.go
+++ b/entry/services/lavforward/arrivals.go
@@ -73,18 +73,21 @@
 // memoryArrivals returns what other hosts are expected to have sent to each of the engines that they may fill, since their reports.
 // Their requests go to all engines of the service, also where this request may go to few.
 func (e *execution) memoryArrivals(now time.Time) lavbalance.Arrivals {
-	open := 0
-	for _, row := range e.Directory.Usable(e.request.Service.ID, now) {
-		if lavbalance.IsShared(e.Loads.Total(row.ID, now).Memory, e.request.Service.Engine.Capacity) {
-			open++
+	rows := e.Directory.Usable(e.request.Service.ID, now)
+	ids := func(yield func(lavid.BackendServerID) bool) {
+		for _, row := range rows {
+			if !yield(row.ID) {
+				return
+			}
 		}
 	}
+	open := e.Loads.CountWithin(ids, lavbalance.SharedMemory(e.request.Service.Engine.Capacity), now)
 	return lavbalance.Arrivals{Requests: e.unreported(open, now), Memory: e.arrivals.meanMemory(e.request.Service.ID, now)}
 }
 
 // fitsMemory reports whether an engine has the memory for the request beside what is in progress there. A stream that goes on is
 // treated as sent by the engine's keeper.
-func (e *execution) fitsMemory(row lavdirectory.Row, inProgress lavid.Tokens, arrivals lavbalance.Arrivals, now time.Time) bool {
+func (e *execution) fitsMemory(row *lavdirectory.Row, inProgress lavid.Tokens, arrivals lavbalance.Arrivals, now time.Time) bool {
 	used, capacity := inProgress+e.memoryTokens(), e.request.Service.Engine.Capacity
 	keeper := !lavbalance.IsShared(used, capacity) && (e.answerBegun || lavring.Ranked(e.Hosts.Hosts(now), string(row.ID))[0].ID == e.HostID)
 	return lavbalance.FitsMemory(used, capacity, keeper, arrivals)
--- a/entry/services/lavforward/choose.go
+++ b/entry/services/lavforward/choose.go
@@ -54,32 +54,27 @@
 // candidates returns the servers that may take the request, without the excluded ones. It prefers servers of a preferred
 // release to those of a fallback release, and among servers of equal preference those that this host's own health records
 // show as usable and that have not asked other hosts for a pause.
-func (e *execution) candidates(excluded map[lavid.BackendServerID]bool, now time.Time) []lavdirectory.Row {
+func (e *execution) candidates(excluded map[lavid.BackendServerID]bool, now time.Time) []*lavdirectory.Row {
 	allowed := e.Releases.Preferences(e.request.Service.ID, e.sessionKey(), now)
-	hosts := e.Hosts.Hosts(now)
+	failed := e.health.unusable(now)
+	rows := e.Directory.Usable(e.request.Service.ID, now)
 	// The rank is 0 for a preferred and 2 for a fallback release, plus 1 for a server that is not usable.
-	var ranked [4][]lavdirectory.Row
-	for _, row := range e.Directory.Usable(e.request.Service.ID, now) {
+	var ranked [4][]*lavdirectory.Row
+	for _, row := range rows {
 		preference := allowed(row.Release)
-		if excluded[row.ID] || preference == lavcutover.Never {
-			continue
-		}
-		if !e.request.Route.MayReach(e.request.Account, e.Regions[row.DataCentre]) {
-			continue
-		}
-		if e.isRateLimited(row, now) && !e.Cold.WouldAllow(row.ID, e.coldRateLimit(), hosts, now) {
-			continue
-		}
-		if row.Limit.Stated && !e.Limits.WouldAllow(row.Instance(), row.Limit.Rate, hosts, now) {
+		if excluded[row.ID] || preference == lavcutover.Never || !e.mayTake(row, now) {
 			continue
 		}
 		rank := 0
 		if preference == lavcutover.Fallback {
 			rank = 2
 		}
-		if usable, _ := e.health.usable(row.Instance(), now); !usable || row.Relieve {
+		if failed[row.Instance()] || row.Relieve {
 			rank++
 		}
+		if ranked[rank] == nil {
+			ranked[rank] = make([]*lavdirectory.Row, 0, len(rows))
+		}
 		ranked[rank] = append(ranked[rank], row)
 	}
 	for _, rows := range ranked {
@@ -90,9 +85,24 @@
 	return nil
 }
 
+// mayTake reports whether the route and the account may reach a server, and whether this host's parts of the rates that the server bears
+// while it is cold, and that it states, allow a send to it.
+func (e *execution) mayTake(row *lavdirectory.Row, now time.Time) bool {
+	switch {
+	case !e.request.Route.MayReach(e.request.Account, e.Regions[row.DataCentre]):
+		return false
+	case e.isRateLimited(row, now) && !e.Cold.WouldAllow(row.ID, e.coldRateLimit(), e.Hosts.Hosts(now), now):
+		return false
+	case row.Limit.Stated && !e.Limits.WouldAllow(row.Instance(), row.Limit.Rate, e.Hosts.Hosts(now), now):
+		return false
+	default:
+		return true
+	}
+}
+
 // isRateLimited reports whether the server is cold and its service states a rate for cold servers. Cold servers of a
 // service without a stated rate take requests without a limit.
-func (e *execution) isRateLimited(row lavdirectory.Row, now time.Time) bool {
+func (e *execution) isRateLimited(row *lavdirectory.Row, now time.Time) bool {
 	return row.Cold(now) && e.request.Service.ColdRate > 0
 }
 
@@ -111,49 +121,87 @@
 
 // chooseEngine returns the engine that is expected to answer first, of those at which the work in progress delays the request
 // by at most maxDelay.
-func (e *execution) chooseEngine(rows []lavdirectory.Row, model lavid.ModelID, maxDelay time.Duration, now time.Time) (choice, bool) {
-	engine := e.request.Service.Engine
+func (e *execution) chooseEngine(rows []*lavdirectory.Row, model lavid.ModelID, maxDelay time.Duration, now time.Time) (choice, bool) {
 	home := e.homeServer(rows, model)
-	engines := make([]lavbalance.Engine, 0, len(rows))
-	usable := make([]lavdirectory.Row, 0, len(rows))
-	meanRate := e.meanFailureRate(rows, now)
-	arrivals := e.memoryArrivals(now)
+	holders := e.prompts.holdersOf(model, e.request.Prompt)
+	looked := &engineSample{execution: e, model: model, home: home, maxDelay: maxDelay, meanRate: e.health.meanFailureRate(rows), arrivals: e.memoryArrivals(now)}
+	others := make([]*lavdirectory.Row, 0, len(rows))
 	for _, row := range rows {
-		load := e.Loads.Expected(row.ID, e.Forecasts.ReadRate(row.Service, row.ID, now), now)
-		if maxDelay != noLimit && e.Forecasts.Delay(lavforecast.Query{Service: row.Service, Server: row.ID, Before: load.Unread}, now) > maxDelay {
+		if row.ID == home || holders[row.Instance()] {
+			looked.add(row, now)
 			continue
 		}
-		if !e.fitsMemory(row, load.Memory, arrivals, now) {
-			continue
-		}
-		added := e.promptWork(row, model, row.ID == home, now)
-		usable = append(usable, row)
-		engines = append(engines, lavbalance.Engine{
-			ID:                row.ID,
-			Requests:          load.Requests,
-			Slots:             row.Slots,
-			Unread:            load.Unread,
-			AddedWork:         added,
-			Slowness:          e.Forecasts.Slowness(row.ID, now),
-			WholeWork:         float64(e.request.Prompt.Input) * e.readFactor(model),
-			Memory:            load.Memory + e.memoryTokens(),
-			Capacity:          engine.Capacity,
-			ExcessFailureRate: e.excessFailureRate(row, meanRate, now),
-			Cold:              row.Cold(now),
-			Far:               row.DataCentre != e.DataCentre,
-			Late:              e.isLateAt(row, load.Unread, added, now),
-		})
+		others = append(others, row)
 	}
-	best := lavbalance.LeastWorkOfSample(engines, lavbalance.SampleSize(e.unreported(len(rows), now)), e.random)
+	looked.addSome(others, lavbalance.SampleSize(e.unreported(len(rows), now)), now)
+	best := lavbalance.LeastWork(looked.engines)
 	if best < 0 {
 		return choice{}, false
 	}
-	return choice{Row: usable[best], model: model, unreadTokens: engines[best].AddedWork, unreadTokensBefore: engines[best].Unread, candidateCount: len(rows)}, true
+	chosen := looked.engines[best]
+	return choice{Row: *looked.rows[best], model: model, unreadTokens: chosen.AddedWork, unreadTokensBefore: chosen.Unread, candidateCount: len(rows)}, true
+}
+
+// maxLooked bounds the engines that are looked at for one choice, beside those that may hold a part of the prompt. Of several thousand
+// engines that are all too busy, as many tell that a request has to wait.
+const maxLooked = 96
+
+// engineSample holds the engines among which one is chosen for a send.
+type engineSample struct {
+	*execution
+	model    lavid.ModelID
+	home     lavid.BackendServerID
+	maxDelay time.Duration
+	meanRate float64
+	arrivals lavbalance.Arrivals
+	engines  []lavbalance.Engine
+	rows     []*lavdirectory.Row
+}
+
+// addSome adds a number of random engines that can take the request now, as hosts learn of each other's sends later and would all choose
+// the same one.
+func (s *engineSample) addSome(rows []*lavdirectory.Row, size int, now time.Time) {
+	for looked := 0; size > 0 && looked < len(rows) && looked < maxLooked; looked++ {
+		drawn := looked + int(s.random()*float64(len(rows)-looked))
+		rows[looked], rows[drawn] = rows[drawn], rows[looked]
+		if s.add(rows[looked], now) {
+			size--
+		}
+	}
+}
+
+// add adds an engine and reports whether it can take the request now.
+func (s *engineSample) add(row *lavdirectory.Row, now time.Time) bool {
+	load := s.Loads.Expected(row.ID, s.Forecasts.ReadRate(row.Service, row.ID, now), now)
+	if s.maxDelay != noLimit && s.Forecasts.Delay(lavforecast.Query{Service: row.Service, Server: row.ID, Before: load.Unread}, now) > s.maxDelay {
+		return false
+	}
+	if !s.fitsMemory(row, load.Memory, s.arrivals, now) {
+		return false
+	}
+	added := s.promptWork(row, s.model, row.ID == s.home, now)
+	s.rows = append(s.rows, row)
+	s.engines = append(s.engines, lavbalance.Engine{
+		ID:                row.ID,
+		Requests:          load.Requests,
+		Slots:             row.Slots,
+		Unread:            load.Unread,
+		AddedWork:         added,
+		Slowness:          s.Forecasts.Slowness(row.ID, now),
+		WholeWork:         float64(s.request.Prompt.Input) * s.readFactor(s.model),
+		Memory:            load.Memory + s.memoryTokens(),
+		Capacity:          s.request.Service.Engine.Capacity,
+		ExcessFailureRate: s.excessFailureRate(row, s.meanRate, now),
+		Cold:              row.Cold(now),
+		Far:               row.DataCentre != s.DataCentre,
+		Late:              s.isLateAt(row, load.Unread, added, now),
+	})
+	return true
 }
 
 // isLateAt reports whether the first event of an answer is expected after its target, at an engine that reads the given work for the
 // request after other work.
-func (e *execution) isLateAt(row lavdirectory.Row, before, own float64, now time.Time) bool {
+func (e *execution) isLateAt(row *lavdirectory.Row, before, own float64, now time.Time) bool {
 	target := e.request.Route.LatencyTarget
 	if target <= 0 || e.answerBegun {
 		return false
@@ -165,16 +213,19 @@
 
 // homeServer returns the server that all hosts prefer for the shared prefix of the prompt, by rendezvous hashing; it is
 // empty when the prompt has no shared prefix.
-func (e *execution) homeServer(rows []lavdirectory.Row, model lavid.ModelID) lavid.BackendServerID {
+func (e *execution) homeServer(rows []*lavdirectory.Row, model lavid.ModelID) lavid.BackendServerID {
 	key := e.sharedPrefixKey()
 	if key == "" {
 		return ""
 	}
-	members := make([]lavring.Member, 0, len(rows))
-	for _, row := range rows {
-		members = append(members, lavring.Member{ID: lavid.HostID(row.ID)})
+	ids := func(yield func(lavid.HostID) bool) {
+		for _, row := range rows {
+			if !yield(lavid.HostID(row.ID)) {
+				return
+			}
+		}
 	}
-	return lavid.BackendServerID(lavring.Ranked(members, key+string(model))[0].ID)
+	return lavid.BackendServerID(lavring.First(ids, key+string(model)))
 }
 
 // sharedPrefixKey returns the ID of the last prompt part before the request's own part, or nothing when the prompt has
@@ -189,7 +240,7 @@
 
 // promptWork returns the work of reading the part of the prompt that the server has not cached, in tokens of the
 // smallest model.
-func (e *execution) promptWork(row lavdirectory.Row, model lavid.ModelID, isHome bool, now time.Time) float64 {
+func (e *execution) promptWork(row *lavdirectory.Row, model lavid.ModelID, isHome bool, now time.Time) float64 {
 	prompt := e.request.Prompt
 	cached := float64(e.prompts.cachedTokens(row.Instance(), model, prompt, now))
 	if isHome && cached == 0 {
@@ -226,9 +277,9 @@
 }
 
 // choosePlain returns the least busy server of a plain service.
-func (e *execution) choosePlain(rows []lavdirectory.Row, now time.Time) (choice, bool) {
+func (e *execution) choosePlain(rows []*lavdirectory.Row, now time.Time) (choice, bool) {
 	servers := make([]lavbalance.PlainServer, 0, len(rows))
-	meanRate := e.meanFailureRate(rows, now)
+	meanRate := e.health.meanFailureRate(rows)
 	for _, row := range rows {
 		load := e.Loads.Total(row.ID, now)
 		servers = append(servers, lavbalance.PlainServer{
@@ -244,25 +295,12 @@
 	if best < 0 {
 		return choice{}, false
 	}
-	return choice{Row: rows[best], candidateCount: len(rows)}, true
-}
-
-// meanFailureRate returns the mean of the servers' recent failure rates, or zero without servers.
-func (e *execution) meanFailureRate(rows []lavdirectory.Row, now time.Time) float64 {
-	if len(rows) == 0 {
-		return 0
-	}
-	sum := 0.0
-	for _, row := range rows {
-		_, rate := e.health.usable(row.Instance(), now)
-		sum += rate
-	}
-	return sum / float64(len(rows))
+	return choice{Row: *rows[best], candidateCount: len(rows)}, true
 }
 
 // excessFailureRate returns how far the server's recent failure rate exceeds the mean rate plus half of
 // suspectFailureRate; it is never negative.
-func (e *execution) excessFailureRate(row lavdirectory.Row, meanRate float64, now time.Time) lavid.Share {
+func (e *execution) excessFailureRate(row *lavdirectory.Row, meanRate float64, now time.Time) lavid.Share {
 	_, rate := e.health.usable(row.Instance(), now)
 	return lavid.Share(max(0, rate-meanRate-suspectFailureRate/2))
 }
@@ -271,7 +309,7 @@
 // false when this host's part of the rate of a cold server, or of a limit that the server states, is used up. release has to
 // follow.
 func (e *execution) reserve(chosen choice, model lavid.ModelID, now time.Time) (*lavload.Job, bool) {
-	if e.isRateLimited(chosen.Row, now) && !e.Cold.Allow(chosen.ID, e.coldRateLimit(), e.Hosts.Hosts(now), now) {
+	if e.isRateLimited(&chosen.Row, now) && !e.Cold.Allow(chosen.ID, e.coldRateLimit(), e.Hosts.Hosts(now), now) {
 		return nil, false
 	}
 	if chosen.Limit.Stated && !e.Limits.Allow(chosen.Instance(), chosen.Limit.Rate, e.Hosts.Hosts(now), now) {
--- a/entry/services/lavforward/health.go
+++ b/entry/services/lavforward/health.go
@@ -9,6 +9,7 @@
 
 	"lavenderswitch/core/models/lavserver"
 	"lavenderswitch/core/services/lavbalance"
+	"lavenderswitch/core/services/lavdirectory"
 )
 
 const (
@@ -48,6 +49,8 @@
 type healthTable struct {
 	mu   sync.Mutex
 	rows *lru.Cache[lavserver.InstanceKey, health]
+	// failed holds until when instances that failed must not be chosen.
+	failed map[lavserver.InstanceKey]time.Time
 }
 
 // maxHealthRows is the number of backend servers whose health is kept.
@@ -59,7 +62,7 @@
 		// New fails only for a size that is not positive.
 		panic(err)
 	}
-	return &healthTable{rows: rows}
+	return &healthTable{rows: rows, failed: make(map[lavserver.InstanceKey]time.Time)}
 }
 
 func (h *healthTable) row(server lavserver.InstanceKey) health {
@@ -75,6 +78,7 @@
 	row.Health = row.AfterFailure(now)
 	row.failureRate += failureWeight * (1 - row.failureRate)
 	h.rows.Add(server, row)
+	h.failed[server] = row.FailedUntil
 }
 
 // recordErrorAnswer records a refusal or an error answer. It raises the failure rate and leaves the server usable.
@@ -141,3 +145,34 @@
 	row := h.row(server)
 	return row.Usable(now), row.failureRate
 }
+
+// meanFailureRate returns the mean of the recent failure rates of servers, or zero without servers.
+func (h *healthTable) meanFailureRate(servers []*lavdirectory.Row) float64 {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	sum := 0.0
+	for _, server := range servers {
+		if row, found := h.rows.Peek(server.Instance()); found {
+			sum += row.failureRate
+		}
+	}
+	return sum / float64(max(len(servers), 1))
+}
+
+// unusable returns the instances that must not be chosen.
+func (h *healthTable) unusable(now time.Time) map[lavserver.InstanceKey]bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	var instances map[lavserver.InstanceKey]bool
+	for instance, until := range h.failed {
+		if !now.Before(until) {
+			delete(h.failed, instance)
+			continue
+		}
+		if instances == nil {
+			instances = make(map[lavserver.InstanceKey]bool)
+		}
+		instances[instance] = true
+	}
+	return instances
+}
