A send to a server is a type of its own

lavforward's execution did choice, sends, delivery, quarantine and notices with 30 fields, and passed the chosen server, the model, the job, the watchdog and the time of the send through a dozen functions. A send now holds them from the choice of the server to the end of its answer (send.go); the execution decides between sends, and holds what the caller has received from all of them in one part. A broken stream and a body that ends early meet in resumeOrBreakOff.

--- a/entry/services/lavforward/delivery.go
+++ b/entry/services/lavforward/delivery.go
@@ -11,13 +11,11 @@
 	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
 
-	"lavenderswitch/core/models/lavid"
 	"lavenderswitch/core/models/lavroute"
 	"lavenderswitch/core/modules/lavevent"
 	"lavenderswitch/core/modules/lavlog"
 	"lavenderswitch/core/services/lavbuffer"
 	"lavenderswitch/core/services/lavcutover"
-	"lavenderswitch/core/services/lavload"
 )
 
 // streamReadBytes is the size of the buffer into which a stream is read.
@@ -49,41 +47,41 @@
 const minPaceEvents = 8
 
 // deliver delivers the answer to the caller, or decides whether the request is repeated on another server.
-func (e *execution) deliver(ctx context.Context, chosen choice, model lavid.ModelID, job *lavload.Job, watchdog *watchdog, reply *Reply, sentAt time.Time) (step, Result) {
+func (s *send) deliver(ctx context.Context, reply *Reply) (step, Result) {
 	if reply.Status >= http.StatusInternalServerError {
-		return e.handleServerError(ctx, chosen, reply)
+		return s.handleServerError(ctx, reply)
 	}
-	if e.request.Route.Kind == lavroute.Streaming && reply.Status == http.StatusOK {
-		return e.deliverStream(ctx, chosen, model, job, watchdog, reply, sentAt)
+	if s.request.Route.Kind == lavroute.Streaming && reply.Status == http.StatusOK {
+		return s.deliverStream(ctx, reply)
 	}
-	return e.deliverBuffered(ctx, chosen, watchdog, reply)
+	return s.deliverBuffered(ctx, reply)
 }
 
 // handleServerError handles an answer with a 5xx status. It repeats the request where that is allowed, and otherwise
 // delivers the error answer.
-func (e *execution) handleServerError(ctx context.Context, chosen choice, reply *Reply) (step, Result) {
-	now := e.Clock()
-	e.flight.settled = true
-	e.excluded[chosen.ID] = true
-	e.health.recordErrorAnswer(chosen.Instance())
-	e.lastFailure = "server failed with " + http.StatusText(reply.Status)
-	e.Releases.Observe(chosen.Server, lavcutover.Outcome{Kind: e.outcomeKind(chosen), Failed: true})
-	e.Metrics.countSend(chosen, sendFailed)
-	e.logDecision("server failed", chosen.ID, logrus.Fields{"status": reply.Status, "release": chosen.Release})
-	if !e.answerBegun {
-		body, err := e.readBuffered(reply.Body)
+func (s *send) handleServerError(ctx context.Context, reply *Reply) (step, Result) {
+	now := s.Clock()
+	s.flight.settled = true
+	s.excluded[s.chosen.ID] = true
+	s.health.recordErrorAnswer(s.chosen.Instance())
+	s.lastFailure = "server failed with " + http.StatusText(reply.Status)
+	s.Releases.Observe(s.chosen.Server, lavcutover.Outcome{Kind: s.outcomeKind(s.chosen), Failed: true})
+	s.Metrics.countSend(s.chosen, sendFailed)
+	s.logDecision("server failed", s.chosen.ID, logrus.Fields{"status": reply.Status, "release": s.chosen.Release})
+	if !s.answerBegun {
+		body, err := s.readBuffered(reply.Body)
 		if err == nil {
-			e.recordSurvival(now)
+			s.recordSurvival(now)
 		}
 		if err == nil && reply.Signed {
 			serverError := *reply
 			serverError.Body = io.NopCloser(bytes.NewReader(body))
-			e.serverError = &serverError
+			s.serverError = &serverError
 		} else if err != nil && ctx.Err() == nil {
-			e.health.recordFailure(chosen.Instance(), now)
+			s.health.recordFailure(s.chosen.Instance(), now)
 		}
 	}
-	return e.repeatOrFail("server failed")
+	return s.repeatOrFail("server failed")
 }
 
 // deliverServerError delivers the latest 5xx answer to the caller.
@@ -102,40 +100,40 @@
 }
 
 // deliverBuffered reads the whole answer before it delivers any of it, so that a truncated answer can be requested again.
-func (e *execution) deliverBuffered(ctx context.Context, chosen choice, watchdog *watchdog, reply *Reply) (step, Result) {
-	body, err := e.readBuffered(reply.Body)
-	now := e.Clock()
+func (s *send) deliverBuffered(ctx context.Context, reply *Reply) (step, Result) {
+	body, err := s.readBuffered(reply.Body)
+	now := s.Clock()
 	if err == nil {
-		e.recordSurvival(now)
+		s.recordSurvival(now)
 	}
 	if err != nil || !reply.Signed && reply.Status < http.StatusMultipleChoices {
 		reason := "answer has no server signature"
 		if err != nil {
 			reason = err.Error()
 		}
-		e.lastFailure = reason
-		if ctx.Err() != nil && !watchdog.hasFired() {
-			return stepDone, e.fail("answer was not complete in time")
+		s.lastFailure = reason
+		if ctx.Err() != nil && !s.watchdog.hasFired() {
+			return stepDone, s.fail("answer was not complete in time")
 		}
-		e.excluded[chosen.ID] = true
-		if err != nil && !watchdog.hasFired() {
-			e.recordEnding(err, now)
+		s.excluded[s.chosen.ID] = true
+		if err != nil && !s.watchdog.hasFired() {
+			s.recordEnding(err, now)
 		}
 		if !errors.Is(err, errBuffersFull) {
-			e.health.recordFailure(chosen.Instance(), now)
+			s.health.recordFailure(s.chosen.Instance(), now)
 		}
-		e.Metrics.countSend(chosen, sendDamaged)
-		e.logDecision("answer was damaged", chosen.ID, logrus.Fields{"reason": reason})
-		return e.repeatOrFail("answer was damaged")
-	}
-	e.health.recordSuccess(chosen.Instance(), now)
-	e.Metrics.countSend(chosen, sendAnswered)
-	e.Releases.Observe(chosen.Server, lavcutover.Outcome{Kind: e.outcomeKind(chosen)})
-	e.timing.Answered(now)
-	if err := e.answer.Begin(reply.Status, reply.Header, len(body)); err != nil {
+		s.Metrics.countSend(s.chosen, sendDamaged)
+		s.logDecision("answer was damaged", s.chosen.ID, logrus.Fields{"reason": reason})
+		return s.repeatOrFail("answer was damaged")
+	}
+	s.health.recordSuccess(s.chosen.Instance(), now)
+	s.Metrics.countSend(s.chosen, sendAnswered)
+	s.Releases.Observe(s.chosen.Server, lavcutover.Outcome{Kind: s.outcomeKind(s.chosen)})
+	s.timing.Answered(now)
+	if err := s.answer.Begin(reply.Status, reply.Header, len(body)); err != nil {
 		return stepDone, Result{Broken: true}
 	}
-	if err := e.answer.Write(body); err != nil {
+	if err := s.answer.Write(body); err != nil {
 		return stepDone, Result{Broken: true}
 	}
 	return stepDone, Result{}
@@ -143,95 +141,95 @@
 
 // deliverStream delivers complete events as they arrive. A stream that breaks off is resumed on another server after the
 // last delivered event.
-func (e *execution) deliverStream(ctx context.Context, chosen choice, model lavid.ModelID, job *lavload.Job, watchdog *watchdog, reply *Reply, sentAt time.Time) (step, Result) {
+func (s *send) deliverStream(ctx context.Context, reply *Reply) (step, Result) {
 	if !reply.Signed {
-		e.excluded[chosen.ID] = true
-		e.Metrics.countSend(chosen, sendDamaged)
-		e.logDecision("answer was damaged", chosen.ID, logrus.Fields{"reason": "stream has no server signature"})
-		return e.repeatOrFail("stream has no server signature")
-	}
-	job.MarkPromptRead()
-	e.timing.Answered(e.Clock())
-	e.recordFirstEvent(chosen, model, sentAt)
-	e.updateRecord(func(record *sendRecord) { record.headAfter = e.Clock().Sub(sentAt) })
-	if e.runsLarger(chosen, model, reply) {
+		s.excluded[s.chosen.ID] = true
+		s.Metrics.countSend(s.chosen, sendDamaged)
+		s.logDecision("answer was damaged", s.chosen.ID, logrus.Fields{"reason": "stream has no server signature"})
+		return s.repeatOrFail("stream has no server signature")
+	}
+	s.job.MarkPromptRead()
+	s.timing.Answered(s.Clock())
+	s.recordFirstEvent()
+	s.updateRecord(func(record *sendRecord) { record.headAfter = s.Clock().Sub(s.sentAt) })
+	if s.runsLarger(reply) {
 		return stepRepeat, Result{}
 	}
-	e.answeringModel = model
-	e.confidence = reply.Confidence
-	e.stream = streamState{}
+	s.answeringModel = s.model
+	s.confidence = reply.Confidence
+	s.stream = streamState{}
 	buffer := make([]byte, streamReadBytes)
-	headAt := e.Clock()
-	ahead := e.startReadAhead(chosen, reply)
+	headAt := s.Clock()
+	ahead := s.startReadAhead(reply)
 	defer ahead.stop()
 	for {
 		count, err := ahead.Read(buffer)
 		if count > 0 {
-			e.recordAlive(chosen, sentAt)
-			delivered := e.deliveredEvents
+			s.recordAlive()
+			delivered := s.deliveredEvents
 			caughtUp := ahead.watch()
-			deliverErr := e.deliverEvents(chosen, reply, buffer[:count])
+			deliverErr := s.deliverEvents(reply, buffer[:count])
 			caughtUp()
 			switch {
 			case errors.Is(deliverErr, errDamagedStream):
-				return e.handleBrokenStream(ctx, chosen, watchdog, deliverErr)
+				return s.handleBrokenStream(ctx, deliverErr)
 			case deliverErr != nil:
 				return stepDone, Result{Broken: true}
 			}
-			e.recordProgress(headAt, e.Clock())
-			if e.endsEvent(delivered) && e.mayResume() {
-				watchdog.reset(e.pauseTimeout())
+			s.recordProgress(headAt, s.Clock())
+			if s.endsEvent(delivered) && s.mayResume() {
+				s.watchdog.reset(s.pauseTimeout())
 			}
 		}
 		switch {
 		case err == nil:
 		case errors.Is(err, io.EOF):
-			return e.finishStream(chosen, reply)
+			return s.finishStream(reply)
 		case errors.Is(err, errCallerTooSlow):
 			return stepDone, Result{Broken: true}
 		default:
-			return e.handleBrokenStream(ctx, chosen, watchdog, err)
+			return s.handleBrokenStream(ctx, err)
 		}
 	}
 }
 
 // endsEvent notes since when the server has sent a part of an event without its end, and reports whether what was read last ends one.
 // Deliveries counts the events delivered before.
-func (e *execution) endsEvent(deliveries int) bool {
-	partial := e.stream.splitter.Partial()
-	ends := !partial || e.deliveredEvents > deliveries
+func (s *send) endsEvent(deliveries int) bool {
+	partial := s.stream.splitter.Partial()
+	ends := !partial || s.deliveredEvents > deliveries
 	switch {
 	case !partial:
-		e.flight.partialSince.Store(0)
-	case ends || e.flight.partialSince.Load() == 0:
-		e.flight.partialSince.Store(e.Clock().UnixNano())
+		s.flight.partialSince.Store(0)
+	case ends || s.flight.partialSince.Load() == 0:
+		s.flight.partialSince.Store(s.Clock().UnixNano())
 	}
 	return ends
 }
 
 // startReadAhead starts to read the stream on while its caller is behind.
-func (e *execution) startReadAhead(chosen choice, reply *Reply) *readAhead {
-	stream := &lavbuffer.Stream{Account: e.request.AccountID(), End: func() {
-		e.Metrics.slowCallers.WithLabelValues(string(chosen.Service)).Inc()
-		e.Log.WithFields(logrus.Fields{lavlog.FieldRequest: e.request.ID, lavlog.FieldAccount: e.request.AccountID()}).Info("slow caller ended")
-		e.answer.Abort()
+func (s *send) startReadAhead(reply *Reply) *readAhead {
+	stream := &lavbuffer.Stream{Account: s.request.AccountID(), End: func() {
+		s.Metrics.slowCallers.WithLabelValues(string(s.chosen.Service)).Inc()
+		s.Log.WithFields(logrus.Fields{lavlog.FieldRequest: s.request.ID, lavlog.FieldAccount: s.request.AccountID()}).Info("slow caller ended")
+		s.answer.Abort()
 	}}
-	ahead := startReadAhead(reply.Body, e.held, stream, e.Clock, e.flight.cancel, func() {
-		e.health.recordActivity(chosen.Instance(), e.Clock())
+	ahead := startReadAhead(reply.Body, s.held, stream, s.Clock, s.flight.cancel, func() {
+		s.health.recordActivity(s.chosen.Instance(), s.Clock())
 	})
-	e.flight.ahead.Store(ahead)
+	s.flight.ahead.Store(ahead)
 	return ahead
 }
 
 // recordFirstEvent records how long an engine took to the head of a stream, which it sends with the first event.
-func (e *execution) recordFirstEvent(chosen choice, model lavid.ModelID, sentAt time.Time) {
-	if e.request.Service.Engine == nil {
+func (s *send) recordFirstEvent() {
+	if s.request.Service.Engine == nil {
 		return
 	}
-	now := e.Clock()
-	e.observeFirst(chosen, now.Sub(sentAt), now)
-	if chosen.unreadTokensBefore == 0 {
-		e.speeds.recordRead(model, chosen.unreadTokens/e.readFactor(model), now.Sub(sentAt))
+	now := s.Clock()
+	s.observeFirst(s.chosen, now.Sub(s.sentAt), now)
+	if s.chosen.unreadTokensBefore == 0 {
+		s.speeds.recordRead(s.model, s.chosen.unreadTokens/s.readFactor(s.model), now.Sub(s.sentAt))
 	}
 }
 
@@ -262,13 +260,13 @@
 }
 
 // deliverEvents delivers the events that data completes. It fails with errDamagedStream as cause if the server is at fault.
-func (e *execution) deliverEvents(chosen choice, reply *Reply, data []byte) error {
-	events, err := e.stream.splitter.Add(data)
-	if deliverErr := e.deliverAll(chosen, reply, events); deliverErr != nil {
+func (s *send) deliverEvents(reply *Reply, data []byte) error {
+	events, err := s.stream.splitter.Add(data)
+	if deliverErr := s.deliverAll(reply, events); deliverErr != nil {
 		return deliverErr
 	}
 	if err == nil {
-		err = e.reserveBuffer(e.stream.splitter.Buffered())
+		err = s.reserveBuffer(s.stream.splitter.Buffered())
 	}
 	if err != nil {
 		return errors.Wrap(errDamagedStream, err.Error())
@@ -276,116 +274,123 @@
 	return nil
 }
 
-func (e *execution) deliverAll(chosen choice, reply *Reply, events []lavevent.Event) error {
+func (s *send) deliverAll(reply *Reply, events []lavevent.Event) error {
 	for _, event := range events {
-		if err := e.stream.check(event, e.resumeAfter()); err != nil {
+		if err := s.stream.check(event, s.resumeAfter()); err != nil {
 			return err
 		}
 		if event.Empty {
-			e.stream.emptyLines = append(e.stream.emptyLines, event.Bytes...)
+			s.stream.emptyLines = append(s.stream.emptyLines, event.Bytes...)
 			continue
 		}
-		if !e.answerBegun {
-			if err := e.beginAnswer(reply); err != nil {
+		if !s.answerBegun {
+			if err := s.beginAnswer(reply); err != nil {
 				return err
 			}
 		}
-		if err := e.answer.Write(append(e.stream.emptyLines, event.Bytes...)); err != nil {
+		if err := s.answer.Write(append(s.stream.emptyLines, event.Bytes...)); err != nil {
 			return errors.Wrap(err, "deliver event")
 		}
-		e.stream.emptyLines = nil
-		e.countEvent(chosen)
+		s.stream.emptyLines = nil
+		s.countEvent()
 		if event.ID != "" {
-			e.lastEventID = event.ID
+			s.lastEventID = event.ID
 		}
 	}
 	return nil
 }
 
 // beginAnswer delivers the head of a stream before its first event.
-func (e *execution) beginAnswer(reply *Reply) error {
-	now := e.Clock()
-	e.answerBegun = true
-	e.firstEventAfter = now.Sub(e.request.Arrived)
-	return e.answer.Begin(reply.Status, reply.Header, -1)
+func (s *send) beginAnswer(reply *Reply) error {
+	now := s.Clock()
+	s.answerBegun = true
+	s.firstEventAfter = now.Sub(s.request.Arrived)
+	return s.answer.Begin(reply.Status, reply.Header, -1)
 }
 
 // countEvent counts a delivered event. After minPaceEvents later events it reports the stream to the cutovers.
-func (e *execution) countEvent(chosen choice) {
-	now := e.Clock()
-	e.deliveredEvents++
-	if !e.lastEventAt.IsZero() {
-		e.longestPause = max(e.longestPause, now.Sub(e.lastEventAt))
-	}
-	e.lastEventAt = now
-	if e.stream.firstEventAt.IsZero() {
-		e.stream.firstEventAt = now
+func (s *send) countEvent() {
+	now := s.Clock()
+	s.deliveredEvents++
+	if !s.lastEventAt.IsZero() {
+		s.longestPause = max(s.longestPause, now.Sub(s.lastEventAt))
+	}
+	s.lastEventAt = now
+	if s.stream.firstEventAt.IsZero() {
+		s.stream.firstEventAt = now
 		return
 	}
-	e.stream.laterEvents++
-	if e.stream.laterEvents >= minPaceEvents && !e.stream.reported {
-		e.reportStream(chosen, now)
+	s.stream.laterEvents++
+	if s.stream.laterEvents >= minPaceEvents && !s.stream.reported {
+		s.reportStream(now)
 	}
 }
 
 // reportStream reports a working stream and its mean pause to the cutovers.
-func (e *execution) reportStream(chosen choice, now time.Time) {
-	e.stream.reported = true
-	e.Releases.Observe(chosen.Server, lavcutover.Outcome{Kind: e.outcomeKind(chosen)})
-	if e.stream.laterEvents > 0 {
-		pause := now.Sub(e.stream.firstEventAt) / time.Duration(e.stream.laterEvents)
-		e.speeds.recordPauses(e.answeringModel, now.Sub(e.stream.firstEventAt), e.stream.laterEvents)
-		e.Releases.ObserveDuration(chosen.Server, "pause/"+string(e.answeringModel), pause)
+func (s *send) reportStream(now time.Time) {
+	s.stream.reported = true
+	s.Releases.Observe(s.chosen.Server, lavcutover.Outcome{Kind: s.outcomeKind(s.chosen)})
+	if s.stream.laterEvents > 0 {
+		pause := now.Sub(s.stream.firstEventAt) / time.Duration(s.stream.laterEvents)
+		s.speeds.recordPauses(s.answeringModel, now.Sub(s.stream.firstEventAt), s.stream.laterEvents)
+		s.Releases.ObserveDuration(s.chosen.Server, "pause/"+string(s.answeringModel), pause)
 	}
 }
 
 // finishStream ends a stream whose body was read to its end. A body that ends within an event counts as broken.
-func (e *execution) finishStream(chosen choice, reply *Reply) (step, Result) {
-	if e.stream.splitter.Partial() {
-		return e.handleBrokenStream(context.Background(), chosen, &watchdog{}, errors.Wrap(io.ErrUnexpectedEOF, "stream ended within an event"))
+func (s *send) finishStream(reply *Reply) (step, Result) {
+	if s.stream.splitter.Partial() {
+		return s.resumeOrBreakOff(errors.Wrap(io.ErrUnexpectedEOF, "stream ended within an event"), false)
 	}
-	if e.stream.events() == 0 && e.resumeAfter() == "" {
-		return e.handleBrokenStream(context.Background(), chosen, &watchdog{}, errors.Wrap(io.ErrUnexpectedEOF, "stream ended before its first event"))
+	if s.stream.events() == 0 && s.resumeAfter() == "" {
+		return s.resumeOrBreakOff(errors.Wrap(io.ErrUnexpectedEOF, "stream ended before its first event"), false)
 	}
-	e.recordSurvival(e.Clock())
-	e.health.recordSuccess(chosen.Instance(), e.Clock())
-	e.Metrics.countSend(chosen, sendAnswered)
-	if !e.stream.reported {
-		e.reportStream(chosen, e.Clock())
+	s.recordSurvival(s.Clock())
+	s.health.recordSuccess(s.chosen.Instance(), s.Clock())
+	s.Metrics.countSend(s.chosen, sendAnswered)
+	if !s.stream.reported {
+		s.reportStream(s.Clock())
 	}
-	if !e.answerBegun {
-		if err := e.answer.Begin(reply.Status, reply.Header, 0); err != nil {
+	if !s.answerBegun {
+		if err := s.answer.Begin(reply.Status, reply.Header, 0); err != nil {
 			return stepDone, Result{Broken: true}
 		}
 	}
-	if len(e.stream.emptyLines) > 0 && e.answerBegun {
-		if err := e.answer.Write(e.stream.emptyLines); err != nil {
+	if len(s.stream.emptyLines) > 0 && s.answerBegun {
+		if err := s.answer.Write(s.stream.emptyLines); err != nil {
 			return stepDone, Result{Broken: true}
 		}
 	}
 	return stepDone, Result{}
 }
 
-// handleBrokenStream resumes the stream on another server where that is allowed. Otherwise it ends the answer in a way
-// that the caller recognises as incomplete.
-func (e *execution) handleBrokenStream(ctx context.Context, chosen choice, watchdog *watchdog, err error) (step, Result) {
-	e.lastFailure = err.Error()
-	now := e.Clock()
-	if ctx.Err() != nil && !watchdog.hasFired() {
-		if e.isQuarantined(now) {
-			return stepDone, e.failQuarantined(e.Quarantine.Refusal(e.keys, now))
-		}
-		return stepDone, e.fail("stream was not complete in time")
+// handleBrokenStream handles a stream that ended with an error before its end.
+func (s *send) handleBrokenStream(ctx context.Context, err error) (step, Result) {
+	stalled := s.watchdog.hasFired()
+	if ctx.Err() == nil || stalled {
+		return s.resumeOrBreakOff(err, stalled)
 	}
-	if !e.flight.survived && !watchdog.hasFired() {
-		e.recordEnding(err, now)
+	s.lastFailure = err.Error()
+	if now := s.Clock(); s.isQuarantined(now) {
+		return stepDone, s.failQuarantined(s.Quarantine.Refusal(s.keys, now))
 	}
-	e.excluded[chosen.ID] = true
-	e.health.recordFailure(chosen.Instance(), now)
-	e.Metrics.countSend(chosen, sendBrokeOff)
-	fields := logrus.Fields{"after": e.lastEventID, "reason": err.Error(), "stalled": watchdog.hasFired(), "server_events": e.stream.events()}
-	e.logDecision("stream broke off", chosen.ID, e.progressFields(fields))
-	return e.repeatOrFail("stream broke off")
+	return stepDone, s.fail("stream was not complete in time")
+}
+
+// resumeOrBreakOff resumes the stream on another server where that is allowed. Otherwise it ends the answer in a way
+// that the caller recognises as incomplete. Stalled states that this host gave the server up for its silence.
+func (s *send) resumeOrBreakOff(err error, stalled bool) (step, Result) {
+	s.lastFailure = err.Error()
+	now := s.Clock()
+	if !s.flight.survived && !stalled {
+		s.recordEnding(err, now)
+	}
+	s.excluded[s.chosen.ID] = true
+	s.health.recordFailure(s.chosen.Instance(), now)
+	s.Metrics.countSend(s.chosen, sendBrokeOff)
+	fields := logrus.Fields{"after": s.lastEventID, "reason": err.Error(), "stalled": stalled, "server_events": s.stream.events()}
+	s.logDecision("stream broke off", s.chosen.ID, s.progressFields(fields))
+	return s.repeatOrFail("stream broke off")
 }
 
 // mayResume reports whether the route and its attempts allow the stream to be resumed on another server.
--- a/entry/services/lavforward/execution.go
+++ b/entry/services/lavforward/execution.go
@@ -2,17 +2,10 @@
 
 import (
 	"context"
-	"maps"
 	"net/http"
-	"sync/atomic"
 	"time"
 
-	"github.com/pkg/errors"
-	"github.com/sirupsen/logrus"
-
 	"lavenderswitch/core/models/lavid"
-	"lavenderswitch/core/modules/lavexchange"
-	"lavenderswitch/core/services/lavcutover"
 	"lavenderswitch/core/services/lavload"
 	"lavenderswitch/core/services/lavquarantine"
 )
@@ -36,8 +29,6 @@
 	keys        lavquarantine.Keys
 	trial       bool
 	endedServer bool
-	// flight is the current send.
-	flight *flight
 	// bufferedBytes is what the request has reserved of the buffers for large answers.
 	bufferedBytes int64
 	// runs counts the sends that a server may have run, and sends counts all of them.
@@ -45,6 +36,21 @@
 	sends int
 	// modelIndex is the index of the current model in the route's list of models.
 	modelIndex int
+	delivered
+	// waited is how long the request waited until an engine could serve it in time.
+	waited time.Duration
+	// lastServer is the server of the latest send, and lastFailure the reason of the latest send that failed.
+	lastServer  lavid.BackendServerID
+	lastFailure string
+	// serverError is the latest complete and signed 5xx answer.
+	serverError *Reply
+	// sendRecords holds the sends until the request ends. They are logged only if the request failed, was late or had a
+	// failed send.
+	sendRecords []sendRecord
+}
+
+// delivered is what the caller has received of the answer, from all servers.
+type delivered struct {
 	// answerBegun is set once the head of a stream was delivered. lastEventID is the ID of the last event delivered since.
 	answerBegun bool
 	lastEventID string
@@ -52,12 +58,6 @@
 	// confidence in its answer.
 	answeringModel lavid.ModelID
 	confidence     int
-	stream         streamState
-	// waited is how long the request waited until an engine could serve it in time.
-	waited time.Duration
-	// lastServer is the server of the latest send, and lastFailure the reason of the latest send that failed.
-	lastServer  lavid.BackendServerID
-	lastFailure string
 	// firstEventAfter is the time from the request's arrival to the delivery of its first event.
 	firstEventAfter time.Duration
 	// deliveredEvents counts the events delivered from all servers; the last of them was delivered at lastEventAt.
@@ -65,13 +65,6 @@
 	deliveredEvents int
 	lastEventAt     time.Time
 	longestPause    time.Duration
-	// serverError is the latest complete and signed 5xx answer.
-	serverError *Reply
-	// sendRecords holds the sends until the request ends. They are logged only if the request failed, was late or had a
-	// failed send.
-	sendRecords []sendRecord
-	// timing measures the time to the answer of the current send.
-	timing *lavcutover.Timing
 }
 
 // step is what follows a send. The Result returned with it is set only for stepDone.
@@ -148,72 +141,13 @@
 	}
 }
 
-// send sends the request once and decides what follows.
+// send sends the request once to the chosen server and decides what follows.
 func (e *execution) send(ctx context.Context, chosen choice, model lavid.ModelID, job *lavload.Job, now time.Time) (step, Result) {
 	e.sends++
 	e.lastServer = chosen.ID
 	e.recordSend(chosen, now)
-	remaining := e.request.Deadline.Sub(now)
-	ctx, cancel := context.WithTimeout(ctx, remaining)
-	defer cancel()
-	e.flight = &flight{Send: lavquarantine.Send{Keys: e.keys, Instance: chosen.Instance(), Repeat: e.endedServer}, sentAt: now, cancel: cancel}
-	if !e.trial {
-		e.flights.add(e.flight)
-	}
-	defer e.endFlight()
-	rank := e.rank()
-	var awaitingHead atomic.Bool
-	awaitingHead.Store(true)
-	others := maps.Clone(e.excluded)
-	others[chosen.ID] = true
-	flight := e.flight
-	watchdog := newWatchdog(cancel, func(since time.Time) bool {
-		if flight.waitsForCaller() {
-			return false
-		}
-		lost := e.health.silentSince(chosen.Instance(), since) || flight.isOverdue(e.pauseTimeout(), e.Clock())
-		if awaitingHead.Load() {
-			lost = e.isLost(chosen, rank, now, e.Clock())
-		}
-		// Without another server, waiting for this one is the best that can be done.
-		return lost && len(e.candidates(others, e.Clock())) > 0
-	}, e.Clock)
-	defer watchdog.stop()
-	e.timing = e.startTiming(chosen, now)
-	defer e.timing.Dropped()
-	if e.mayRepeat() {
-		watchdog.reset(e.silenceTimeout(chosen, now) / checksPerTimeout)
-	}
-	reply, err := e.Sender.Send(ctx, Dispatch{
-		Request:     e.request,
-		Server:      chosen.Server,
-		Model:       model,
-		ResumeAfter: e.resumeAfter(),
-		Timeout:     remaining,
-		Rank:        rank,
-		MaySend: func() bool {
-			return e.Directory.MayTake(chosen.Server, e.Clock()) && !e.isQuarantined(e.Clock())
-		},
-	})
-	if err != nil {
-		return e.handleSendError(ctx, chosen, watchdog, err)
-	}
-	defer reply.Body.Close()
-	e.Metrics.serverFirstAnswer.WithLabelValues(string(chosen.Service)).Observe(e.Clock().Sub(now).Seconds())
-	e.health.recordActivity(chosen.Instance(), e.Clock())
-	e.recordNotices(chosen, reply)
-	if !reply.OtherServer {
-		e.recordAlive(chosen, now)
-	}
-	if reply.NotRun {
-		e.flight.settled = true
-		return e.handleRefusal(chosen, reply)
-	}
-	awaitingHead.Store(false)
-	e.flight.Begun = true
-	e.health.recordAnswer(chosen.Instance(), now, rank)
-	e.runs++
-	return e.deliver(ctx, chosen, model, job, watchdog, reply, now)
+	next := &send{execution: e, chosen: chosen, model: model, job: job, sentAt: now, rank: e.rank()}
+	return next.run(ctx)
 }
 
 // resumeAfter returns the ID of the last event that the caller has received; it is empty for a stream from its start.
@@ -242,47 +176,6 @@
 	return e.request.Route.Repeatable() && e.runs+1 < e.request.Route.Attempts
 }
 
-// handleSendError decides what follows a send that got no answer. A send that did not reach the server is repeated even if
-// the request may run only once.
-func (e *execution) handleSendError(ctx context.Context, chosen choice, watchdog *watchdog, err error) (step, Result) {
-	now := e.Clock()
-	e.excluded[chosen.ID] = true
-	e.lastFailure = err.Error()
-	sent := lavexchange.WasSent(err)
-	if sent {
-		e.runs++
-	} else {
-		e.flight.settled = true
-	}
-	requestEnded := ctx.Err() != nil && !watchdog.hasFired()
-	if errors.Is(err, lavexchange.ErrWithheld) {
-		e.logDecision("send withheld", chosen.ID, nil)
-		return stepRepeat, Result{}
-	}
-	if requestEnded && e.isQuarantined(now) {
-		return stepDone, e.failQuarantined(e.Quarantine.Refusal(e.keys, now))
-	}
-	if !requestEnded {
-		switch {
-		case sent && !watchdog.hasFired():
-			e.recordEnding(err, now)
-		case lavexchange.IsRefused(err):
-			e.Quarantine.RecordEnded(chosen.Instance(), now)
-		}
-		e.health.recordFailure(chosen.Instance(), now)
-		e.Metrics.countSend(chosen, sendLost)
-		e.logDecision("send failed", chosen.ID, e.progressFields(logrus.Fields{"sent": sent, "reason": err.Error()}))
-	}
-	switch {
-	case requestEnded:
-		return stepDone, e.fail("no answer in time")
-	case !sent:
-		return stepRepeat, Result{}
-	default:
-		return e.repeatOrFail("server gave no answer")
-	}
-}
-
 // repeatOrFail repeats the request if the route, its attempts and the repeat budget allow it, and otherwise fails it.
 func (e *execution) repeatOrFail(reason string) (step, Result) {
 	route := e.request.Route
@@ -312,28 +205,6 @@
 	return allowed
 }
 
-// handleRefusal decides what follows a refusal by a server that did not run the request. It is repeated even if it may run
-// only once.
-func (e *execution) handleRefusal(chosen choice, reply *Reply) (step, Result) {
-	e.excluded[chosen.ID] = true
-	e.lastFailure = "server refused with " + http.StatusText(reply.Status)
-	e.Metrics.countSend(chosen, sendRefused)
-	switch {
-	case reply.OtherServer:
-		e.Directory.Displace(chosen.Server)
-	case reply.Pause == 0 && !reply.Leaving:
-		e.health.recordErrorAnswer(chosen.Instance())
-	}
-	e.logDecision("server refused", chosen.ID, logrus.Fields{"status": reply.Status, "other_server": reply.OtherServer})
-	if e.sends >= e.request.Route.Attempts+maxRefusedSends {
-		return stepDone, e.fail("servers refused")
-	}
-	if !e.takeRepeat() {
-		return stepDone, e.fail("servers refused and the budget for repeats is used up")
-	}
-	return stepRepeat, Result{}
-}
-
 // fail ends the request without a successful answer. An answer that was begun is broken. Otherwise the latest error answer
 // of a server is delivered, or a refusal if there is none. The status of the refusal is 503 only if no server can have run
 // the request; 504 and 502 do not state whether it ran.
--- a/entry/services/lavforward/quarantine.go
+++ b/entry/services/lavforward/quarantine.go
@@ -150,33 +150,33 @@
 	return result
 }
 
-// recordAlive records that a server sent something, of a request that was sent to it at sentAt.
-func (e *execution) recordAlive(chosen choice, sentAt time.Time) {
-	now := e.Clock()
+// recordAlive records that the server sent something.
+func (s *send) recordAlive() {
+	now := s.Clock()
 	at := now.Add(-maxReadDelay)
-	if sentAt.After(at) {
-		at = sentAt
+	if s.sentAt.After(at) {
+		at = s.sentAt
 	}
-	e.Quarantine.RecordAlive(chosen.Instance(), at, now)
+	s.Quarantine.RecordAlive(s.chosen.Instance(), at, now)
 }
 
 // recordEnding records that the connection to a server broke before the server had survived the request. A send that timed out,
 // or whose answer was damaged, says nothing about the end of its server.
-func (e *execution) recordEnding(err error, now time.Time) {
+func (s *send) recordEnding(err error, now time.Time) {
 	if !lavexchange.IsPeerEnd(err) {
 		return
 	}
-	e.trial, e.endedServer = false, true
-	e.Quarantine.RecordEnding(e.settle(now), now)
-	e.CancelQuarantined(now)
+	s.trial, s.endedServer = false, true
+	s.Quarantine.RecordEnding(s.settle(now), now)
+	s.CancelQuarantined(now)
 }
 
 // settle returns the send as it is held against its request when its server ends. A plain server is taken to run the request from
 // its arrival on, as it sends nothing before the whole answer, but one that closes the connection at once may have too many.
-func (e *execution) settle(now time.Time) lavquarantine.Send {
-	e.flight.settled = true
-	send := e.flight.Send
-	if e.request.Service.Engine == nil && !e.flight.delivered && now.Sub(e.flight.sentAt) >= maxRejectionTime {
+func (s *send) settle(now time.Time) lavquarantine.Send {
+	s.flight.settled = true
+	send := s.flight.Send
+	if s.request.Service.Engine == nil && !s.flight.delivered && now.Sub(s.flight.sentAt) >= maxRejectionTime {
 		send.Begun = true
 	}
 	return send
@@ -184,33 +184,33 @@
 
 // recordProgress records that a part of a stream was delivered, whose head arrived at headAt. A server that ends with a request
 // ends when it begins to answer, so that the send is not cancelled any more.
-func (e *execution) recordProgress(headAt, now time.Time) {
-	if e.stream.events() == 0 {
+func (s *send) recordProgress(headAt, now time.Time) {
+	if s.stream.events() == 0 {
 		return
 	}
-	if !e.flight.delivered {
-		e.flight.Begun, e.flight.delivered = false, true
-		e.flights.remove(e.flight)
+	if !s.flight.delivered {
+		s.flight.Begun, s.flight.delivered = false, true
+		s.flights.remove(s.flight)
 	}
 	if now.Sub(headAt) >= answerSurvivalTime {
-		e.recordSurvival(now)
+		s.recordSurvival(now)
 	}
 }
 
 // recordSurvival records, once for each send, that its server has survived the request.
-func (e *execution) recordSurvival(now time.Time) {
-	if e.flight.survived {
+func (s *send) recordSurvival(now time.Time) {
+	if s.flight.survived {
 		return
 	}
-	e.flight.settled, e.flight.survived = true, true
-	e.flights.remove(e.flight)
-	e.Quarantine.RecordAnswer(e.keys, now)
+	s.flight.settled, s.flight.survived = true, true
+	s.flights.remove(s.flight)
+	s.Quarantine.RecordAnswer(s.keys, now)
 }
 
 // endFlight records that a send ended. If it is not known what became of its request, the server may still end with it.
-func (e *execution) endFlight() {
-	e.flights.remove(e.flight)
-	if now := e.Clock(); !e.flight.settled {
-		e.Quarantine.RecordDropped(e.settle(now), now)
+func (s *send) endFlight() {
+	s.flights.remove(s.flight)
+	if now := s.Clock(); !s.flight.settled {
+		s.Quarantine.RecordDropped(s.settle(now), now)
 	}
 }
--- a/entry/services/lavforward/second_run.go
+++ b/entry/services/lavforward/second_run.go
@@ -79,45 +79,45 @@
 
 // runsLarger reports whether the answer of a smaller model is dropped in favour of the largest model of the route, which is then
 // the model of the next send. If it is, runsLarger takes one send from the repeat budget.
-func (e *execution) runsLarger(chosen choice, model lavid.ModelID, reply *Reply) bool {
-	largest, ok := e.largest()
-	if !ok || !reply.HasConfidence || e.answerBegun || e.answeringModel != "" {
+func (s *send) runsLarger(reply *Reply) bool {
+	largest, ok := s.largest()
+	if !ok || !reply.HasConfidence || s.answerBegun || s.answeringModel != "" {
 		return false
 	}
 	confidence := lavescalation.Confidence(reply.Confidence)
-	route := e.request.Route.Name
-	if model == largest {
-		if first, found := e.seconds.dropped(e.request.ID); found {
-			e.seconds.gains.Observe(route, first, confidence)
+	route := s.request.Route.Name
+	if s.model == largest {
+		if first, found := s.seconds.dropped(s.request.ID); found {
+			s.seconds.gains.Observe(route, first, confidence)
 		}
 		return false
 	}
-	decision, known := e.decideSecondRun(largest, confidence)
+	decision, known := s.decideSecondRun(largest, confidence)
 	if !known {
 		return false
 	}
-	e.seconds.gains.ObserveFirst(route, decision.Wanted)
-	if decision.Made() && e.runs >= e.request.Route.Attempts {
+	s.seconds.gains.ObserveFirst(route, decision.Wanted)
+	if decision.Made() && s.runs >= s.request.Route.Attempts {
 		decision.Reason = lavescalation.ReasonRuns
 	}
-	if decision.Made() && !e.takeRepeatWithin(secondRunShare) {
+	if decision.Made() && !s.takeRepeatWithin(secondRunShare) {
 		decision.Reason = lavescalation.ReasonBudget
 	}
 	fields := logrus.Fields{"confidence": reply.Confidence, "gain": rounded(decision.Gain), "cost": rounded(decision.Cost)}
 	switch {
 	case decision.Made():
-		e.seconds.drop(e.request.ID, confidence)
-		e.updateRecord(func(record *sendRecord) { record.dropped, record.confidence = true, reply.Confidence })
-		e.modelIndex = len(e.request.Route.Models) - 1
-		e.Metrics.escalations.WithLabelValues(string(chosen.Service)).Inc()
-		e.Metrics.countSend(chosen, sendDropped)
-		e.logDecision("larger model", chosen.ID, fields)
+		s.seconds.drop(s.request.ID, confidence)
+		s.updateRecord(func(record *sendRecord) { record.dropped, record.confidence = true, reply.Confidence })
+		s.modelIndex = len(s.request.Route.Models) - 1
+		s.Metrics.escalations.WithLabelValues(string(s.chosen.Service)).Inc()
+		s.Metrics.countSend(s.chosen, sendDropped)
+		s.logDecision("larger model", s.chosen.ID, fields)
 		return true
 	case decision.Wanted:
 		fields["reason"] = decision.Reason
-		e.updateRecord(func(record *sendRecord) { record.withheld = decision.Reason })
-		e.Metrics.withheldRuns.WithLabelValues(string(chosen.Service), string(decision.Reason)).Inc()
-		e.logDecision("larger model withheld", chosen.ID, fields)
+		s.updateRecord(func(record *sendRecord) { record.withheld = decision.Reason })
+		s.Metrics.withheldRuns.WithLabelValues(string(s.chosen.Service), string(decision.Reason)).Inc()
+		s.logDecision("larger model withheld", s.chosen.ID, fields)
 	}
 	return false
 }
