A host notices a return of the store that falls into its own read

Callers could lose a host from the list for good: a host compared the store's era only while it waited between reads of the host list, from the era it saw when that wait began. A store that came back from a copy during a read was therefore never noticed by it, and if the first hosts in turn were all reading then, nobody wrote the hosts that the copy lacked.

The registrar now keeps the era in which the list was last known to be whole and the time since which a later one is known, so that a return is noticed whenever it happens, and the step is a function of its own that takes the time. TestLostHostIsRegisteredAgainByOneHost covers the turn-taking: one host writes all, the others leave it to that one. It can't be compiled against the former code, which had no such step.

--- a/entry/services/lavwatch/registrar.go
+++ b/entry/services/lavwatch/registrar.go
@@ -48,6 +48,11 @@
 	CallTimeout time.Duration
 	Log         logrus.FieldLogger
 	Clock       func() time.Time
+
+	// restoredEra is the era in which the list was last known to hold the live hosts, and returnedAt when a later one was noticed; zero
+	// if none was.
+	restoredEra lavrevision.Era
+	returnedAt  time.Time
 }
 
 // Run registers this host, then reads the host list repeatedly until ctx ends.
@@ -56,6 +61,7 @@
 	for ctx.Err() == nil && !r.callStore(ctx, r.register) {
 		lavlife.Sleep(ctx, storeRetryPause)
 	}
+	r.restoredEra = r.Era()
 	pause := secondReadDelay
 	for ctx.Err() == nil {
 		if first := pause == secondReadDelay; (first || r.Reads()) && !r.callStore(ctx, r.readHosts) {
@@ -69,24 +75,34 @@
 
 // await returns at the given time. It writes the list again if the store comes back from a copy meanwhile.
 func (r *Registrar) await(ctx context.Context, until time.Time) {
-	era, returnedAt := r.Era(), time.Time{}
 	for ctx.Err() == nil {
 		now := r.Clock()
 		left := until.Sub(now)
 		if left <= 0 {
 			return
 		}
-		if current := r.Era(); current > era {
-			era, returnedAt = current, now
-		}
-		rank := r.Peers.Rank("hosts", now)
-		if !returnedAt.IsZero() && rank < maxRestorers && now.Sub(returnedAt) >= time.Duration(rank+1)*eraCheckInterval && r.callStore(ctx, r.restore) {
-			returnedAt = time.Time{}
-		}
+		r.restoreIfDue(ctx, now)
 		lavlife.Sleep(ctx, min(left, eraCheckInterval))
 	}
 }
 
+// restoreIfDue writes the list again once it is this host's turn after the store came back from a copy. The first hosts look one after the
+// other; the others leave it to them.
+func (r *Registrar) restoreIfDue(ctx context.Context, now time.Time) {
+	era := r.Era()
+	if era == r.restoredEra {
+		return
+	}
+	if r.returnedAt.IsZero() {
+		r.returnedAt = now
+	}
+	rank := r.Peers.Rank("hosts", now)
+	if rank < maxRestorers && (now.Sub(r.returnedAt) < time.Duration(rank+1)*eraCheckInterval || !r.callStore(ctx, r.restore)) {
+		return
+	}
+	r.restoredEra, r.returnedAt = era, time.Time{}
+}
+
 // restore registers the live hosts that the list lacks.
 func (r *Registrar) restore(ctx context.Context) error {
 	stored, err := r.Store.Hosts(ctx)
