A copy of the store does not push live servers out of their addresses

What callers saw: after the store came back from a copy, hosts refused every request ("no server may take the request") until they were started again.

Cause: where servers state no start time, the one that a host lists later at an address counts as the later one, and the earlier one takes no work any more. Servers that only the copy lists appear last, so that they pushed out the live ones for good, also when they were gone a second later. The same could happen to a starting host that uses parts of a long list and is then told the whole one (found by reading).

Change: what the first complete listing, or the first one after the store's return, adds says nothing about who started first. If both answer at the address, the one that is gone is told by the refusal of the other.

Tests, both failed before: TestServerOfACopyDoesNotReplaceTheLaterOneAtItsAddress, TestPartsOfTheFirstListingOrderNoServers.

--- a/core/services/lavdirectory/directory.go
+++ b/core/services/lavdirectory/directory.go
@@ -43,6 +43,8 @@
 	Limit lavnotice.Limit
 	// instance is the key of the instance, which is computed once for each listing.
 	instance lavserver.InstanceKey
+	// unordered states that FirstSeen says nothing about servers that were seen before.
+	unordered bool
 }
 
 // Instance returns the key of the instance.
@@ -72,6 +74,9 @@
 	listingFailed bool
 	// storeReturned is when the first listing after an outage was applied.
 	storeReturned time.Time
+	// ordered states that a complete listing has been applied since the start or since the store came back from a copy, so that servers which
+	// a later one adds have started after the known ones.
+	ordered bool
 	// gone holds when instances were removed, for goneTime.
 	gone map[lavserver.InstanceKey]time.Time
 	// usable keeps the usable servers of each service for usableLifetime, and changes counts the changes of the fields above.
@@ -128,6 +133,20 @@
 func (d *Directory) ApplyListing(servers []lavserver.Server, now time.Time) []Change {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	changes := d.apply(servers, now)
+	d.ordered = true
+	return changes
+}
+
+// ApplyPart applies the part of the first listing that a host has read so far, and returns what it changed.
+func (d *Directory) ApplyPart(servers []lavserver.Server, now time.Time) []Change {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.apply(servers, now)
+}
+
+// apply applies a listing; the caller holds the lock.
+func (d *Directory) apply(servers []lavserver.Server, now time.Time) []Change {
 	if d.interrupted(now) {
 		d.storeReturned = now
 	}
@@ -168,7 +187,7 @@
 func (d *Directory) StoreReturned(now time.Time) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.listingFailed = true
+	d.listingFailed, d.ordered = true, false
 	for _, row := range d.rows {
 		if row.Draining {
 			d.notices.RecordLeaving(row.instance, now)
@@ -201,7 +220,7 @@
 	if !r.Born.IsZero() && !other.Born.IsZero() {
 		return r.Born.After(other.Born)
 	}
-	return r.FirstSeen.After(other.FirstSeen)
+	return !r.unordered && r.FirstSeen.After(other.FirstSeen)
 }
 
 // mayHaveExpired reports whether the entry of an unlisted server may have expired during an outage and be listed again.
@@ -220,9 +239,9 @@
 // update adds or replaces the row of a listed server and returns the change that this makes, if any.
 func (d *Directory) update(server lavserver.Server, now time.Time) (Change, bool) {
 	old, exists := d.rows[server.ID]
-	row := Row{Server: server, Listed: true, LastListed: now, FirstSeen: now, instance: server.Instance()}
+	row := Row{Server: server, Listed: true, LastListed: now, FirstSeen: now, instance: server.Instance(), unordered: !d.ordered}
 	if exists && old.SameInstance(server) {
-		row.FirstSeen, row.Displaced = old.FirstSeen, old.Displaced
+		row.FirstSeen, row.Displaced, row.unordered = old.FirstSeen, old.Displaced, old.unordered
 	}
 	if server.ColdFor > 0 {
 		row.ColdUntil = now.Add(server.ColdFor)
--- a/core/services/lavdirectory/directory_test.go
+++ b/core/services/lavdirectory/directory_test.go
@@ -192,6 +192,47 @@
 	is.Equal(usable(d, now.Add(3*time.Second)), "be") // the one seen later
 }
 
+// TestServerOfACopyDoesNotReplaceTheLaterOneAtItsAddress guards against live servers that are never used again since the store came back
+// from a copy, which lists servers that had their addresses before.
+func TestServerOfACopyDoesNotReplaceTheLaterOneAtItsAddress(t *testing.T) {
+	for _, hostSawBoth := range []bool{true, false} {
+		is := is.New(t)
+		d := directory()
+		earlier, later := server("a"), server("b")
+		earlier.Born, later.Born = time.Time{}, time.Time{}
+		now := start
+		if hostSawBoth {
+			d.ApplyListing([]lavserver.Server{earlier}, now)
+		}
+		now = now.Add(time.Second)
+		d.ApplyListing([]lavserver.Server{later}, now)
+		d.StoreReturned(now)
+		now = now.Add(time.Second)
+		d.ApplyListing([]lavserver.Server{earlier, later}, now)
+		is.True(d.MayTake(later, now))
+		d.ApplyListing([]lavserver.Server{later}, now.Add(time.Second))
+		is.Equal(usable(d, now.Add(time.Second)), "b")
+		// A server that appears afterwards has started later.
+		next := server("c")
+		next.Born = time.Time{}
+		d.ApplyListing([]lavserver.Server{later, next}, now.Add(2*time.Second))
+		is.Equal(usable(d, now.Add(2*time.Second)), "c")
+	}
+}
+
+// TestPartsOfTheFirstListingOrderNoServers guards against live servers that are never used, as a later part of the first listing of a
+// starting host has one that had their address before.
+func TestPartsOfTheFirstListingOrderNoServers(t *testing.T) {
+	is := is.New(t)
+	d := directory()
+	earlier, later := server("a"), server("b")
+	earlier.Born, later.Born = time.Time{}, time.Time{}
+	d.ApplyPart([]lavserver.Server{later}, start)
+	now := start.Add(time.Second)
+	d.ApplyListing([]lavserver.Server{later, earlier}, now)
+	is.True(d.MayTake(later, now))
+}
+
 // TestServerThatLeavesTakesNoWorkWhateverAListingShows guards against listings that are older than a server's own statement, or
 // that omit it for a moment.
 func TestServerThatLeavesTakesNoWorkWhateverAListingShows(t *testing.T) {
--- a/entry/services/lavwatch/watcher.go
+++ b/entry/services/lavwatch/watcher.go
@@ -201,7 +201,7 @@
 	if w.servers.Edition(readAt) != nil {
 		return false
 	}
-	w.applyListing(servers, readAt, "")
+	w.logChanges(w.Directory.ApplyPart(servers, readAt), readAt, "")
 	return true
 }
 
@@ -241,8 +241,13 @@
 }
 
 func (w *Watcher) applyListing(servers []lavserver.Server, readAt time.Time, source lavid.HostID) {
+	w.logChanges(w.Directory.ApplyListing(servers, readAt), readAt, source)
+}
+
+// logChanges logs what a listing has changed.
+func (w *Watcher) logChanges(changes []lavdirectory.Change, readAt time.Time, source lavid.HostID) {
 	w.Metrics.observe(PartServers, w.Clock().Sub(readAt), source)
-	for _, change := range w.Directory.ApplyListing(servers, readAt) {
+	for _, change := range changes {
 		w.Log.WithFields(logrus.Fields{
 			lavlog.FieldServer: change.Server.ID,
 			"service":          change.Server.Service,
