Listings read before the store's return end no hold

Cause: a host may learn the store's era from the operators' rows. Until it reads the list of servers, other hosts confirm their old list to it, which omits the server; the host took that for a list of the new era, and ended what it held. In the logs the host learnt the era 14 ms before it read the list, in which a confirmation can have come; confirmations leave no line, so that this is the one way that the code has, not one that was seen.

Change: a list that another host read in an earlier era is not applied.

Test, failed before: TestListingsOfAnEarlierEraAreNotApplied.

--- a/entry/services/lavwatch/news_test.go
+++ b/entry/services/lavwatch/news_test.go
@@ -48,7 +48,7 @@
 				CallTimeout: time.Second,
 			},
 			Source: source, Current: &Current{},
-			Directory: lavdirectory.New(lavdirectory.Settings{ReturnGrace: 2 * time.Second, OutageGap: 3 * time.Second}),
+			Directory: lavdirectory.New(lavdirectory.Settings{ReturnGrace: 2 * time.Second, OutageGap: 3 * time.Second, SilentHold: 5 * time.Second}),
 			OnOrders:  func([]lavcutover.Order, time.Time) {},
 			Rank:      func() lavnews.Rank { return rank },
 			Log:       discardLogger(),
@@ -181,3 +181,32 @@
 	is.Equal(read, 1)
 	is.Equal(len(other.Directory.All()), 3) // a part does not replace the whole list
 }
+
+// TestListingsOfAnEarlierEraAreNotApplied guards against servers that had left and take work again after the store came back from a copy,
+// because a listing that another host had read before the return was taken for one that omits them.
+func TestListingsOfAnEarlierEraAreNotApplied(t *testing.T) {
+	is := is.New(t)
+	left, sound := lavserver.Server{ID: "left", Service: "pool", Address: "left"}, lavserver.Server{ID: "sound", Service: "pool", Address: "sound"}
+	source := &fakeSource{version: 1, era: 1, servers: []lavserver.Server{left, sound}, operations: Operations{Table: table(3)}}
+	reader, other, _, now := newPair(source)
+	advance := func() { *now = now.Add(300 * time.Millisecond) }
+	reader.listServers(t.Context())
+	reader.readOperations(t.Context())
+	hear(t.Context(), reader, other)
+	source.set(func(s *fakeSource) { s.servers = []lavserver.Server{sound} })
+	advance()
+	reader.listServers(t.Context())
+	hear(t.Context(), reader, other)
+	// The reader has read the list once more when the store returns from the copy, which the other host learns by itself.
+	advance()
+	reader.listServers(t.Context())
+	source.set(func(s *fakeSource) { s.era, s.version, s.servers = 2, 0, []lavserver.Server{left, sound} })
+	other.readOperations(t.Context())
+	hear(t.Context(), reader, other)
+	advance()
+	reader.listServers(t.Context())
+	hear(t.Context(), reader, other)
+	is.Equal(other.Era(), lavrevision.Era(2))
+	is.True(other.Directory.MayTake(sound, *now))
+	is.True(!other.Directory.MayTake(left, *now))
+}
--- a/entry/services/lavwatch/watcher.go
+++ b/entry/services/lavwatch/watcher.go
@@ -220,7 +220,7 @@
 	}
 	w.observeEra(known, snapshot.Revision, source)
 	w.servers.snapshot, w.listed, w.listedAt = snapshot, servers, readAt
-	w.applyListing(servers, readAt, source)
+	w.applyListing(servers, snapshot.Revision, readAt, source)
 }
 
 // confirmServers records that the known listing was still the newest at readAt.
@@ -237,10 +237,15 @@
 		server.ColdFor = max(server.ColdFor-readAt.Sub(w.listedAt), 0)
 		servers[i] = server
 	}
-	w.applyListing(servers, readAt, source)
+	w.applyListing(servers, edition.Revision, readAt, source)
 }
 
-func (w *Watcher) applyListing(servers []lavserver.Server, readAt time.Time, source lavid.HostID) {
+// applyListing applies a whole list of servers, unless another host read it before the store came back from a copy: it says nothing about
+// what the store holds now.
+func (w *Watcher) applyListing(servers []lavserver.Server, read lavrevision.Revision, readAt time.Time, source lavid.HostID) {
+	if source != "" && read.Era < w.Era() {
+		return
+	}
 	w.logChanges(w.Directory.ApplyListing(servers, readAt), readAt, source)
 }
 
