A started host takes over held rows also from reads older than its own

What callers could see: a withdrawn key accepted again, or work in an evacuated data centre, at a host that started after the store had come back from a copy.

Cause of the first: such a host reads the copy itself, and ignored what others held as long as their read of the store was older than its own, which lasts up to a poll for each of them. Change: until it has heard a peer, a host fetches the operators' rows also from an older read, and takes over what that peer holds (rows of an earlier era, a higher configuration number), nothing else of it (Keeper.Adopt).

--- a/core/services/lavrestore/keeper.go
+++ b/core/services/lavrestore/keeper.go
@@ -58,6 +58,26 @@
 	return slices.Clone(k.rows)
 }
 
+// Adopt takes over what another host holds, from a read that is not later than this host's, and returns the rows in force and whether that
+// has changed them. Everything else that the other host has read may be out of date.
+func (k *Keeper) Adopt(rows []Row, revision lavrevision.Revision, now time.Time) ([]Row, bool) {
+	changed := false
+	for _, row := range rows {
+		known := slices.IndexFunc(k.rows, func(known Row) bool { return known.Key == row.Key })
+		switch {
+		case row.Number == 0 && (row.Written.Era >= revision.Era || k.hasExpired(row, revision, now)):
+		case known < 0:
+			k.rows = append(k.rows, row)
+			changed = true
+		case row.Number > k.rows[known].Number:
+			k.rows[known] = row
+			changed = true
+		}
+	}
+	slices.SortFunc(k.rows, func(a, b Row) int { return cmp.Compare(a.Key, b.Key) })
+	return slices.Clone(k.rows), changed
+}
+
 // hasExpired reports whether a row that another host holds need not be held any more.
 func (k *Keeper) hasExpired(row Row, revision lavrevision.Revision, now time.Time) bool {
 	return row.Number == 0 && row.Written.Era < revision.Era && !k.isHolding(now)
--- a/core/services/lavrestore/keeper_test.go
+++ b/core/services/lavrestore/keeper_test.go
@@ -87,6 +87,28 @@
 	is.Equal(rows, []Row{config(9, 1, 80), evacuation(1, 90)})
 }
 
+// TestStartedHostAdoptsHeldRowsOfAnEarlierRead guards against a withdrawn key and an evacuated data centre that are in use again at a host
+// that started after the return and read the store later than those that hold them. What they hold counts, and nothing else of their read.
+func TestStartedHostAdoptsHeldRowsOfAnEarlierRead(t *testing.T) {
+	is := is.New(t)
+	var k Keeper
+	rewritten := Row{Key: "rollout/pool", Value: []byte("v4"), Written: inEra(2, 80)}
+	k.Merge([]Row{config(7, 2, 60), rewritten}, inEra(2, 90), start)
+	held := Row{Key: "rollout/pool", Value: []byte("v3"), Written: inEra(1, 95)}
+	removed := Row{Key: "evacuate/b", Value: []byte("{}"), Written: inEra(2, 60)} // taken back since the other host's read
+	rows, changed := k.Adopt([]Row{config(9, 1, 80), evacuation(1, 90), held, removed}, inEra(2, 70), start)
+	is.True(changed)
+	is.Equal(rows, []Row{config(9, 1, 80), evacuation(1, 90), rewritten})
+	_, changed = k.Adopt([]Row{config(9, 1, 80), evacuation(1, 90)}, inEra(2, 70), start)
+	is.True(!changed)
+	rows = k.Merge([]Row{config(7, 2, 60), rewritten}, inEra(2, 91), start.Add(HoldTime-1)) // read from the store
+	is.Equal(rows, []Row{config(9, 1, 80), evacuation(1, 90), rewritten})
+	k.Merge([]Row{config(7, 2, 60)}, inEra(2, 92), start.Add(HoldTime))
+	rows, changed = k.Adopt([]Row{evacuation(1, 90)}, inEra(2, 93), start.Add(HoldTime))
+	is.True(!changed)
+	is.Equal(keysOf(rows), []string{"config"})
+}
+
 // TestRowsAreDroppedAtOnceWithoutAReturn guards against rows that stay in force although an operator has deleted them.
 func TestRowsAreDroppedAtOnceWithoutAReturn(t *testing.T) {
 	is := is.New(t)
--- a/entry/services/lavwatch/era.go
+++ b/entry/services/lavwatch/era.go
@@ -8,7 +8,9 @@
 
 	"lavenderswitch/core/models/lavid"
 	"lavenderswitch/core/models/lavrevision"
+	"lavenderswitch/core/modules/lavlog"
 	"lavenderswitch/core/services/lavnews"
+	"lavenderswitch/core/services/lavrestore"
 )
 
 // eraState holds the latest era of the store that this host has learnt of.
@@ -73,20 +75,58 @@
 	if len(held) == 0 {
 		return read, operations
 	}
-	kept, err := w.Source.EncodeOperatorRows(merged)
+	kept, operations, err := w.encodeKept(merged, read.Revision)
 	if err != nil {
 		w.Log.WithError(err).Warn("operators' rows cannot be kept in force")
 		return read, operations
 	}
-	kept.Revision = read.Revision
-	operations, err = w.Source.DecodeOperations(kept.Data)
+	w.Log.WithField("rows", held).Info("operators' rows that the store lacks stay in force")
+	return kept, operations
+}
+
+// encodeKept returns the rows in force as a snapshot of a revision, and their content.
+func (w *Watcher) encodeKept(rows []lavrestore.Row, revision lavrevision.Revision) (Snapshot, Operations, error) {
+	kept, err := w.Source.EncodeOperatorRows(rows)
 	if err != nil {
-		w.Log.WithError(err).Warn("operators' rows cannot be kept in force")
-		return read, operations
+		return Snapshot{}, Operations{}, err
+	}
+	kept.Revision = revision
+	operations, err := w.Source.DecodeOperations(kept.Data)
+	if err != nil {
+		return Snapshot{}, Operations{}, err
 	}
-	w.Log.WithField("rows", held).Info("operators' rows that the store lacks stay in force")
 	w.operations.Apply(kept.Digest)
-	return kept, operations
+	return kept, operations, nil
+}
+
+// adoptOperations takes over what another host holds of the operators' rows. Its read is not later than this host's, which knows the copy
+// only if it has started after the store's return.
+func (w *Watcher) adoptOperations(read Snapshot, source lavid.HostID) {
+	w.operations.applying.Lock()
+	defer w.operations.applying.Unlock()
+	if read.Era != w.Era() {
+		return
+	}
+	log := w.Log.WithField(lavlog.FieldPeer, source)
+	rows, err := w.Source.OperatorRows(read)
+	if err != nil {
+		log.WithError(err).Warn("operators' rows cannot be decoded; they are not used")
+		return
+	}
+	w.heardPeers()
+	now := w.Clock()
+	adopted, changed := w.keeper.Adopt(rows, read.Revision, now)
+	if !changed {
+		return
+	}
+	kept, operations, err := w.encodeKept(adopted, w.operations.snapshot.Revision)
+	if err != nil {
+		log.WithError(err).Warn("operators' rows cannot be kept in force")
+		return
+	}
+	w.operations.snapshot = kept
+	log.WithField("rows", w.keeper.Held()).Info("operators' rows that the store lacks are taken over from another host")
+	w.putInForce(operations, source, 0, now)
 }
 
 // operationsExpired reports whether operators' rows that the store lacks need not be kept in force any more.
@@ -108,6 +148,13 @@
 	return w.eras.latest > 0 && !w.eras.heardPeers && now.Sub(w.eras.firstAt) < peerWait
 }
 
+// knowsStoreOnly reports whether this host has read a store that states eras, and does not know what other hosts know.
+func (w *Watcher) knowsStoreOnly() bool {
+	w.eras.mu.Lock()
+	defer w.eras.mu.Unlock()
+	return w.eras.latest > 0 && !w.eras.heardPeers
+}
+
 // heardPeers records that this host knows what another one knows of the operators' rows.
 func (w *Watcher) heardPeers() {
 	w.eras.mu.Lock()
--- a/entry/services/lavwatch/news.go
+++ b/entry/services/lavwatch/news.go
@@ -32,6 +32,9 @@
 	}
 	switch part.Judge(*edition, now) {
 	case lavnews.Ignore:
+		if name == PartOperations && edition.Era == w.Era() && w.knowsStoreOnly() {
+			w.startFetch(part, func() { w.fetchHeld(ctx, address, from) })
+		}
 	case lavnews.Confirm:
 		readAt := now.Add(-edition.Age)
 		if name == PartServers {
@@ -40,23 +43,24 @@
 		}
 		w.confirmOperations(*edition, readAt, from)
 	case lavnews.Fetch:
-		if w.Fetcher == nil || !part.beginFetch() {
-			return
-		}
-		w.startFetch(func() {
-			defer part.endFetch()
-			w.fetch(ctx, name, address, from)
-		})
+		w.startFetch(part, func() { w.fetch(ctx, name, address, from) })
 	}
 }
 
-// startFetch runs a fetch in the background, unless the watcher has ended.
-func (w *Watcher) startFetch(fetch func()) {
+// startFetch runs a fetch of a part in the background, unless one is running or the watcher has ended.
+func (w *Watcher) startFetch(part *knownPart, fetch func()) {
+	if w.Fetcher == nil || !part.beginFetch() {
+		return
+	}
 	w.fetchMutex.Lock()
 	defer w.fetchMutex.Unlock()
-	if !w.ended {
-		w.fetches.Go(fetch)
+	if w.ended {
+		return
 	}
+	w.fetches.Go(func() {
+		defer part.endFetch()
+		fetch()
+	})
 }
 
 // beginFetch reports whether a fetch may start; there is one at a time.
@@ -91,6 +95,16 @@
 	w.applyOperations(snapshot, readAt, from)
 }
 
+// fetchHeld fetches the operators' rows from another host, whose read is not later than this host's, and takes over what it holds.
+func (w *Watcher) fetchHeld(ctx context.Context, address string, from lavid.HostID) {
+	snapshot, _, err := w.Fetcher.Fetch(ctx, address, PartOperations)
+	if err != nil {
+		w.Log.WithError(err).WithField(lavlog.FieldPeer, from).Debug("fetching a snapshot failed")
+		return
+	}
+	w.adoptOperations(snapshot, from)
+}
+
 // Snapshot returns what this host knows of a part of the store and its age, or false if it knows nothing.
 func (w *Watcher) Snapshot(name Part, now time.Time) (Snapshot, time.Duration, bool) {
 	part := &w.servers
--- a/entry/services/lavwatch/watcher.go
+++ b/entry/services/lavwatch/watcher.go
@@ -359,12 +359,17 @@
 	}
 	w.Metrics.observe(PartOperations, now.Sub(readAt), source)
 	w.Current.Confirm(readAt)
+	w.putInForce(operations, source, now.Sub(readAt), now)
+	return true
+}
+
+// putInForce applies what operators have written. The caller holds the lock of the operations.
+func (w *Watcher) putInForce(operations Operations, source lavid.HostID, age time.Duration, now time.Time) {
 	if w.Current.Update(operations.Table) {
-		w.Log.WithFields(logrus.Fields{lavlog.FieldConfig: operations.Table.Number, "read_by": source, "age_ms": now.Sub(readAt).Milliseconds()}).Info("configuration in force")
+		w.Log.WithFields(logrus.Fields{lavlog.FieldConfig: operations.Table.Number, "read_by": source, "age_ms": age.Milliseconds()}).Info("configuration in force")
 	}
 	w.setEvacuated(operations.Evacuated)
 	w.OnOrders(operations.Orders, now)
-	return true
 }
 
 // confirmOperations records that the known operators' rows were still the newest at readAt.
