Sums that two relays hand to each other age

What callers could see: an engine that takes less work than it could, as the requests of hosts that have gone count at it for longer than stated; two relays with links of 40 ms could keep a dead host's load for twice the bound.

Each step of the sum logged, in a scratch copy: the two relays of the other data centre handed the same sum to each other 14 times, and it arrived at the host 280 ms younger than it was.

Cause: a sum replaced a held one also if it held the same reports. Its age leaves out the time for which the message was on its way, so that each handing over made it younger.

Change: a sum with no later report than the held one does not replace it. The bound of the test is unchanged. Ruled out: ways of more than the four messages for which the bound has room; the path had five and more only through the same two relays.

--- a/core/services/lavreport/node_test.go
+++ b/core/services/lavreport/node_test.go
@@ -252,6 +252,28 @@
 	})
 }
 
+// TestSumsAgeBetweenRelays guards against the load of hosts that have gone and counts for too long: the two relays of a data centre tell
+// each other the sums of other ones, and took the same sum for younger each time by the time for which it was on its way.
+func TestSumsAgeBetweenRelays(t *testing.T) {
+	is := is.New(t)
+	for seed := range uint64(20) {
+		network := newSimNetwork(seed, 6, 2)
+		network.minDelay, network.maxDelay = 39*time.Millisecond, 40*time.Millisecond
+		network.run(3*time.Second, nil)
+		for i, host := range network.hosts {
+			host.down = i%2 == 0 // a whole data centre
+		}
+		network.run(totalLifetime+4*network.maxDelay+2*simStep, nil)
+		for _, by := range network.hosts {
+			for _, of := range network.hosts {
+				if !by.down && of.down {
+					is.Equal(network.seen(by, of).Requests, 0)
+				}
+			}
+		}
+	}
+}
+
 // TestSilentRelaysAreReplaced guards against hosts that stay without loads after both of their relays have gone.
 func TestSilentRelaysAreReplaced(t *testing.T) {
 	is := is.New(t)
--- a/core/services/lavreport/sum.go
+++ b/core/services/lavreport/sum.go
@@ -83,7 +83,9 @@
 }
 
 // replacedBy reports whether a sum that arrives at now replaces this one, which is kept while it is valid and the other is
-// older, or holds under half of its hosts. Another relay may know fewer hosts, and a relay that was suspended sends old ones.
+// older, holds the same reports, or holds under half of its hosts. Another relay may know fewer hosts, and a relay that was suspended
+// sends old ones. The same reports seem younger in the other sum by the time for which it was on its way, so that a sum which two relays
+// hand to each other would not age.
 func (h heldSum) replacedBy(sum Sum, lifetime time.Duration, now time.Time) bool {
 	if !now.Before(h.validUntil(lifetime)) {
 		return true
@@ -95,17 +97,17 @@
 	for _, entry := range h.Entries {
 		held[entry.Host] = entry.Sequence
 	}
-	newer := 0
+	newer, older := 0, 0
 	for _, entry := range sum.Entries {
 		sequence, found := held[entry.Host]
 		switch {
 		case !found || entry.Sequence.after(sequence):
 			newer++
 		case sequence.after(entry.Sequence):
-			newer--
+			older++
 		}
 	}
-	return newer >= 0
+	return newer > 0 && newer >= older
 }
 
 // cutoverCounts holds the counts of other hosts about cutovers. Counts only grow during a cutover, so that the largest sum
