A stream of comments goes on elsewhere like one of unfinished events

What callers could see: a stream that makes no progress until its deadline, while its server sends a comment or an empty line now and then.

Cause: a comment ends what was begun, so that the watchdog of the stream began anew with each of them. Only 64 in a row without data ended it; at one a second that is a minute. Unfinished events were watched already.

Change: the time runs from the first bytes after an event with data that do not complete another one. As before, a stream goes on elsewhere only if it may be resumed and another server may take it, and whole events at any pace keep it (TestSlowButSoundStreamIsNotCut).

TestTricklingStreamGoesOnElsewhere keeps its checks.

--- a/entry/services/lavforward/delivery.go
+++ b/entry/services/lavforward/delivery.go
@@ -29,8 +29,9 @@
 	firstEventAt time.Time
 	laterEvents  int
 	reported     bool
-	// withoutData counts the events without data since the last one with data, and emptyLines holds those of them that are just
-	// an empty line. They are delivered with the next event or at the end, as a damaged stream may consist of them.
+	// withData counts the events with data, and withoutData those without since the last one with data. emptyLines holds those of the
+	// latter that are just an empty line. They are delivered with the next event or at the end, as a damaged stream may consist of them.
+	withData    int
 	withoutData int
 	emptyLines  []byte
 }
@@ -166,7 +167,7 @@
 		count, err := ahead.Read(buffer)
 		if count > 0 {
 			s.recordAlive()
-			delivered := s.deliveredEvents
+			withDataBefore := s.stream.withData
 			caughtUp := ahead.watch()
 			deliverErr := s.deliverEvents(reply, buffer[:count])
 			caughtUp()
@@ -177,7 +178,7 @@
 				return stepDone, Result{Broken: true}
 			}
 			s.recordProgress(headAt, s.Clock())
-			if s.endsEvent(delivered) && s.mayResume() {
+			if s.endsEvent(withDataBefore) && s.mayResume() {
 				s.watchdog.reset(s.pauseTimeout())
 			}
 		}
@@ -193,13 +194,12 @@
 	}
 }
 
-// endsEvent notes since when the server has sent a part of an event without its end, and reports whether what was read last ends one.
-// Deliveries counts the events delivered before.
-func (s *send) endsEvent(deliveries int) bool {
-	partial := s.stream.splitter.Partial()
-	ends := !partial || s.deliveredEvents > deliveries
+// endsEvent notes since when the server has sent something other than whole events with data, such as a part of an event or comments, and
+// reports whether what was read last ends one with data. The argument is the number of those that were read before.
+func (s *send) endsEvent(withDataBefore int) bool {
+	ends := s.stream.withData > withDataBefore
 	switch {
-	case !partial:
+	case ends && !s.stream.splitter.Partial():
 		s.flight.partialSince.Store(0)
 	case ends || s.flight.partialSince.Load() == 0:
 		s.flight.partialSince.Store(s.Clock().UnixNano())
@@ -246,6 +246,7 @@
 	}
 	s.withoutData++
 	if event.HasData {
+		s.withData++
 		s.withoutData = 0
 	}
 	if s.withoutData > maxEventsWithoutData {
--- a/entry/services/lavforward/quarantine.go
+++ b/entry/services/lavforward/quarantine.go
@@ -40,8 +40,8 @@
 	// settled states that it is known what became of the request: it was not run, its server ended, or survived it.
 	settled  bool
 	survived bool
-	// partialSince is the time in nanoseconds since which the server has sent a part of an event without its end; zero if there is
-	// none. ahead reads the stream; it is nil before the head of a stream.
+	// partialSince is the time in nanoseconds since which the server has sent a part of an event without its end, or comments without an
+	// event; zero if there is none. ahead reads the stream; it is nil before the head of a stream.
 	partialSince atomic.Int64
 	ahead        atomic.Pointer[readAhead]
 }
--- a/entry/services/lavforward/read_ahead_test.go
+++ b/entry/services/lavforward/read_ahead_test.go
@@ -141,10 +141,11 @@
 	}
 }
 
-// tricklingReader sends a byte of an event now and then, and never its end.
+// tricklingReader sends the same bytes now and then.
 type tricklingReader struct {
-	first  io.Reader
-	closed <-chan struct{}
+	first   io.Reader
+	trickle string
+	closed  <-chan struct{}
 }
 
 func (r *tricklingReader) Read(buffer []byte) (int, error) {
@@ -154,17 +155,36 @@
 	select {
 	case <-r.closed:
 		return 0, errors.New("connection closed")
-	case <-time.After(10 * time.Millisecond):
-		return copy(buffer, "x"), nil
+	case <-time.After(40 * time.Millisecond):
+		return copy(buffer, r.trickle), nil
 	}
 }
 
 // TestTricklingStreamGoesOnElsewhere guards against a stream that never ends as its server sends a byte of an event now and then.
 func TestTricklingStreamGoesOnElsewhere(t *testing.T) {
+	is := is.New(t)
+	answer := serveTrickle(t, "id: 1\ndata: 1\n\nid: 2\ndata: ", "x")
+	is.Equal(answer.body.String(), "id: 1\ndata: 1\n\nid: 2\ndata: 2\n\n")
+}
+
+// TestStreamOfCommentsGoesOnElsewhere guards against a stream that makes no progress until its deadline, as its server goes on sending
+// comments or empty lines.
+func TestStreamOfCommentsGoesOnElsewhere(t *testing.T) {
+	is := is.New(t)
+	for _, trickle := range []string{": alive\n\n", ":\n", "\n"} {
+		answer := serveTrickle(t, "id: 1\ndata: 1\n\n", trickle)
+		is.True(strings.HasPrefix(answer.body.String(), "id: 1\ndata: 1\n\n"))
+		is.True(strings.HasSuffix(answer.body.String(), "id: 2\ndata: 2\n\n"))
+	}
+}
+
+// serveTrickle serves a stream that begins with first and goes on with trickle for ever, until another server may go on with it after
+// the first event.
+func serveTrickle(t *testing.T, first, trickle string) *recordedAnswer {
+	t.Helper()
 	is := is.New(t)
 	ended := make(chan struct{})
-	first := "id: 1\ndata: 1\n\nid: 2\ndata: "
-	f := newFixture(2, replyWithReader(&tricklingReader{first: strings.NewReader(first), closed: ended}), replyWith(http.StatusOK, "id: 2\ndata: 2\n\n"))
+	f := newFixture(2, replyWithReader(&tricklingReader{first: strings.NewReader(first), trickle: trickle, closed: ended}), replyWith(http.StatusOK, "id: 2\ndata: 2\n\n"))
 	f.beforeSend = func(ctx context.Context, _ Dispatch) {
 		if len(f.sends) == 0 {
 			context.AfterFunc(ctx, func() { close(ended) })
@@ -174,8 +194,8 @@
 	request.Route.PauseTarget = 50 * time.Millisecond
 	answer, result := f.serve(request)
 	is.Equal(result, Result{})
-	is.Equal(answer.body.String(), "id: 1\ndata: 1\n\nid: 2\ndata: 2\n\n")
 	is.True(time.Since(request.Arrived) < 2*time.Second) // not the deadline
+	return answer
 }
 
 // slowReader returns one whole event at a time, with a pause before each.
