Hosts tell each other which beginnings of prompts engines have read

What callers saw: first events late by prompts that engines read again.

Change: lavholding replaces the prompt cache of each host. A host tells which engine has begun to answer a prompt with which shared beginning, in the messages that it sends anyway (18 bytes an entry, 96 at most, twice within 0.7 s; relays pass on, nothing is told again within 30 s). A choice looks at all engines that are known to hold a part, beside the sample. Earlier builds ignore the field. It takes effect only for engines whose prompts have shared parts.

Failure: TestHostsLearnWhatEnginesHaveRead (a tenth of the messages lost), TestReadsAreNotToldForEver, TestTableAndReportsAreBounded.

--- a/core/services/lavreport/message.go
+++ b/core/services/lavreport/message.go
@@ -9,6 +9,7 @@
 	"lavenderswitch/core/modules/lavring"
 	"lavenderswitch/core/services/lavcutover"
 	"lavenderswitch/core/services/lavforecast"
+	"lavenderswitch/core/services/lavholding"
 	"lavenderswitch/core/services/lavload"
 	"lavenderswitch/core/services/lavnews"
 	"lavenderswitch/core/services/lavnotice"
@@ -72,6 +73,8 @@
 	Notices []lavnotice.Report
 	// PromptParts holds which requests and parts of prompts backend servers ended with, in every message with loads.
 	PromptParts lavquarantine.Findings
+	// Holdings holds which beginnings of prompts backend servers have read, in every message with loads.
+	Holdings []lavholding.Report
 	// ForwardTo are addresses to which the receiver forwards the message, without this list.
 	ForwardTo []string
 }
--- a/core/services/lavreport/network_test.go
+++ b/core/services/lavreport/network_test.go
@@ -10,6 +10,7 @@
 	"lavenderswitch/core/modules/lavring"
 	"lavenderswitch/core/services/lavcutover"
 	"lavenderswitch/core/services/lavforecast"
+	"lavenderswitch/core/services/lavholding"
 	"lavenderswitch/core/services/lavload"
 )
 
@@ -39,6 +40,7 @@
 	node     *Node
 	peers    *Peers
 	loads    *lavload.Table
+	holdings *lavholding.Table
 	job      *lavload.Job
 	server   lavid.BackendServerID
 	nextTick time.Time
@@ -95,6 +97,8 @@
 func (s *simNetwork) start(host *simHost, member lavring.Member) {
 	host.peers, host.loads = NewPeers(member), lavload.New()
 	host.node = NewNode(host.peers, host.loads, lavforecast.New(), lavcutover.New(lavcutover.Settings{}), nil, nil, s.now)
+	host.holdings = lavholding.New()
+	host.node.ShareHoldings(host.holdings)
 	host.job = host.loads.Start(host.server, lavload.Load{Memory: lavid.Tokens(s.now.UnixMilli())})
 	host.nextTick = s.now.Add(time.Duration(s.random.Int64N(int64(TickInterval))))
 	host.down = false
--- a/core/services/lavreport/node.go
+++ b/core/services/lavreport/node.go
@@ -8,6 +8,7 @@
 	"lavenderswitch/core/modules/lavring"
 	"lavenderswitch/core/services/lavcutover"
 	"lavenderswitch/core/services/lavforecast"
+	"lavenderswitch/core/services/lavholding"
 	"lavenderswitch/core/services/lavload"
 	"lavenderswitch/core/services/lavnews"
 	"lavenderswitch/core/services/lavnotice"
@@ -88,6 +89,13 @@
 	Apply(findings lavquarantine.Findings, now time.Time)
 }
 
+// Holdings holds which beginnings of prompts backend servers have read. Reports returns what this host has learnt from its own sends, and
+// with passOn also what others have told it.
+type Holdings interface {
+	Reports(passOn bool, now time.Time) []lavholding.Report
+	Apply(reports []lavholding.Report, now time.Time)
+}
+
 // NewsSource returns what this host knows of the store.
 type NewsSource func(now time.Time) *lavnews.News
 
@@ -104,6 +112,7 @@
 	news     NewsSource
 	notices  Notices
 	parts    Quarantine
+	holdings Holdings
 
 	mu       sync.Mutex
 	sequence Sequence
@@ -167,6 +176,10 @@
 // Tick.
 func (n *Node) ShareQuarantine(parts Quarantine) { n.parts = parts }
 
+// ShareHoldings makes the node tell other hosts of what backend servers have read and apply theirs. It is to be called before the first
+// Tick.
+func (n *Node) ShareHoldings(holdings Holdings) { n.holdings = holdings }
+
 // Rank returns the place of this host among the relays of its data centre, which are the readers of the store.
 func (n *Node) Rank() lavnews.Rank {
 	for rank, relay := range n.Relays() {
@@ -253,7 +266,8 @@
 	return n.news(now)
 }
 
-// addFindings adds to a message what other hosts are to be told of the notices of backend servers and of the quarantine.
+// addFindings adds to a message what other hosts are to be told of the notices of backend servers, of the quarantine and of what servers
+// have read. Only relays pass on what others have told.
 func (n *Node) addFindings(message *Message, now time.Time) {
 	if n.notices != nil {
 		message.Notices = n.notices.Reports(now)
@@ -261,9 +275,12 @@
 	if n.parts != nil {
 		message.PromptParts = n.parts.Findings(now)
 	}
+	if n.holdings != nil {
+		message.Holdings = n.holdings.Reports(message.Kind != KindReport || n.isRelay(), now)
+	}
 }
 
-// applyFindings takes over the notices and the quarantine in a message.
+// applyFindings takes over the notices, the quarantine and what servers have read in a message.
 func (n *Node) applyFindings(message *Message, now time.Time) {
 	if n.notices != nil {
 		n.notices.Apply(message.Notices, now)
@@ -271,6 +288,9 @@
 	if n.parts != nil {
 		n.parts.Apply(message.PromptParts, now)
 	}
+	if n.holdings != nil {
+		n.holdings.Apply(message.Holdings, now)
+	}
 }
 
 func (n *Node) others(members []lavring.Member) []lavring.Member {
--- a/core/services/lavreport/node_test.go
+++ b/core/services/lavreport/node_test.go
@@ -18,6 +18,7 @@
 	"lavenderswitch/core/modules/lavring"
 	"lavenderswitch/core/services/lavcutover"
 	"lavenderswitch/core/services/lavforecast"
+	"lavenderswitch/core/services/lavholding"
 	"lavenderswitch/core/services/lavload"
 	"lavenderswitch/core/services/lavnotice"
 	"lavenderswitch/core/services/lavquarantine"
@@ -274,6 +275,23 @@
 	}
 }
 
+// TestHostsLearnWhatEnginesHaveRead guards against beginnings of prompts that are read again because only the hosts of one data centre, or
+// only its relays, learn that an engine holds them; a tenth of the messages is lost.
+func TestHostsLearnWhatEnginesHaveRead(t *testing.T) {
+	is := is.New(t)
+	network := newSimNetwork(5, 30, 3)
+	network.loss = 0.1
+	network.run(3*time.Second, nil)
+	keys := lavholding.KeysOf("large", []string{"a"})
+	for i, host := range network.hosts {
+		host.holdings.Share(keys, lavserver.InstanceKey(i+1), network.now)
+	}
+	network.run(1500*time.Millisecond, nil)
+	for _, host := range network.hosts {
+		is.True(len(host.holdings.Held(keys, network.now)) >= 29)
+	}
+}
+
 // TestSilentRelaysAreReplaced guards against hosts that stay without loads after both of their relays have gone.
 func TestSilentRelaysAreReplaced(t *testing.T) {
 	is := is.New(t)
--- a/entry/services/lavbroadcast/broadcaster_test.go
+++ b/entry/services/lavbroadcast/broadcaster_test.go
@@ -18,6 +18,7 @@
 	"lavenderswitch/core/modules/lavring"
 	"lavenderswitch/core/services/lavcutover"
 	"lavenderswitch/core/services/lavforecast"
+	"lavenderswitch/core/services/lavholding"
 	"lavenderswitch/core/services/lavload"
 	"lavenderswitch/core/services/lavnews"
 	"lavenderswitch/core/services/lavnotice"
@@ -195,6 +196,7 @@
 			}},
 			Alive: []lavquarantine.Alive{{Instance: 1 << 62, Age: time.Second}},
 		},
+		Holdings: []lavholding.Report{{Key: 1 << 63, Instance: 1 << 61, Age: time.Second}, {Key: 5, Instance: 6}},
 	}
 	data, err := proto.Marshal(encode(message))
 	is.NoErr(err)
--- a/entry/services/lavbroadcast/decode.go
+++ b/entry/services/lavbroadcast/decode.go
@@ -12,6 +12,7 @@
 	"lavenderswitch/core/modules/lavring"
 	"lavenderswitch/core/services/lavcutover"
 	"lavenderswitch/core/services/lavforecast"
+	"lavenderswitch/core/services/lavholding"
 	"lavenderswitch/core/services/lavload"
 	"lavenderswitch/core/services/lavnews"
 	"lavenderswitch/core/services/lavnotice"
@@ -92,6 +93,9 @@
 	if message.PromptParts, err = decodeFindings(state); err != nil {
 		return nil, err
 	}
+	if message.Holdings, err = decodeHoldings(state.GetHeldPrompts()); err != nil {
+		return nil, err
+	}
 	for _, member := range state.GetMembers() {
 		message.Members = append(message.Members, lavring.Member{
 			ID: lavid.HostID(member.GetHostId()), DataCentre: lavid.DataCentreID(member.GetDataCentreId()), Address: member.GetAddress(),
@@ -100,6 +104,21 @@
 	return message, nil
 }
 
+// decodeHoldings returns which beginnings of prompts servers have read. It fails if the lists have unequal lengths.
+func decodeHoldings(encoded *lavwire.HeldPrompts) ([]lavholding.Report, error) {
+	keys, instances, ages := encoded.GetKeys(), encoded.GetInstances(), encoded.GetAgesMillis()
+	if len(keys) != len(instances) || len(keys) != len(ages) {
+		return nil, errors.Errorf("%d beginnings of prompts have %d backend servers and %d ages", len(keys), len(instances), len(ages))
+	}
+	var reports []lavholding.Report
+	for i, key := range keys {
+		reports = append(reports, lavholding.Report{
+			Key: lavholding.Key(key), Instance: lavserver.InstanceKey(instances[i]), Age: time.Duration(ages[i]) * time.Millisecond,
+		})
+	}
+	return reports, nil
+}
+
 // decodeFindings returns which requests and parts of prompts servers ended with. It fails if lists that belong together have
 // unequal lengths.
 func decodeFindings(state *lavwire.HostState) (lavquarantine.Findings, error) {
--- a/entry/services/lavbroadcast/encode.go
+++ b/entry/services/lavbroadcast/encode.go
@@ -12,6 +12,7 @@
 	"lavenderswitch/core/modules/lavring"
 	"lavenderswitch/core/services/lavcutover"
 	"lavenderswitch/core/services/lavforecast"
+	"lavenderswitch/core/services/lavholding"
 	"lavenderswitch/core/services/lavload"
 	"lavenderswitch/core/services/lavnews"
 	"lavenderswitch/core/services/lavquarantine"
@@ -27,7 +28,7 @@
 	lavreport.KindTotal:    lavwire.MessageKind_MESSAGE_KIND_TOTAL,
 }
 
-// marshal returns the bytes of a message. If they do not fit into a datagram, the speeds are left out, and then the backend
+// marshal returns the bytes of a message. If they do not fit into a datagram, the speeds and holdings are left out, and then the backend
 // servers with the fewest requests, which matter least to a choice.
 func marshal(message *lavreport.Message) ([]byte, error) {
 	data, err := proto.Marshal(encode(message))
@@ -35,7 +36,7 @@
 		return data, errors.Wrap(err, "encode message")
 	}
 	smaller := *message
-	smaller.Speeds = nil
+	smaller.Speeds, smaller.Holdings = nil, nil
 	smaller.Sum = withoutSpeeds(message.Sum)
 	smaller.Exchanged = nil
 	for _, sum := range message.Exchanged {
@@ -132,6 +133,7 @@
 		state.AliveInstances = append(state.AliveInstances, uint64(alive.Instance))
 		state.AliveMillis = append(state.AliveMillis, uint32(alive.Age.Milliseconds()))
 	}
+	state.HeldPrompts = encodeHoldings(message.Holdings)
 	for _, member := range message.Members {
 		state.Members = append(state.Members, encodeMember(member))
 	}
@@ -156,6 +158,19 @@
 	return encoded
 }
 
+func encodeHoldings(reports []lavholding.Report) *lavwire.HeldPrompts {
+	if len(reports) == 0 {
+		return nil
+	}
+	encoded := &lavwire.HeldPrompts{}
+	for _, report := range reports {
+		encoded.Keys = append(encoded.Keys, uint64(report.Key))
+		encoded.Instances = append(encoded.Instances, uint64(report.Instance))
+		encoded.AgesMillis = append(encoded.AgesMillis, uint32(report.Age.Milliseconds()))
+	}
+	return encoded
+}
+
 func encodeEdition(edition *lavnews.Edition) *lavwire.StoreEdition {
 	if edition == nil {
 		return nil
--- a/entry/services/lavforward/choose.go
+++ b/entry/services/lavforward/choose.go
@@ -123,11 +123,10 @@
 // by at most maxDelay.
 func (e *execution) chooseEngine(rows []*lavdirectory.Row, model lavid.ModelID, maxDelay time.Duration, now time.Time) (choice, bool) {
 	home := e.homeServer(rows, model)
-	holders := e.prompts.holdersOf(model, e.request.Prompt)
-	looked := &engineSample{execution: e, model: model, home: home, maxDelay: maxDelay, meanRate: e.health.meanFailureRate(rows), arrivals: e.memoryArrivals(now)}
+	looked := &engineSample{execution: e, model: model, held: e.heldPrompt(model, now), home: home, maxDelay: maxDelay, meanRate: e.health.meanFailureRate(rows), arrivals: e.memoryArrivals(now)}
 	others := make([]*lavdirectory.Row, 0, len(rows))
 	for _, row := range rows {
-		if row.ID == home || holders[row.Instance()] {
+		if row.ID == home || looked.held.parts[row.Instance()] > 0 {
 			looked.add(row, now)
 			continue
 		}
@@ -150,6 +149,7 @@
 type engineSample struct {
 	*execution
 	model    lavid.ModelID
+	held     heldPrompt
 	home     lavid.BackendServerID
 	maxDelay time.Duration
 	meanRate float64
@@ -179,7 +179,7 @@
 	if !s.fitsMemory(row, load.Memory, s.arrivals, now) {
 		return false
 	}
-	added := s.promptWork(row, s.model, row.ID == s.home, now)
+	added := s.promptWork(row, s.model, s.held, row.ID == s.home)
 	s.rows = append(s.rows, row)
 	s.engines = append(s.engines, lavbalance.Engine{
 		ID:                row.ID,
@@ -238,21 +238,6 @@
 	return parts[len(parts)-2].ID
 }
 
-// promptWork returns the work of reading the part of the prompt that the server has not cached, in tokens of the
-// smallest model.
-func (e *execution) promptWork(row *lavdirectory.Row, model lavid.ModelID, isHome bool, now time.Time) float64 {
-	prompt := e.request.Prompt
-	cached := float64(e.prompts.cachedTokens(row.Instance(), model, prompt, now))
-	if isHome && cached == 0 {
-		shared := lavid.Tokens(0)
-		for _, part := range prompt.Parts[:max(len(prompt.Parts)-1, 0)] {
-			shared += part.Tokens
-		}
-		cached = homeCachedShare * float64(shared)
-	}
-	return max(float64(prompt.Input)-cached, 0) * e.readFactor(model)
-}
-
 // readFactor returns how many times longer the model takes to read a prompt than the smallest model of the route.
 func (e *execution) readFactor(model lavid.ModelID) float64 {
 	for i, id := range e.request.Route.Models {
@@ -316,7 +301,9 @@
 		return nil, false
 	}
 	e.Releases.RecordSend(chosen.Server, e.sessionKey(), now)
-	e.prompts.add(chosen.Instance(), model, e.request.Prompt, now)
+	if e.request.Service.Engine != nil {
+		e.Holdings.Record(e.request.promptKeys(model), chosen.Instance(), now)
+	}
 	e.arrivals.add(e.request.Service.ID, e.memoryTokens(), now)
 	return e.Loads.Start(chosen.ID, lavload.Load{Unread: chosen.unreadTokens, Memory: e.memoryTokens()}), true
 }
--- a/entry/services/lavforward/delivery.go
+++ b/entry/services/lavforward/delivery.go
@@ -227,6 +227,7 @@
 		return
 	}
 	now := s.Clock()
+	s.Holdings.Share(s.request.promptKeys(s.model)[:s.request.sharedParts()], s.chosen.Instance(), now)
 	s.observeFirst(s.chosen, now.Sub(s.sentAt), now)
 	if s.chosen.unreadTokensBefore == 0 {
 		s.speeds.recordRead(s.model, s.chosen.unreadTokens/s.readFactor(s.model), now.Sub(s.sentAt))
--- a/entry/services/lavforward/forwarder.go
+++ b/entry/services/lavforward/forwarder.go
@@ -15,6 +15,7 @@
 	"lavenderswitch/core/services/lavcutover"
 	"lavenderswitch/core/services/lavdirectory"
 	"lavenderswitch/core/services/lavforecast"
+	"lavenderswitch/core/services/lavholding"
 	"lavenderswitch/core/services/lavload"
 	"lavenderswitch/core/services/lavquarantine"
 	"lavenderswitch/core/services/lavrate"
@@ -58,6 +59,8 @@
 	Forecasts *lavforecast.Forecaster
 	Cold      *lavcold.Limiter
 	Limits    *lavrate.Limiter
+	// Holdings tells which engines have read which beginnings of prompts.
+	Holdings *lavholding.Table
 	// Quarantine decides which requests are kept from servers.
 	Quarantine *lavquarantine.Table
 	Releases   Releases
@@ -79,7 +82,6 @@
 	settings Settings
 	health   *healthTable
 	repeats  *repeatBudget
-	prompts  *promptCache
 	speeds   *speedEstimates
 	waiting  *waitingRoom
 	seconds  *secondRuns
@@ -97,7 +99,6 @@
 		settings:     settings,
 		health:       newHealthTable(),
 		repeats:      newRepeatBudget(settings),
-		prompts:      newPromptCache(),
 		speeds:       newSpeedEstimates(),
 		waiting:      newWaitingRoom(dependencies.Metrics, dependencies.Clock),
 		seconds:      newSecondRuns(),
--- a/entry/services/lavforward/forwarder_test.go
+++ b/entry/services/lavforward/forwarder_test.go
@@ -473,18 +473,22 @@
 		return f.directory.All()[0].Instance()
 	}
 	prompt := Prompt{Parts: []Part{{ID: "shared", Tokens: 100}, {ID: "own", Tokens: 10}}, Input: 110}
+	request := &Request{Prompt: prompt}
+	held := func(instance lavserver.InstanceKey) int {
+		return f.Holdings.Held(request.promptKeys(small), clock)[instance]
+	}
 	earlier := instance(clock.Add(-time.Hour))
 	for range 10 {
 		f.health.recordFailure(earlier, clock)
 	}
-	f.prompts.add(earlier, small, prompt, clock)
+	f.Holdings.Record(request.promptKeys(small), earlier, clock)
 	usable, rate := f.health.usable(earlier, clock)
 	is.True(!usable)
 	is.True(rate > suspectFailureRate)
-	is.Equal(f.prompts.cachedTokens(earlier, small, prompt, clock), lavid.Tokens(110))
+	is.Equal(held(earlier), 2)
 	later := instance(clock)
 	usable, rate = f.health.usable(later, clock)
 	is.True(usable)
 	is.Equal(rate, 0.0)
-	is.Equal(f.prompts.cachedTokens(later, small, prompt, clock), lavid.Tokens(0))
+	is.Equal(held(later), 0)
 }
--- a/entry/services/lavforward/notice_test.go
+++ b/entry/services/lavforward/notice_test.go
@@ -23,6 +23,7 @@
 	"lavenderswitch/core/services/lavcutover"
 	"lavenderswitch/core/services/lavdirectory"
 	"lavenderswitch/core/services/lavforecast"
+	"lavenderswitch/core/services/lavholding"
 	"lavenderswitch/core/services/lavload"
 	"lavenderswitch/core/services/lavnotice"
 	"lavenderswitch/core/services/lavquarantine"
@@ -233,7 +234,7 @@
 				directory := lavdirectory.New(lavdirectory.Settings{})
 				directory.ApplyListing(listing, start)
 				forwarders[i] = New(Settings{RepeatShare: 0.7, RepeatSlack: 54, RepeatWindow: 10 * time.Second}, Dependencies{
-					Directory: directory, Loads: lavload.New(), Forecasts: lavforecast.New(), Cold: lavcold.New(members[i].ID), Limits: lavrate.New(members[i].ID), Quarantine: lavquarantine.New(), HostID: members[i].ID,
+					Directory: directory, Loads: lavload.New(), Forecasts: lavforecast.New(), Cold: lavcold.New(members[i].ID), Limits: lavrate.New(members[i].ID), Holdings: lavholding.New(), Quarantine: lavquarantine.New(), HostID: members[i].ID,
 					Releases: lavcutover.New(lavcutover.Settings{}), Hosts: hosts(members), Sender: simHost{sim, members[i].ID}, DataCentre: "centre-a",
 					Metrics: NewMetrics(prometheus.NewRegistry()), Log: log, Clock: func() time.Time { return sim.now },
 				})
