The choice of an engine weighs the probability of being late

What callers saw: late answers from engines that held their prompt and were expected just in time. An answer counted as in time up to its expectation, and as late beyond it, although times are uncertain by a half.

Change: the cost of a late answer is multiplied by its probability, from the forecast's spread, which the decision on second runs uses already.

--- a/core/services/lavbalance/least_loaded.go
+++ b/core/services/lavbalance/least_loaded.go
@@ -30,8 +30,8 @@
 	Cold bool
 	// Far reports whether the server is in another data centre.
 	Far bool
-	// Late reports whether the answer is expected after its target.
-	Late bool
+	// Late is the probability that the answer comes after its target.
+	Late lavid.Share
 }
 
 // The parts of an engine's cost, in prompt tokens whose prefill takes as long.
@@ -130,9 +130,7 @@
 	if e.Far {
 		cost += farTokens
 	}
-	if e.Late {
-		cost += lateTokens
-	}
+	cost += lateTokens * float64(e.Late)
 	return cost
 }
 
--- a/entry/services/lavforward/choose.go
+++ b/entry/services/lavforward/choose.go
@@ -194,21 +194,21 @@
 		ExcessFailureRate: s.excessFailureRate(row, s.meanRate, now),
 		Cold:              row.Cold(now),
 		Far:               row.DataCentre != s.DataCentre,
-		Late:              s.isLateAt(row, load.Unread, added, now),
+		Late:              s.lateAt(row, load.Unread, added, now),
 	})
 	return true
 }
 
-// isLateAt reports whether the first event of an answer is expected after its target, at an engine that reads the given work for the
-// request after other work.
-func (e *execution) isLateAt(row *lavdirectory.Row, before, own float64, now time.Time) bool {
+// lateAt returns the probability that the first event of an answer comes after its target, at an engine that reads the given work for
+// the request after other work.
+func (e *execution) lateAt(row *lavdirectory.Row, before, own float64, now time.Time) lavid.Share {
 	target := e.request.Route.LatencyTarget
 	if target <= 0 || e.answerBegun {
-		return false
+		return 0
 	}
 	left := e.request.Arrived.Add(target).Sub(now)
 	estimate := e.Forecasts.First(lavforecast.Query{Service: row.Service, Server: row.ID, Own: own, Before: before}, now)
-	return estimate.Expected > left
+	return 1 - lavforecast.Within(estimate.Expected, estimate.Spread, left)
 }
 
 // homeServer returns the server that all hosts prefer for the shared prefix of the prompt, by rendezvous hashing; it is
