Metric: tokens of prompts that engines were known to hold

So that an operator sees what it brings that hosts tell each other what engines have read: lavenderswitch_prompt_tokens_total, by held and unread. No decision changes.

--- a/entry/services/lavforward/choose.go
+++ b/entry/services/lavforward/choose.go
@@ -32,6 +32,8 @@
 	// pending at the server; both are in tokens of the smallest model.
 	unreadTokens       float64
 	unreadTokensBefore float64
+	// heldTokens is the part of the prompt that the engine is known to hold.
+	heldTokens lavid.Tokens
 	// candidateCount is the number of servers from which this one was chosen.
 	candidateCount int
 }
@@ -138,7 +140,8 @@
 		return choice{}, false
 	}
 	chosen := looked.engines[best]
-	return choice{Row: *looked.rows[best], model: model, unreadTokens: chosen.AddedWork, unreadTokensBefore: chosen.Unread, candidateCount: len(rows)}, true
+	row := looked.rows[best]
+	return choice{Row: *row, model: model, heldTokens: looked.held.at(row), unreadTokens: chosen.AddedWork, unreadTokensBefore: chosen.Unread, candidateCount: len(rows)}, true
 }
 
 // maxLooked bounds the engines that are looked at for one choice, beside those that may hold a part of the prompt. Of several thousand
@@ -302,6 +305,7 @@
 	}
 	e.Releases.RecordSend(chosen.Server, e.sessionKey(), now)
 	if e.request.Service.Engine != nil {
+		e.Metrics.countPrompt(chosen, e.request.Prompt.Input)
 		e.Holdings.Record(e.request.promptKeys(model), chosen.Instance(), now)
 	}
 	e.arrivals.add(e.request.Service.ID, e.memoryTokens(), now)
--- a/entry/services/lavforward/metrics.go
+++ b/entry/services/lavforward/metrics.go
@@ -58,6 +58,7 @@
 	repeats           *prometheus.CounterVec
 	escalations       *prometheus.CounterVec
 	withheldRuns      *prometheus.CounterVec
+	promptTokens      *prometheus.CounterVec
 	enginePrice       *prometheus.GaugeVec
 	slowCallers       *prometheus.CounterVec
 	heldBytes         prometheus.Gauge
@@ -101,6 +102,7 @@
 		repeats:           counter("repeats_total", "Requests to the repeat budget for a further send; the result refused means that it was used up.", labelService, labelResult),
 		escalations:       counter("escalations_total", "Answers of smaller models that were dropped in favour of a larger model.", labelService),
 		withheldRuns:      counter("withheld_second_runs_total", "Answers of smaller models that were delivered although a larger model was wanted, by reason: time, engines, budget or runs.", labelService, labelReason),
+		promptTokens:      counter("prompt_tokens_total", "Tokens of the prompts sent to engines, by whether the engine was known to hold them: held or unread.", labelService, labelResult),
 		enginePrice:       factory.NewGaugeVec(prometheus.GaugeOpts{Name: "lavenderswitch_engine_time_price", Help: "Right answers that a second run by a larger model has to bring for each second that an engine reads for it."}, []string{labelService}),
 		slowCallers:       counter("slow_callers_ended_total", "Streams that were ended as their callers read too slowly and the bytes held for all callers were used up.", labelService),
 		heldBytes:         factory.NewGauge(prometheus.GaugeOpts{Name: "lavenderswitch_held_bytes", Help: "Bytes of streams that this host holds for callers who read slowly."}),
@@ -133,6 +135,12 @@
 	m.sends.WithLabelValues(string(chosen.Service), string(chosen.ID), result).Inc()
 }
 
+func (m *Metrics) countPrompt(chosen choice, tokens lavid.Tokens) {
+	held := min(chosen.heldTokens, tokens)
+	m.promptTokens.WithLabelValues(string(chosen.Service), "held").Add(float64(held))
+	m.promptTokens.WithLabelValues(string(chosen.Service), "unread").Add(float64(tokens - held))
+}
+
 func (m *Metrics) countRepeat(service lavid.ServiceID, allowed bool) {
 	result := "refused"
 	if allowed {
