--- a/entry/services/lavforward/fixture_test.go
+++ b/entry/services/lavforward/fixture_test.go
@@ -56,12 +56,13 @@
 	log.SetOutput(io.Discard)
 	self := lavring.Member{ID: "host-a", DataCentre: "centre-a"}
 	f.Forwarder = New(Settings{HeldBytes: 1 << 20, ColdOverage: 1, RepeatShare: 0.7, RepeatSlack: 10, RepeatWindow: 10 * time.Second, BufferBytes: 16 << 20}, Dependencies{
-		Directory: f.directory,
-		Loads:     lavload.New(),
-		Forecasts: lavforecast.New(),
-		Cold:      lavcold.New(self.ID),
-		Limits:    lavrate.New(self.ID),
-		Holdings:  lavholding.New(), Quarantine: lavquarantine.New(),
+		Directory:  f.directory,
+		Loads:      lavload.New(),
+		Forecasts:  lavforecast.New(),
+		Cold:       lavcold.New(self.ID),
+		Limits:     lavrate.New(self.ID),
+		Holdings:   lavholding.New(),
+		Quarantine: lavquarantine.New(),
 		HostID:     self.ID,
 		Releases:   lavcutover.New(lavcutover.Settings{}),
 		Hosts:      hosts{self},
