Bound what a host keeps of held prompts

Found by reading the diff: a host without others never tells what it has learnt, so that the reads that wait to be told grew without end; and 8,192 beginnings with 128 engines each would take some 60 MB on hosts of 134 MB.

Change: 384 reads wait at most, and 32,768 engines of all beginnings together are kept, least recently used beginnings first. Test: TestTableAndReportsAreBounded, which failed before.

--- a/core/services/lavholding/table.go
+++ b/core/services/lavholding/table.go
@@ -17,12 +17,16 @@
 	maxKeys = 8192
 	// maxHolders bounds the engines of one beginning; the one that used it first is removed first.
 	maxHolders = 128
+	// maxEntries bounds the engines of all beginnings together.
+	maxEntries = 32768
 	// tellTime is how long after a read hosts tell each other of it: in two messages, of which one may be lost.
 	tellTime = 700 * time.Millisecond
 	// retellTime is how long after it was told a read by the same engine is told again.
 	retellTime = lifetime / 2
 	// maxReports is the number of reads in one message; the latest ones come first.
 	maxReports = 96
+	// maxRecent bounds the reads that wait to be told, as a host without others tells nobody.
+	maxRecent = 4 * maxReports
 )
 
 // Report tells other hosts that an engine has read a beginning of a prompt.
@@ -54,18 +58,22 @@
 type Table struct {
 	mu   sync.Mutex
 	held *lru.Cache[Key, map[lavserver.InstanceKey]holder]
+	// entries is the number of engines of all beginnings together.
+	entries int
 	// recent holds what is to be told, in the order in which it was learnt.
 	recent []news
 }
 
 // New returns an empty table.
 func New() *Table {
-	held, err := lru.New[Key, map[lavserver.InstanceKey]holder](maxKeys)
+	t := &Table{}
+	held, err := lru.NewWithEvict(maxKeys, func(_ Key, holders map[lavserver.InstanceKey]holder) { t.entries -= len(holders) })
 	if err != nil {
-		// lru.New fails only if the size is not positive.
+		// NewWithEvict fails only if the size is not positive.
 		panic(err)
 	}
-	return &Table{held: held}
+	t.held = held
+	return t
 }
 
 // Record records that this host has sent a prompt with the given beginnings to an engine, which reads them.
@@ -103,13 +111,20 @@
 		t.held.Add(key, holders)
 	}
 	known, found := holders[instance]
-	if !found && len(holders) >= maxHolders {
-		delete(holders, earliest(holders))
+	if !found {
+		t.entries++
+		if len(holders) >= maxHolders {
+			delete(holders, earliest(holders))
+			t.entries--
+		}
 	}
 	if readAt.After(known.readAt) {
 		known.readAt = readAt
 	}
 	holders[instance] = known
+	for t.entries > maxEntries {
+		t.held.RemoveOldest()
+	}
 	return known
 }
 
@@ -136,6 +151,9 @@
 	known.toldAt = read.learntAt
 	holders, _ := t.held.Peek(read.key)
 	holders[read.instance] = known
+	if len(t.recent) == maxRecent {
+		t.recent = t.recent[1:]
+	}
 	t.recent = append(t.recent, read)
 }
 
--- a/core/services/lavholding/table_test.go
+++ b/core/services/lavholding/table_test.go
@@ -89,6 +89,25 @@
 	reports := table.Reports(false, now)
 	is.Equal(len(reports), maxReports)
 	is.Equal(reports[0].Instance, lavserver.InstanceKey(maxHolders+4)) // the latest first
+	for i := range maxEntries {
+		table.Share([]Key{Key(i / 100)}, lavserver.InstanceKey(i%100), now)
+	}
+	is.True(table.entries <= maxEntries)
+	is.Equal(table.entries, countEntries(table))
+	is.Equal(len(table.recent), maxRecent) // of a host that tells nobody
+	for i := range 2 * maxKeys {
+		table.Record([]Key{Key(i)}, engine, now)
+	}
+	is.Equal(table.entries, countEntries(table))
+	table.Record(key, engine, now)
 	table.Apply([]Report{{Key: key[0], Instance: 1 << 40, Age: time.Hour}}, now)
 	is.Equal(table.Held(key, now)[1<<40], 0) // it has yielded long ago
 }
+
+func countEntries(table *Table) int {
+	count := 0
+	for _, holders := range table.held.Values() {
+		count += len(holders)
+	}
+	return count
+}
