Of many engines that hold a short beginning few are looked at

A beginning that most prompts have is held by up to 128 known engines, and a choice looked at all of them.

Change: where more than 64 engines hold a part, those that hold more than the others are looked at beside the sample.

--- a/entry/services/lavforward/choose.go
+++ b/entry/services/lavforward/choose.go
@@ -127,8 +127,9 @@
 	home := e.homeServer(rows, model)
 	looked := &engineSample{execution: e, model: model, held: e.heldPrompt(model, now), home: home, maxDelay: maxDelay, meanRate: e.health.meanFailureRate(rows), arrivals: e.memoryArrivals(now)}
 	others := make([]*lavdirectory.Row, 0, len(rows))
+	least := looked.held.leastParts()
 	for _, row := range rows {
-		if row.ID == home || looked.held.parts[row.Instance()] > 0 {
+		if row.ID == home || looked.held.parts[row.Instance()] >= least {
 			looked.add(row, now)
 			continue
 		}
--- a/entry/services/lavforward/held_prompt.go
+++ b/entry/services/lavforward/held_prompt.go
@@ -16,6 +16,27 @@
 	tokens []lavid.Tokens
 }
 
+// maxHoldersLooked bounds the engines that are looked at beside the sample because they hold a part of the prompt. A short beginning that
+// most prompts have is held by hundreds of engines in a large fleet.
+const maxHoldersLooked = 64
+
+// leastParts returns the number of leading parts that an engine has to hold to be looked at beside the sample: one, or more if too many
+// engines hold as few and others hold more.
+func (h heldPrompt) leastParts() int {
+	holders := make([]int, len(h.tokens))
+	for _, parts := range h.parts {
+		holders[parts]++
+	}
+	least, sum := len(h.tokens), 0
+	for parts := len(h.tokens) - 1; parts > 0; parts-- {
+		if sum > 0 && sum+holders[parts] > maxHoldersLooked {
+			break
+		}
+		least, sum = parts, sum+holders[parts]
+	}
+	return least
+}
+
 // promptKeys returns the keys of the beginnings of the prompt, as a model reads them.
 func (r *Request) promptKeys(model lavid.ModelID) []lavholding.Key {
 	ids := make([]string, 0, len(r.Prompt.Parts))
