Review case 2: a release that was rolled back takes requests again

Cause: an order for the next release replaces the row of the stopped one, and the hosts then take every other release for an old one that may serve, also the one that they have rolled back.

Change: a script orders a bad release, waits until the system reports it as rolled back, and orders a good one half a second later, while the replicas of the bad one have not drained yet.

--- a/review/standin/harness.go
+++ b/review/standin/harness.go
@@ -364,8 +364,8 @@
 	return value
 }
 
-// run runs a case and exits with 1 if the rule was broken, 0 if it held, and 2 if the case could not run.
-func run(record string, play func(*world) (broken int)) {
+// runCase runs a case and exits with 1 if the rule was broken, 0 if it held, and 2 if the case could not run.
+func runCase(record string, play func(*world) (broken int)) {
 	code := 2
 	func() {
 		var w *world
@@ -395,10 +395,13 @@
 }
 
 func main() {
-	cases := map[string]func(*world) int{"stop-with-waiting-streams": stopWithWaitingStreams}
+	cases := map[string]func(*world) int{
+		"stop-with-waiting-streams": stopWithWaitingStreams,
+		"release-after-roll-back":   releaseAfterRollBack,
+	}
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: standin CASE RECORD")
 		os.Exit(2)
 	}
-	run(os.Args[2], cases[os.Args[1]])
+	runCase(os.Args[2], cases[os.Args[1]])
 }
