--- a/review/standin/harness.go
+++ b/review/standin/harness.go
@@ -396,6 +396,7 @@
 
 func main() {
 	cases := map[string]func(*world) int{
+		"other-model":               otherModel,
 		"restarts-during-release":   restartsDuringRelease,
 		"added-stream-route":        addedStreamRoute,
 		"stop-with-waiting-streams": stopWithWaitingStreams,
