Answer waiting requests before a host exits

Cause: streams that wait for an engine were ended only by an engine or their own deadline, and the drain limited only requests that arrived 2.5 s after the stop or later. The process exited with them in the queue. Streams queued at an engine without an answer ended in the same way. Ruled out: an exit before the end of the grace (7.6 of 8 s, as planned).

Change: lavdrain.Plan decides for all requests of a stopping host.

--- a/entry/services/lavforward/forwarder.go
+++ b/entry/services/lavforward/forwarder.go
@@ -89,6 +89,7 @@
 	flights  *flights
 	buffers  *bufferBudget
 	held     *lavbuffer.Budget
+	drain    *drain
 	random   func() float64
 }
 
@@ -106,6 +107,7 @@
 		flights:      newFlights(),
 		buffers:      &bufferBudget{limit: settings.BufferBytes},
 		held:         lavbuffer.New(settings.HeldBytes, min(settings.HeldBytes, maxHeldBytes)),
+		drain:        newDrain(),
 		random:       rand.Float64,
 	}
 }
@@ -116,9 +118,11 @@
 // Serve forwards the request, writes the answer and returns how the request ended; it stops when ctx ends.
 func (f *Forwarder) Serve(ctx context.Context, request *Request, answer AnswerWriter) Result {
 	f.repeats.countRequest(request.Service.ID, f.Clock())
-	e := &execution{Forwarder: f, request: request, answer: answer, keys: request.keys(), excluded: make(map[lavid.BackendServerID]bool)}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
+	watched := f.drain.watch(answer, cancel)
+	defer watched.forget()
+	e := &execution{Forwarder: f, request: request, answer: watched, keys: request.keys(), excluded: make(map[lavid.BackendServerID]bool)}
 	f.Metrics.inProgress.Inc()
 	defer f.Metrics.inProgress.Dec()
 	defer e.releaseBuffer()
--- a/entry/services/lavforward/waiting.go
+++ b/entry/services/lavforward/waiting.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"lavenderswitch/core/models/lavid"
+	"lavenderswitch/core/models/lavroute"
+	"lavenderswitch/core/services/lavdrain"
 	"lavenderswitch/core/services/lavload"
 	"lavenderswitch/core/services/lavwaiting"
 )
@@ -27,6 +29,8 @@
 	services map[lavid.ServiceID]*waitingService
 	// timer is set while it will look at the waiting requests again.
 	timer bool
+	// plan is set once the host stops.
+	plan *lavdrain.Plan
 }
 
 // waitingService holds the requests that wait for one service.
@@ -46,6 +50,9 @@
 	job    *lavload.Job
 	// quarantined is set if the request has been found to end servers meanwhile.
 	quarantined bool
+	// drained is set if the wait ends earlier because the host stops. The callers need not take turns then, as they return to
+	// other hosts.
+	drained bool
 	// refused is the reason for which the request is refused; empty if it is not. retryAfter is when its turn would come.
 	refused    string
 	retryAfter time.Duration
@@ -93,6 +100,7 @@
 		return entry
 	}
 	service.waiters[entry.item] = entry
+	w.limit(entry)
 	w.advance(e.request.Service.ID, service, now)
 	w.startTimer()
 	return entry
@@ -114,6 +122,29 @@
 	}
 }
 
+// drain ends the waits by the plan of a stopping host, those that would last too long at once.
+func (w *waitingRoom) drain(plan lavdrain.Plan, now time.Time) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.plan = &plan
+	for id, service := range w.services {
+		for _, entry := range service.waiters {
+			w.limit(entry)
+		}
+		w.advance(id, service, now)
+	}
+}
+
+// limit applies the plan of a stopping host to a waiting request; the caller holds the mutex.
+func (w *waitingRoom) limit(entry *waiter) {
+	if w.plan == nil {
+		return
+	}
+	until := w.plan.WaitUntil(entry.execution.request.Route.Kind == lavroute.Streaming, entry.item.Deadline)
+	entry.drained = until.Before(entry.item.Deadline)
+	entry.item.Deadline = until
+}
+
 // leave removes a request whose caller has left. If it was sent on at the same time, its job is ended.
 func (w *waitingRoom) leave(entry *waiter) {
 	w.mu.Lock()
@@ -166,6 +197,9 @@
 		turn := service.queue.ReturnAfter(item, now)
 		w.finish(service, item, func(entry *waiter) {
 			entry.refused, entry.retryAfter = "its turn would come after the deadline", turn
+			if entry.drained {
+				entry.refused, entry.retryAfter = "host is stopping", 0
+			}
 		})
 	}
 	w.refuseQuarantined(service, now)
