Keep servers in use after a request for an unknown model

Cause: any 421 was taken for the answer of another server at the address, which displaced the instance for its life, and the request went on to the next server.

A 421 to a model that neither route nor service states is the answer to the caller and displaces nothing; Instance-Id decides where the answer has one. A displaced server that is still listed after its entry would have expired takes work again.

--- a/core/models/lavroute/route.go
+++ b/core/models/lavroute/route.go
@@ -74,6 +74,11 @@
 	return r.Kind == Idempotent || r.Kind == Streaming && r.Resumable
 }
 
+// HasModel reports whether requests of the route may ask for a model. A route without a list leaves that to the backend servers.
+func (r *Route) HasModel(model lavid.ModelID) bool {
+	return len(r.Models) == 0 || slices.Contains(r.Models, model)
+}
+
 // Service is a group of backend servers that serve the same requests.
 type Service struct {
 	ID             lavid.ServiceID
@@ -97,6 +102,15 @@
 	Costs map[lavid.ModelID]float64
 }
 
+// HasModel reports whether the engines of the service run a model.
+func (s *Service) HasModel(model lavid.ModelID) bool {
+	if s.Engine == nil {
+		return false
+	}
+	_, found := s.Engine.Costs[model]
+	return found
+}
+
 // Account is a client account.
 type Account struct {
 	ID lavid.AccountID
--- a/core/services/lavdirectory/directory.go
+++ b/core/services/lavdirectory/directory.go
@@ -20,7 +20,8 @@
 	// OutageGap is the time without a listing after which entries may have expired, even if no read failed.
 	OutageGap time.Duration
 	// SilentHold is how long after the store came back from a copy servers take no work that had been removed without notice and that the
-	// copy lists. By then, the entries of those that have ended expire.
+	// copy lists. By then, the entries of those that have ended expire. A server at whose address another one answered takes no work for
+	// as long either.
 	SilentHold time.Duration
 }
 
@@ -46,6 +47,8 @@
 	Limit lavnotice.Limit
 	// instance is the key of the instance, which is computed once for each listing.
 	instance lavserver.InstanceKey
+	// displacedAt is when another server answered at the address; zero if a listing shows a later server there.
+	displacedAt time.Time
 	// unordered states that FirstSeen says nothing about servers that were seen before.
 	unordered bool
 }
@@ -277,7 +280,10 @@
 	old, exists := d.rows[server.ID]
 	row := Row{Server: server, Listed: true, LastListed: now, FirstSeen: now, instance: server.Instance(), unordered: !d.ordered}
 	if exists && old.SameInstance(server) {
-		row.FirstSeen, row.Displaced, row.unordered = old.FirstSeen, old.Displaced, old.unordered
+		row.FirstSeen, row.unordered = old.FirstSeen, old.unordered
+		if old.Displaced && !d.mayHaveRenewed(old, now) {
+			row.Displaced, row.displacedAt = true, old.displacedAt
+		}
 	}
 	if server.ColdFor > 0 {
 		row.ColdUntil = now.Add(server.ColdFor)
@@ -296,6 +302,20 @@
 	}
 }
 
+// mayHaveRenewed reports whether a displaced server is still listed although its entry would have expired if it had ended: it
+// runs, so that the answer which displaced it says nothing about its address any more.
+func (d *Directory) mayHaveRenewed(row Row, now time.Time) bool {
+	if row.displacedAt.IsZero() {
+		return false
+	}
+	since := row.displacedAt
+	if d.storeReturned.After(since) {
+		// Entries do not expire while the store is away.
+		since = d.storeReturned
+	}
+	return now.Sub(since) > d.settings.SilentHold
+}
+
 // SetEvacuated replaces the set of data centres that take no new work and reports whether the set changed.
 func (d *Directory) SetEvacuated(dataCentres []lavid.DataCentreID) bool {
 	evacuated := make(map[lavid.DataCentreID]bool, len(dataCentres))
@@ -426,14 +446,14 @@
 	return d.notices.RecordLimit(server.Instance(), limit, now)
 }
 
-// Displace records that another server answered at a server's address; this instance of the server takes no more
-// work. It does nothing when the directory holds another instance.
-func (d *Directory) Displace(server lavserver.Server) {
+// Displace records that another server answered at a server's address; this instance of the server takes no more work, unless
+// it is still listed after SilentHold. It does nothing when the directory holds another instance.
+func (d *Directory) Displace(server lavserver.Server, now time.Time) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	row, exists := d.rows[server.ID]
 	if exists && row.SameInstance(server) {
-		row.Displaced = true
+		row.Displaced, row.displacedAt = true, now
 		d.rows[server.ID] = row
 		d.changes++
 	}
--- a/core/services/lavdirectory/directory_test.go
+++ b/core/services/lavdirectory/directory_test.go
@@ -131,7 +131,7 @@
 	is := is.New(t)
 	d := directory()
 	d.ApplyListing([]lavserver.Server{server("a")}, start)
-	d.Displace(server("a"))
+	d.Displace(server("a"), start)
 	is.Equal(usable(d, start), "")
 	d.ApplyListing([]lavserver.Server{server("a")}, start.Add(time.Second)) // its old entry has not expired yet
 	is.Equal(usable(d, start), "")
@@ -141,6 +141,33 @@
 	is.Equal(usable(d, start), "a")
 }
 
+// TestDisplacedServerThatIsStillListedTakesWorkAgain guards against a server that takes no work for as long as it lives, because an
+// answer was taken for one of another server at its address. The entry of a server that has ended expires meanwhile.
+func TestDisplacedServerThatIsStillListedTakesWorkAgain(t *testing.T) {
+	is := is.New(t)
+	hold := 5 * time.Second
+	d := New(Settings{ReturnGrace: 2 * time.Second, OutageGap: 3 * time.Second, SilentHold: hold})
+	list := func(after time.Duration) string {
+		d.ApplyListing([]lavserver.Server{server("a")}, start.Add(after))
+		return usable(d, start.Add(after))
+	}
+	list(0)
+	d.Displace(server("a"), start)
+	is.Equal(list(time.Second), "")
+	is.Equal(list(3*time.Second), "")
+	is.Equal(list(5*time.Second), "")
+	is.Equal(list(5500*time.Millisecond), "a")
+	displaced := 6 * time.Second
+	d.Displace(server("a"), start.Add(displaced))
+	is.Equal(list(displaced), "")
+	d.ListingFailed()
+	returned := displaced + 2*time.Second
+	is.Equal(list(returned), "") // entries did not expire while the store was away
+	is.Equal(list(returned+3*time.Second), "")
+	is.Equal(list(returned+hold), "")
+	is.Equal(list(returned+hold+time.Second), "a")
+}
+
 // TestServerListedAfterOutageIsRemovedOnceUnlisted guards against a grace period for a server whose entry was listed after
 // the outage and therefore did not expire during it.
 func TestServerListedAfterOutageIsRemovedOnceUnlisted(t *testing.T) {
@@ -369,7 +396,7 @@
 		},
 		func(d *Directory) { d.ApplyListing(nil, now) },
 		func(d *Directory) { d.SetEvacuated([]lavid.DataCentreID{"centre"}) },
-		func(d *Directory) { d.Displace(server) },
+		func(d *Directory) { d.Displace(server, start) },
 		func(d *Directory) { d.Leave(server, now) },
 		func(d *Directory) { d.Pause(server, time.Second, now) },
 		func(d *Directory) {
--- a/entry/services/lavforward/request.go
+++ b/entry/services/lavforward/request.go
@@ -64,6 +64,15 @@
 	return r.Route.Urgency
 }
 
+// hasModel reports whether every server of the service should have the model that the caller names, or whether it names none.
+// Plain services have no models.
+func (r *Request) hasModel() bool {
+	if r.Service.Engine == nil || r.Model == "" {
+		return true
+	}
+	return len(r.Route.Models) > 0 && r.Route.HasModel(r.Model) || r.Service.HasModel(r.Model)
+}
+
 // AccountID returns the client account, or an empty ID on routes that need no key.
 func (r *Request) AccountID() lavid.AccountID {
 	if r.Account == nil {
@@ -109,8 +118,10 @@
 	Header http.Header
 	// NotRun states that the server has not run the request and never will.
 	NotRun bool
-	// OtherServer states that the address now belongs to a server with another ID.
+	// OtherServer states that the address seems to belong to a server with another ID now, and OtherStated that the answer names that
+	// server. A server also refuses a request for a model that it does not have as if it were meant for another one.
 	OtherServer bool
+	OtherStated bool
 	// Leaving states that the server takes no more requests, also of other hosts, than those that it has.
 	Leaving bool
 	// Pause is how long the server asks this host to send it nothing; zero if it does not.
--- a/entry/services/lavforward/send.go
+++ b/entry/services/lavforward/send.go
@@ -74,6 +74,9 @@
 	defer reply.Body.Close()
 	s.Metrics.serverFirstAnswer.WithLabelValues(string(s.chosen.Service)).Observe(s.Clock().Sub(s.sentAt).Seconds())
 	s.health.recordActivity(s.chosen.Instance(), s.Clock())
+	if !reply.OtherStated && !s.request.hasModel() {
+		reply.OtherServer = false
+	}
 	s.recordNotices(reply)
 	if !reply.OtherServer {
 		s.recordAlive()
@@ -155,11 +158,15 @@
 	s.Metrics.countSend(s.chosen, sendRefused)
 	switch {
 	case reply.OtherServer:
-		s.Directory.Displace(s.chosen.Server)
-	case reply.Pause == 0 && !reply.Leaving:
+		s.Directory.Displace(s.chosen.Server, s.Clock())
+	case reply.Pause == 0 && !reply.Leaving && reply.Status != http.StatusMisdirectedRequest:
 		s.health.recordErrorAnswer(s.chosen.Instance())
 	}
 	s.logDecision("server refused", s.chosen.ID, logrus.Fields{"status": reply.Status, "other_server": reply.OtherServer})
+	if reply.Status == http.StatusMisdirectedRequest && !reply.OtherServer && s.runs == 0 {
+		// Other servers of the service would refuse the request as well.
+		return stepDone, Result{Refusal: &Refusal{Status: reply.Status, Reason: "server does not have the model"}}
+	}
 	if s.sends >= s.request.Route.Attempts+maxRefusedSends {
 		return stepDone, s.fail("servers refused")
 	}
