Run once-only streams once on routes with a choice of models

Cause: a second run by a larger model was made wherever the attempts and the budget allowed it, without a look at whether the route may be repeated. Ruled out: a second run after a failed first one.

Change: Route.MayRunTwice decides both; a request that may run once goes to the largest model at once, as on routes with one attempt.

--- a/core/models/lavroute/route.go
+++ b/core/models/lavroute/route.go
@@ -74,6 +74,11 @@
 	return r.Kind == Idempotent || r.Kind == Streaming && r.Resumable
 }
 
+// MayRunTwice reports whether the answer of one run may be dropped in favour of that of another.
+func (r *Route) MayRunTwice() bool {
+	return r.Repeatable() && r.Attempts >= 2
+}
+
 // HasModel reports whether requests of the route may ask for a model. A route without a list leaves that to the backend servers.
 func (r *Route) HasModel(model lavid.ModelID) bool {
 	return len(r.Models) == 0 || slices.Contains(r.Models, model)
--- a/entry/services/lavforward/execution.go
+++ b/entry/services/lavforward/execution.go
@@ -134,7 +134,7 @@
 		return e.answeringModel
 	case len(models) == 0:
 		return ""
-	case e.request.Route.Attempts < 2:
+	case !e.request.Route.MayRunTwice():
 		return models[len(models)-1]
 	default:
 		return models[e.modelIndex]
--- a/entry/services/lavforward/forwarder_test.go
+++ b/entry/services/lavforward/forwarder_test.go
@@ -127,6 +127,20 @@
 	is.Equal(f.sends[1].Model, large)
 }
 
+// TestOnceOnlyStreamRunsOnceOnTheLargestModel guards against a second run of a stream that may not be resumed, in place of an answer
+// of low confidence.
+func TestOnceOnlyStreamRunsOnceOnTheLargestModel(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(2, replyWithConfidence(1, "id: 1\ndata: first\n\n"), replyWithConfidence(90, "id: 1\ndata: second\n\n"))
+	request := newCascadeRequest()
+	request.Route.Resumable = false
+	answer, result := f.serve(request)
+	is.Equal(result, Result{})
+	is.Equal(len(f.sends), 1)
+	is.Equal(f.sends[0].Model, large)
+	is.Equal(answer.body.String(), "id: 1\ndata: first\n\n")
+}
+
 func TestHighConfidenceAnswerOfSmallModelIsDelivered(t *testing.T) {
 	is := is.New(t)
 	f := newFixture(3, replyWithConfidence(90, "id: 1\ndata: small\n\n"))
--- a/entry/services/lavforward/second_run.go
+++ b/entry/services/lavforward/second_run.go
@@ -58,10 +58,11 @@
 	delete(s.first, request)
 }
 
-// largest returns the largest model of the route, or false if the route has no choice of models for this request.
+// largest returns the largest model of the route, or false if the request has no choice of models. A request that may run only
+// once has none: it goes to the largest model.
 func (e *execution) largest() (lavid.ModelID, bool) {
 	models := e.request.Route.Models
-	if e.request.Model != "" || len(models) < 2 {
+	if e.request.Model != "" || len(models) < 2 || !e.request.Route.MayRunTwice() {
 		return "", false
 	}
 	return models[len(models)-1], true
