Keep stopped releases out of use after the next order

Cause: the new order replaced the row of the stopped cutover, after which v2 counted as an older release like v1. The same held for a release whose trial the next order ended, and for releases from before a complete cutover, whose servers end without notice. Ruled out: a late stop.

Change: the row of a cutover keeps the releases of those before it with their states, in the store and in datagrams (new fields). Stopped ones take nothing, unfinished ones keep only their sessions, those before the latest complete one are fallbacks, and the first two are no measure of the next release.

--- a/core/services/lavcutover/cutovers.go
+++ b/core/services/lavcutover/cutovers.go
@@ -148,12 +148,15 @@
 			row.ordered = true
 			continue
 		}
-		c.statistics.clear(order.Service)
 		revision := lavrevision.Revision{Era: c.era}
+		progress := Progress{Service: order.Service, To: order.To, Duration: order.Duration}
 		if found {
 			revision = row.revision
+			// With such evidence, the release would not have been completed.
+			row.stopped = row.stopped || row.progress.State == Running && c.statistics.evidence(row.progress, c.settings.Test) >= c.settings.DoubtEvidence
+			progress.Past = row.past(order.To)
 		}
-		progress := Progress{Service: order.Service, To: order.To, Duration: order.Duration}
+		c.statistics.clear(order.Service)
 		c.rows[order.Service] = &cutover{
 			ordered:   true,
 			revision:  revision,
@@ -178,6 +181,11 @@
 		row = &cutover{}
 		c.rows[progress.Service] = row
 	}
+	if row.progress.To == progress.To {
+		// Hosts of earlier builds tell and write no past.
+		progress.Past = row.progress.Past.Union(progress.Past)
+		row.progress.Past = progress.Past
+	}
 	if row.mayBeCopy(progress, revision) {
 		return row.applyAfterReturn(progress, revision, now)
 	}
@@ -188,8 +196,13 @@
 	if found && row.progress.To != "" && row.progress.To != progress.To && row.ordered && row.progress.State == "" {
 		// The row is of an earlier order, which the new order replaces. Its version is needed to overwrite it.
 		row.revision = revision
+		earlier := cutover{progress: progress}
+		row.progress.Past = row.progress.Past.Union(earlier.past(row.progress.To))
 		return false
 	}
+	if row.progress.To != progress.To {
+		progress.Past = progress.Past.Union(row.past(progress.To))
+	}
 	next := cutover{progress: progress, revision: revision, writtenAt: revision, ordered: ordered, dueSince: now}
 	if row.progress.To == progress.To {
 		next.stopped, next.learnedAt, next.earlier = row.stopped, row.learnedAt, row.earlier
@@ -222,34 +235,51 @@
 	if !found || row.progress.To == "" {
 		return func(lavid.ReleaseID) Preference { return Preferred }
 	}
-	to := row.progress.To
-	isNew := func(release lavid.ReleaseID) bool { return release == to }
+	newer, older := c.preferences(row, session, now)
+	to, past := row.progress.To, row.progress.Past
+	if past == (Past{}) {
+		return func(release lavid.ReleaseID) Preference {
+			if release == to {
+				return newer
+			}
+			return older
+		}
+	}
+	current := c.releaseOf(sessionKey{service, session}, now)
+	return func(release lavid.ReleaseID) Preference {
+		if release == to {
+			return newer
+		}
+		return past.limit(release, current, older)
+	}
+}
+
+// preferences returns the preference of the new release of a cutover for a session, and that of the older ones.
+func (c *Cutovers) preferences(row *cutover, session string, now time.Time) (newer, older Preference) {
 	switch {
 	case row.stopped || row.progress.State == Stopped:
-		return preferences(isNew, Never, Preferred)
+		return Never, Preferred
 	case row.progress.State == Complete:
 		// The old servers may end without notice once the cutover is complete.
-		return preferences(isNew, Preferred, Fallback)
+		return Preferred, Fallback
 	case row.progress.State != Running || !row.ordered:
-		return preferences(isNew, Never, Preferred)
+		return Never, Preferred
+	case c.usesNewRelease(row, session, now):
+		return Preferred, Fallback
+	case row.progress.inTrial(c.storeTime(now) - row.progress.Began):
+		return Never, Preferred
+	default:
+		return Fallback, Preferred
 	}
-	if c.usesNewRelease(row, session, now) {
-		return preferences(isNew, Preferred, Fallback)
-	}
-	if row.progress.inTrial(c.storeTime(now) - row.progress.Began) {
-		return preferences(isNew, Never, Preferred)
-	}
-	return preferences(isNew, Fallback, Preferred)
 }
 
-// preferences returns a function that gives one preference to the new release and another to all older ones.
-func preferences(isNew func(lavid.ReleaseID) bool, newer, older Preference) func(lavid.ReleaseID) Preference {
-	return func(release lavid.ReleaseID) Preference {
-		if isNew(release) {
-			return newer
-		}
-		return older
+// releaseOf returns the release on which a session runs, or an empty ID if it is new.
+func (c *Cutovers) releaseOf(key sessionKey, now time.Time) lavid.ReleaseID {
+	placement, found := c.sessions.Get(key)
+	if !found || !placement.continues(c.settings.MaxSessionPause, now) {
+		return ""
 	}
+	return placement.release
 }
 
 // usesNewRelease reports whether a session goes to the new release. A session on the new release stays there; one
@@ -327,10 +357,10 @@
 	return c.statistics.startTiming(server, awaited, c.isOld(server), now)
 }
 
-// isOld reports whether a server runs a release other than the one that its service moves to.
+// isOld reports whether a server runs a release with which the one that its service moves to is compared.
 func (c *Cutovers) isOld(server lavserver.Server) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	row, found := c.rows[server.Service]
-	return !found || row.progress.To != server.Release
+	return !found || row.progress.To != server.Release && row.progress.Past.comparable(server.Release)
 }
--- a/core/services/lavcutover/progress.go
+++ b/core/services/lavcutover/progress.go
@@ -35,6 +35,8 @@
 	Began time.Duration
 	// Duration is the time within which the cutover has to complete, as ordered.
 	Duration time.Duration
+	// Past holds the releases of earlier cutovers of the service.
+	Past Past
 }
 
 const (
--- a/core/services/lavcutover/restore.go
+++ b/core/services/lavcutover/restore.go
@@ -58,6 +58,7 @@
 			r.awaitRestore(now)
 			return false
 		}
+		progress.Past = progress.Past.Union(r.past(progress.To))
 		*r = cutover{progress: progress, revision: revision, writtenAt: revision, dueSince: now, learnedAt: now}
 		return true
 	}
--- a/core/services/lavcutover/statistics.go
+++ b/core/services/lavcutover/statistics.go
@@ -235,8 +235,11 @@
 				continue
 			}
 			target := &control
-			if key.Release == progress.To {
+			switch {
+			case key.Release == progress.To:
 				target = &tested
+			case !progress.Past.comparable(key.Release):
+				continue
 			}
 			stratum := lavrollout.Stratum(key.Kind)
 			target[0][stratum] = addSamples(target[0][stratum], counts.Failures)
--- a/core/services/lavreport/sum.go
+++ b/core/services/lavreport/sum.go
@@ -134,6 +134,8 @@
 		case newest.Progress.To == status.Progress.To:
 			counts = sumCounts(counts, status.Counts)
 			earlier = earlier.Union(status.Earlier)
+			newest.Progress.Past = newest.Progress.Past.Union(status.Progress.Past)
+			status.Progress.Past = newest.Progress.Past
 		case status.Supersedes(newest):
 			counts, earlier = status.Counts, status.Earlier
 		}
--- a/entry/services/lavbroadcast/broadcaster_test.go
+++ b/entry/services/lavbroadcast/broadcaster_test.go
@@ -177,7 +177,7 @@
 		Loads:   map[lavload.ServerKey]lavload.Load{11: load},
 		Speeds:  map[lavload.ServerKey]lavforecast.Speed{11: {Sum: -1.25, Weight: 2.5}},
 		Cutovers: []lavcutover.Status{{
-			Progress: lavcutover.Progress{Service: "pool", To: "v2", State: lavcutover.Running, Began: time.Minute, Duration: 20 * time.Second}, Revision: lavrevision.Revision{Era: 2, Version: 4},
+			Progress: lavcutover.Progress{Service: "pool", To: "v2", State: lavcutover.Running, Began: time.Minute, Duration: 20 * time.Second, Past: lavcutover.Past{{Release: "v1", State: lavcutover.Complete}, {Release: "v0", State: lavcutover.Stopped}}}, Revision: lavrevision.Revision{Era: 2, Version: 4},
 			Counts:  map[lavcutover.Key]lavcutover.Counts{{Service: "pool", Release: "v2", Kind: "chat"}: counts},
 			Earlier: lavcutover.SessionSet(nil).With("session"),
 		}},
--- a/entry/services/lavbroadcast/decode.go
+++ b/entry/services/lavbroadcast/decode.go
@@ -241,6 +241,9 @@
 		Earlier:  state.GetEarlierSessions(),
 		Counts:   make(map[lavcutover.Key]lavcutover.Counts, len(state.GetCounts())),
 	}
+	for i, past := range state.GetPast()[:min(len(state.GetPast()), len(status.Progress.Past))] {
+		status.Progress.Past[i] = lavcutover.PastRelease{Release: lavid.ReleaseID(past.GetReleaseId()), State: lavcutover.State(past.GetState())}
+	}
 	for _, count := range state.GetCounts() {
 		key := lavcutover.Key{Service: status.Progress.Service, Release: lavid.ReleaseID(count.GetReleaseId()), Kind: count.GetKind()}
 		status.Counts[key] = lavcutover.Counts{
--- a/entry/services/lavbroadcast/encode.go
+++ b/entry/services/lavbroadcast/encode.go
@@ -236,6 +236,11 @@
 		RowEra:          uint64(row.Era),
 		EarlierSessions: row.Earlier,
 	}
+	for _, past := range row.Progress.Past {
+		if past.Release != "" {
+			state.Past = append(state.Past, &lavwire.PastRelease{ReleaseId: string(past.Release), State: string(past.State)})
+		}
+	}
 	for key, counts := range row.Counts {
 		state.Counts = append(state.Counts, &lavwire.ReleaseCounts{
 			ReleaseId: string(key.Release),
