Use a release that appears only as a fallback before its order

Cause: a release that no cutover concerns counted as an older one.

Change: a release that appears after the host has started is a fallback for 5 s, apart from sessions that run on it already; an order in that time decides. Without one it serves like the others. The watcher tells the cutovers of a list before it applies it.

--- a/core/services/lavcutover/cutovers.go
+++ b/core/services/lavcutover/cutovers.go
@@ -103,6 +103,8 @@
 
 	mu   sync.Mutex
 	rows map[lavid.ServiceID]*cutover
+	// appearances holds the releases that listings have shown.
+	appearances appearances
 	// clockOffset is the store's clock minus this host's clock.
 	clockOffset time.Duration
 	// rowsRead reports whether the rows in the store have been read.
@@ -119,7 +121,7 @@
 		// lru.New fails only if the size is not positive.
 		panic(err)
 	}
-	return &Cutovers{settings: settings, statistics: newStatistics(), sessions: sessions, rows: make(map[lavid.ServiceID]*cutover)}
+	return &Cutovers{settings: settings, statistics: newStatistics(), sessions: sessions, rows: make(map[lavid.ServiceID]*cutover), appearances: make(appearances)}
 }
 
 // storeTime converts a time of this host to the store's clock, in nanoseconds since the Unix epoch.
@@ -231,15 +233,16 @@
 func (c *Cutovers) Preferences(service lavid.ServiceID, session string, now time.Time) func(lavid.ReleaseID) Preference {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	row, found := c.rows[service]
-	if !found || row.progress.To == "" {
-		return func(lavid.ReleaseID) Preference { return Preferred }
+	var progress Progress
+	newer, older := Preferred, Preferred
+	if row, found := c.rows[service]; found && row.progress.To != "" {
+		progress = row.progress
+		newer, older = c.preferences(row, session, now)
 	}
-	newer, older := c.preferences(row, session, now)
-	to, past := row.progress.To, row.progress.Past
-	if past == (Past{}) {
+	awaiting := c.appearances.awaitingOrder(service, now)
+	if awaiting == nil && progress.Past == (Past{}) {
 		return func(release lavid.ReleaseID) Preference {
-			if release == to {
+			if release == progress.To {
 				return newer
 			}
 			return older
@@ -247,10 +250,14 @@
 	}
 	current := c.releaseOf(sessionKey{service, session}, now)
 	return func(release lavid.ReleaseID) Preference {
-		if release == to {
+		switch {
+		case release == progress.To:
 			return newer
+		case awaiting[release] && release != current:
+			return progress.Past.limit(release, current, min(older, Fallback))
+		default:
+			return progress.Past.limit(release, current, older)
 		}
-		return past.limit(release, current, older)
 	}
 }
 
@@ -351,7 +358,7 @@
 
 // StartTiming starts timing an answer, which is compared with others of its kind.
 //
-// For a varied kind, it also counts against a release if its times exceed the baseline too often, by however little. Where the
+// For a varied kind, it also counts against a release if its times exceed longerFactor times the baseline too often. Where the
 // expected time is known, it counts against a release if its times exceed that by more than those of the older ones.
 func (c *Cutovers) StartTiming(server lavserver.Server, awaited Awaited, now time.Time) *Timing {
 	return c.statistics.startTiming(server, awaited, c.isOld(server), now)
--- a/entry/services/lavwatch/watcher.go
+++ b/entry/services/lavwatch/watcher.go
@@ -98,6 +98,9 @@
 	Directory *lavdirectory.Directory
 	// OnEra is called with the era of the store, after each rise and before anything that was read in it is applied. It may be nil.
 	OnEra func(era lavrevision.Era, now time.Time)
+	// OnServers is called with each list of servers before it is applied. Initial states that it is the first one, or a part of it. It
+	// may be nil.
+	OnServers func(servers []lavserver.Server, initial bool, now time.Time)
 	// OnOrders is called after each change of the operators' rows, with the cutovers that operators have ordered.
 	OnOrders func(orders []lavcutover.Order, now time.Time)
 	// Rank returns the place of this host among the readers of its data centre. Fetcher may be nil if there are no others.
@@ -116,6 +119,8 @@
 	// listed holds the servers of the latest listing, which was read at listedAt.
 	listed   []lavserver.Server
 	listedAt time.Time
+	// complete states that a complete listing has been applied.
+	complete bool
 	// fetches are the running fetches; none begins once ended is set.
 	fetchMutex sync.Mutex
 	fetches    conc.WaitGroup
@@ -201,6 +206,7 @@
 	if w.servers.Edition(readAt) != nil {
 		return false
 	}
+	w.noticeServers(servers, readAt)
 	w.logChanges(w.Directory.ApplyPart(servers, readAt), readAt, "")
 	return true
 }
@@ -246,7 +252,16 @@
 	if source != "" && read.Era < w.Era() {
 		return
 	}
+	w.noticeServers(servers, readAt)
 	w.logChanges(w.Directory.ApplyListing(servers, readAt), readAt, source)
+	w.complete = true
+}
+
+// noticeServers calls OnServers with a list that is about to be applied; the caller holds the lock of the servers.
+func (w *Watcher) noticeServers(servers []lavserver.Server, readAt time.Time) {
+	if w.OnServers != nil {
+		w.OnServers(servers, !w.complete, readAt)
+	}
 }
 
 // logChanges logs what a listing has changed.
--- a/entry/services/lavwatch/watcher_test.go
+++ b/entry/services/lavwatch/watcher_test.go
@@ -308,3 +308,25 @@
 	is.True(hook.LastEntry().Message != "cutover written")
 	is.Equal(hook.LastEntry().Level, logrus.WarnLevel)
 }
+
+// TestServersAreNoticedBeforeTheyCanTakeRequests guards against requests for servers of a new release before the cutovers know that it
+// has appeared, and against a starting host that takes all releases for new ones.
+func TestServersAreNoticedBeforeTheyCanTakeRequests(t *testing.T) {
+	is := is.New(t)
+	directory := lavdirectory.New(lavdirectory.Settings{})
+	var initials []bool
+	watcher := &Watcher{
+		Directory: directory, Log: discardLogger(), Clock: time.Now,
+		OnServers: func(servers []lavserver.Server, initial bool, now time.Time) {
+			is.True(len(directory.Usable("pool", now)) < len(servers)) // not applied yet
+			initials = append(initials, initial)
+		},
+	}
+	first, second, third := lavserver.Server{ID: "a", Service: "pool"}, lavserver.Server{ID: "b", Service: "pool"}, lavserver.Server{ID: "c", Service: "pool"}
+	now := time.Now()
+	is.True(watcher.usePart([]lavserver.Server{first}, now))
+	watcher.applyListing([]lavserver.Server{first, second}, lavrevision.Revision{}, now, "")
+	watcher.applyListing([]lavserver.Server{first, second, third}, lavrevision.Revision{}, now, "")
+	is.Equal(initials, []bool{true, true, false})
+	is.Equal(len(directory.Usable("pool", now)), 3)
+}
