Stop no release for first events that are longer by a little

Cause: first events above the usual time counted against a release by however little they exceeded it. Servers on trial get few requests and so more new connections; where times hardly vary, that puts most of them above it.

Change: a time counts as longer from 1.2 times the usual one on.

Evidence: TestSmallSpeedDifferenceStopsNoRelease fails without the change.

--- a/core/services/lavcutover/cutover_test.go
+++ b/core/services/lavcutover/cutover_test.go
@@ -355,6 +355,19 @@
 	is.True(c.Statuses()[0].Evidence <= 1) // 1 means no evidence
 }
 
+// TestSmallSpeedDifferenceStopsNoRelease guards against a good release that is stopped, and whose sessions move, because its servers are
+// used less and take new connections more often.
+func TestSmallSpeedDifferenceStopsNoRelease(t *testing.T) {
+	is := is.New(t)
+	c := runningCutovers()
+	for i := range 60 {
+		varied := time.Duration(i%5) * time.Millisecond
+		c.StartTiming(serverOf("v1"), Awaited{Kind: "chat", Varied: true}, start).Answered(start.Add(20*time.Millisecond + varied))
+		c.StartTiming(serverOf("v2"), Awaited{Kind: "chat", Varied: true}, start).Answered(start.Add(21*time.Millisecond + varied))
+	}
+	is.True(c.Statuses()[0].Evidence <= 1) // 1 means no evidence
+}
+
 func TestDroppedTimingsDoNotCount(t *testing.T) {
 	is := is.New(t)
 	c := runningCutovers()
--- a/core/services/lavcutover/statistics.go
+++ b/core/services/lavcutover/statistics.go
@@ -31,7 +31,7 @@
 	Failures lavrollout.Sample
 	// Slow counts slow times as bad.
 	Slow lavrollout.Sample
-	// Longer counts times above the baseline as bad, by however little they exceed it.
+	// Longer counts times above longerFactor times the baseline as bad.
 	Longer lavrollout.Sample
 	// Delayed counts times as bad that are slow for their work and the load of their server.
 	Delayed lavrollout.Sample
@@ -93,8 +93,9 @@
 	// slowFactor is the multiple of the baseline above which a time is slow. Slow times of the old releases are counted too,
 	// for comparison.
 	slowFactor = 2.5
-	// longerFactor is the multiple of the baseline above which a time counts as longer.
-	longerFactor = 1
+	// longerFactor is the multiple of the baseline above which a time counts as longer. New connections and single servers make
+	// smaller differences, which show in all times where these hardly vary.
+	longerFactor = 1.2
 	// baselineWeight is the weight of the newest time in a baseline.
 	baselineWeight = 0.1
 	// minBaselineTimes is the number of times in a baseline before times are compared with it.
@@ -211,7 +212,7 @@
 	maps.DeleteFunc(s.others, ofService)
 }
 
-// longerSettings are the parameters of the test on times above the baseline. Half of the smallest effect size is the
+// longerSettings are the parameters of the test on longer times. Half of the smallest effect size is the
 // allowance for chance and for different speeds of single servers.
 var longerSettings = lavrollout.TestSettings{EffectSizes: []float64{0.15, 0.3}, PriorRate: 0.5}
 
--- a/core/services/lavcutover/timing.go
+++ b/core/services/lavcutover/timing.go
@@ -8,7 +8,7 @@
 	"lavenderswitch/core/services/lavrollout"
 )
 
-// Timing measures the time to one answer. A pending answer is counted as slow, or as longer than the baseline, as soon as
+// Timing measures the time to one answer. A pending answer is counted as slow, or as longer, as soon as
 // its time exceeds slowFactor or longerFactor times the baseline, even if it never arrives.
 type Timing struct {
 	Awaited
@@ -84,7 +84,7 @@
 	delete(t.statistics.pendingTimings, t)
 }
 
-// countPending counts the pending timings that are above the baseline, or slow, by now.
+// countPending counts the pending timings that are longer, or slow, by now.
 func (s *statistics) countPending(now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -135,7 +135,7 @@
 	s.own[key] = counts
 }
 
-// countLonger counts a time as above its baseline or not, once the baseline has enough times.
+// countLonger counts a time as longer or not, once the baseline has enough times.
 func (s *statistics) countLonger(key Key, baselineKey string, took time.Duration) {
 	if s.baselines[baselineKey].count < minBaselineTimes {
 		return
