Keep errors out of streams that have begun

Callers saw: the text of an error in the middle of a stream, which then ended as if it were complete (ORDER, MIXED), after one server broke off and the next one answered with a status such as 409.

Cause: every answer that was neither 200 nor 5xx was delivered as a whole answer, also behind events of another server.

Change: such an answer to a send that is to continue a stream counts as a failed send. The stream goes on elsewhere or is cut.

--- a/entry/services/lavforward/delivery.go
+++ b/entry/services/lavforward/delivery.go
@@ -55,9 +55,24 @@
 	if s.request.Route.Kind == lavroute.Streaming && reply.Status == http.StatusOK {
 		return s.deliverStream(ctx, reply)
 	}
+	if s.answerBegun {
+		return s.rejectContinuation(reply)
+	}
 	return s.deliverBuffered(ctx, reply)
 }
 
+// rejectContinuation handles an answer that does not continue the stream which the caller is receiving, such as an error. None of it may
+// reach the caller.
+func (s *send) rejectContinuation(reply *Reply) (step, Result) {
+	s.flight.settled = true
+	s.excluded[s.chosen.ID] = true
+	s.lastFailure = "server answered with " + http.StatusText(reply.Status) + " instead of the rest of the stream"
+	s.health.recordErrorAnswer(s.chosen.Instance())
+	s.Metrics.countSend(s.chosen, sendFailed)
+	s.logDecision("server does not continue the stream", s.chosen.ID, logrus.Fields{"status": reply.Status, "after": s.lastEventID})
+	return s.repeatOrFail("server does not continue the stream")
+}
+
 // handleServerError handles an answer with a 5xx status. It repeats the request where that is allowed, and otherwise
 // delivers the error answer.
 func (s *send) handleServerError(ctx context.Context, reply *Reply) (step, Result) {
--- a/entry/services/lavforward/forwarder_test.go
+++ b/entry/services/lavforward/forwarder_test.go
@@ -100,6 +100,24 @@
 	is.True(f.sends[0].Server.ID != f.sends[1].Server.ID)
 }
 
+// TestErrorInsteadOfTheRestOfAStreamIsNotDelivered guards against the text of an error in the middle of a stream, and against a stream
+// that ends as if it were complete: the next server answers with an error after the first one broke off.
+func TestErrorInsteadOfTheRestOfAStreamIsNotDelivered(t *testing.T) {
+	for _, status := range []int{http.StatusNoContent, http.StatusMovedPermanently, http.StatusBadRequest, http.StatusNotFound, http.StatusConflict, http.StatusInternalServerError, http.StatusGatewayTimeout} {
+		is := is.New(t)
+		begin, failed := breakAfter("id: 1\ndata: 1\n\n"), replyWith(status, "id: 2\ndata: error\n\n")
+		f := newFixture(3, begin, failed, replyWith(http.StatusOK, "id: 2\ndata: 2\n\n"))
+		answer, result := f.serve(newRequest(lavroute.Streaming))
+		is.Equal(result, Result{})
+		is.Equal(answer.body.String(), "id: 1\ndata: 1\n\nid: 2\ndata: 2\n\n")
+		f = newFixture(2, begin, failed)
+		answer, result = f.serve(newRequest(lavroute.Streaming))
+		is.True(result.Broken)
+		is.Equal(answer.status, http.StatusOK)
+		is.Equal(answer.body.String(), "id: 1\ndata: 1\n\n")
+	}
+}
+
 func TestBrokenStreamWithoutResumeEndsAsBroken(t *testing.T) {
 	is := is.New(t)
 	f := newFixture(3, breakAfter("id: 1\ndata: a\n\n"), replyWith(http.StatusOK, "id: 2\ndata: b\n\n"))
--- a/entry/services/lavforward/property_test.go
+++ b/entry/services/lavforward/property_test.go
@@ -97,7 +97,7 @@
 }
 
 func (s *serverScript) draw(t *rapid.T, kind lavroute.Kind) func(Dispatch) (*Reply, error) {
-	sendResult := rapid.SampledFrom([]string{"lost unsent", "lost", "lost after run", "full", "moved", "failed", "damaged", "answer"}).Draw(t, "send")
+	sendResult := rapid.SampledFrom([]string{"lost unsent", "lost", "lost after run", "full", "moved", "failed", "rejected", "damaged", "answer"}).Draw(t, "send")
 	switch sendResult {
 	case "lost unsent":
 		return s.lose(false, false)
@@ -111,6 +111,8 @@
 		return s.refuse(http.StatusMisdirectedRequest)
 	case "failed":
 		return s.answer(http.StatusInternalServerError, true)
+	case "rejected":
+		return s.answer(http.StatusConflict, true)
 	case "damaged":
 		return s.answer(http.StatusOK, false)
 	}
@@ -169,7 +171,7 @@
 		return errors.New("MIXED: a refusal after a part of an answer")
 	case result.Refusal != nil || answer.status >= http.StatusInternalServerError:
 		return nil
-	case request.Route.Kind != lavroute.Streaming:
+	case request.Route.Kind != lavroute.Streaming || answer.status == http.StatusConflict:
 		if answer.body.String() != "whole" && !result.Broken {
 			return errors.Errorf("MIXED: answer %q", answer.body.String())
 		}
