Take no refusal without a request ID from a used connection

Callers could have seen "not run" for an idempotent request that a server ran, and servers taken out of use by a second copy of a 421: a faulty server writes an earlier refusal once more on a kept connection. Other operators reported it. Requests that may run once get new connections here, so that REFUSED and TWICE held for them.

Cause: an answer without Request-Id and signature matched any request.

Change: on a connection that was used before, an answer that does not name its request fails the exchange.

--- a/core/modules/lavexchange/client.go
+++ b/core/modules/lavexchange/client.go
@@ -40,6 +40,9 @@
 	Body     []byte
 	// Matches reports whether response headers belong to this request. Nil accepts every response.
 	Matches func(http.Header) bool
+	// Names reports whether response headers name this request. On a connection that was used before, a response that names none may be a
+	// second copy of an earlier one: it fails the exchange. Nil accepts every response.
+	Names func(http.Header) bool
 	// NewConnection requires a new connection. A server may be about to close an idle one, and it would then be unknown
 	// whether the request ran. The request is sent once the server had the time to reset a connection that it does not accept.
 	NewConnection bool
--- a/core/modules/lavexchange/response.go
+++ b/core/modules/lavexchange/response.go
@@ -86,6 +86,9 @@
 			r.closeConn = true
 			continue
 		}
+		if r.conn.used && request.Names != nil && !request.Names(response.Header) {
+			return errors.New("response on a reused connection does not name its request")
+		}
 		r.Status, r.Header, r.body = response.StatusCode, response.Header, response.Body
 		r.closeConn = r.closeConn || response.Close
 		return nil
