Estimate the sends before a host's start during a cutover

Cause: sends are counted in memory, and those since the restart were divided by the whole time since the cutover began. What was still to come seemed far too little. Ruled out: missing evidence, as the release fails under load only.

Change: sends count for the time for which the host has known the cutover; those before are estimated at that rate, with at least the trial's share for the new release. Hosts that were not restarted decide as before.

--- a/core/services/lavcutover/decisions.go
+++ b/core/services/lavcutover/decisions.go
@@ -96,7 +96,7 @@
 		next.State = Stopped
 		return Change{Progress: next, Revision: row.revision, Evidence: evidence}, true
 	}
-	row.takesAll = c.mayTakeAll(row, evidence, elapsed)
+	row.takesAll = c.mayTakeAll(row, evidence, elapsed, now)
 	if !row.takesAll {
 		row.idleSince = time.Time{}
 		return Change{}, false
@@ -121,7 +121,7 @@
 
 // mayTakeAll reports whether the release may take all traffic: its trial is over, the evidence is below DoubtEvidence, and
 // the rest of the time fits the allowed exposure. Once the release takes all traffic, only the evidence ends that.
-func (c *Cutovers) mayTakeAll(row *cutover, evidence float64, elapsed time.Duration) bool {
+func (c *Cutovers) mayTakeAll(row *cutover, evidence float64, elapsed time.Duration, now time.Time) bool {
 	if evidence >= c.settings.DoubtEvidence || row.progress.inTrial(elapsed) {
 		return false
 	}
@@ -129,7 +129,8 @@
 		return true
 	}
 	sent, exposed := c.statistics.sendTotals(row.progress)
-	return c.settings.Exposure.fits(sent, exposed, elapsed, row.progress.Duration)
+	counts := exposureCounts{Sent: sent, Exposed: exposed, Counted: min(elapsed, now.Sub(row.learnedAt))}
+	return c.settings.Exposure.fits(counts, c.settings.TrialShare, elapsed, row.progress.Duration)
 }
 
 // Status is the state of a cutover for peers and for the state dump, which uses the field names as keys. Evidence and
