review: an entry of another writer is used as a replica

Cause: the decoder of server entries takes missing fields as zero and numbers in quotes, so that an entry without version, slots, cold-remaining-ms and sequence names a server. Answers from 300 on need no signature.

--- a/review/standin-2/client.go
+++ b/review/standin-2/client.go
@@ -21,7 +21,9 @@
 type result struct {
 	status int
 	body   string
-	err    error
+	// signature is the MAC of the answer.
+	signature string
+	err       error
 	// wrote states that the whole request was written.
 	wrote bool
 }
@@ -66,5 +68,5 @@
 	}
 	defer response.Body.Close()
 	body, err := io.ReadAll(response.Body)
-	return result{status: response.StatusCode, body: string(body), err: err, wrote: true}
+	return result{status: response.StatusCode, body: string(body), signature: response.Header.Get("Response-Signature"), err: err, wrote: true}
 }
--- a/review/standin-2/fleet.go
+++ b/review/standin-2/fleet.go
@@ -29,9 +29,12 @@
 	memoryMB int
 	hosts    []*host
 	replicas []*replica
-	record   *record
-	done     chan struct{}
-	endOnce  sync.Once
+	// foreign holds the entries of another writer by key; it writes them as often as the replicas write theirs.
+	foreign      map[string]string
+	foreignMutex sync.Mutex
+	record       *record
+	done         chan struct{}
+	endOnce      sync.Once
 }
 
 // host is one entry host and its process.
@@ -188,12 +191,30 @@
 	})
 }
 
+// addForeign writes an entry of another writer among those of the replicas.
+func (f *fleet) addForeign(key string, entry map[string]any) {
+	value, _ := json.Marshal(entry)
+	f.foreignMutex.Lock()
+	defer f.foreignMutex.Unlock()
+	if f.foreign == nil {
+		f.foreign = make(map[string]string)
+	}
+	f.foreign[key] = string(value)
+	f.store.put("servers", key, string(value))
+	f.record.print("another writer has put the entry %s", value)
+}
+
 // heartbeats writes the rows of the replicas every 1.2 s.
 func (f *fleet) heartbeats() {
 	for {
 		for _, r := range f.replicas {
 			r.beat(f.store)
 		}
+		f.foreignMutex.Lock()
+		for key, value := range f.foreign {
+			f.store.put("servers", key, value)
+		}
+		f.foreignMutex.Unlock()
 		select {
 		case <-f.done:
 			return
