--- a/review/standin-2/drill.go
+++ b/review/standin-2/drill.go
@@ -9,19 +9,20 @@
 
 // The times of the drill cases, from the start of the traffic.
 const (
-	copyAt    = 2 * time.Second
-	orderAt   = 3 * time.Second
-	drillAt   = 6 * time.Second
-	awayFor   = time.Second
-	addAt     = 7500 * time.Millisecond
-	rewriteAt = 15 * time.Second
-	endAt     = 17 * time.Second
+	copyAt  = 2 * time.Second
+	orderAt = 3 * time.Second
+	drillAt = 6 * time.Second
+	awayFor = time.Second
+	addAt   = 7500 * time.Millisecond
 	// contact, evacuate and apply are bounds of the site.
 	contact  = 3 * time.Second
 	evacuate = 5 * time.Second
 	apply    = 2 * time.Second
 )
 
+// rewriteAt is when the operator writes again what was lost, and endAt the end of the traffic.
+var rewriteAt, endAt = 15 * time.Second, 17 * time.Second
+
 // sent is one request of the drill cases.
 type sent struct {
 	id     string
@@ -67,6 +68,12 @@
 	if os.Getenv("START_ERA") != "" {
 		fmt.Sscan(os.Getenv("START_ERA"), &f.store.era)
 	}
+	if os.Getenv("REWRITE_S") != "" {
+		var seconds int
+		fmt.Sscan(os.Getenv("REWRITE_S"), &seconds)
+		rewriteAt = time.Duration(seconds) * time.Second
+		endAt = rewriteAt + 2*time.Second
+	}
 	f.writeConfig(1, "key-1", "key-2")
 	for i, zone := range []string{"zone-a", "zone-b", "zone-a", "zone-b"} {
 		f.addReplica(fmt.Sprint("app-", i), "app", zone, 30*time.Millisecond)
--- a/review/standin-2/replica.go
+++ b/review/standin-2/replica.go
@@ -21,8 +21,10 @@
 	work                       time.Duration
 	events                     int
 	gap                        time.Duration
-	record                     *record
-	server                     *http.Server
+	// first is the time before the first event.
+	first  time.Duration
+	record *record
+	server *http.Server
 
 	mu       sync.Mutex
 	sequence int
@@ -114,6 +116,11 @@
 	w.Header().Set("Content-Type", "text/event-stream")
 	w.Header().Set("Weights-Versions", "1")
 	control := http.NewResponseController(w)
+	select {
+	case <-time.After(r.first):
+	case <-ctx.Done():
+		panic(http.ErrAbortHandler)
+	}
 	for number := after + 1; number <= r.events; number++ {
 		select {
 		case <-time.After(r.gap):
